--- /dev/null
+++ b/bitternsill/src/core/mod.rs
@@ -0,0 +1,462 @@
+//! Queries, parts and attempts between the wires and the decision module. Knows no wire and no socket.
+//!
+//! What happens is turned into the module's events, once a tick; its actions are carried out through the
+//! traits in [`ports`]. The rules that do not depend on a decision (one final answer, in time, from parts that
+//! are in) are enforced here whatever the module says.
+
+pub mod ports;
+pub mod settings;
+
+use crate::limits::{Limits, MS};
+use bramblestair::interface::{
+    Action, Entry, Event, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings, Time,
+};
+use bramblestair::{Aggregator, interface::Effect};
+use ports::{Answer, Ask, AttemptId, Caller, Clients, Directory, Hosts, Outgoing, Reason, Refusal, Value};
+use settings::Deployment;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// How much a sum of weights may fall short of what is asked for.
+const ROUNDING: f64 = 0.0001;
+
+struct Query {
+    caller: Caller,
+    name: Rc<str>,
+    class: usize,
+    key: Option<Rc<str>>,
+    text: Rc<str>,
+    deadline: Time,
+    parts: Vec<u64>,
+    /// Shards in at the end of the first step, and whether that was whole; set once there is a second.
+    first: Option<(Rc<str>, bool)>,
+    taken: Time,
+    attempts: u32,
+}
+
+struct Part {
+    query: u64,
+    shard: u32,
+    weight: f64,
+    attempts: u32,
+    first_sent: Option<Time>,
+    value: Option<Value>,
+}
+
+struct Attempt {
+    host: ServerId,
+    sent: Time,
+    until: Time,
+    written: bool,
+}
+
+/// The state between the wires and the module.
+pub struct Core {
+    aggregator: Aggregator,
+    settings: Settings,
+    deployment: Deployment,
+    limits: Rc<Limits>,
+    queries: BTreeMap<u64, Query>,
+    callers: HashMap<Caller, u64>,
+    parts: HashMap<u64, Part>,
+    attempts: HashMap<AttemptId, Attempt>,
+    timeouts: BTreeSet<(Time, AttemptId)>,
+    deadlines: BTreeSet<(Time, u64)>,
+    probes: BTreeMap<ServerId, Time>,
+    wakes: BTreeSet<Time>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    last_turn: Time,
+    next_id: u64,
+}
+
+impl Core {
+    /// A core that holds nothing yet.
+    pub fn new(settings: Settings, deployment: Deployment, limits: Rc<Limits>, seed: u64) -> Self {
+        Core {
+            aggregator: Aggregator::new(settings.clone(), seed),
+            settings,
+            deployment,
+            limits,
+            queries: BTreeMap::new(),
+            callers: HashMap::new(),
+            parts: HashMap::new(),
+            attempts: HashMap::new(),
+            timeouts: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            probes: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+            last_turn: 0,
+            next_id: 1,
+        }
+    }
+
+    /// What the program itself needs to know of the deployment.
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// Queries that have no final answer yet.
+    pub fn open_queries(&self) -> usize {
+        self.queries.len()
+    }
+
+    /// Takes a query. It gets its one answer through [`Clients::answer`], unless it is turned away here.
+    pub fn take(&mut self, ask: Ask, now: Time) -> Result<(), Refusal> {
+        // Sent twice on one connection it would have two answers there.
+        if self.callers.contains_key(&ask.caller) {
+            return Err(Refusal::Busy);
+        }
+        // The settings' bound on what is held: the simulator turns such a query away unseen, so its refusal is due.
+        if self.queries.len() + self.parts.len() >= self.settings.max_open as usize {
+            return Err(Refusal::TableFull);
+        }
+        let margin = self.limits.answer_margin;
+        let deadline = ask.arrived.saturating_add(ask.budget).saturating_sub(margin.min(ask.budget / 4));
+        let number = self.fresh_id();
+        let patience = ask.budget.saturating_sub(now.saturating_sub(ask.arrived));
+        self.events.push(Event::Query {
+            id: QueryId(number),
+            number,
+            class: ask.class,
+            tenant: 0,
+            parts: ask.parts.len() as u32,
+            patience: patience.saturating_sub(self.limits.patience_margin.min(patience / 2)),
+            repeat: ask.repeat,
+        });
+        let mut parts = Vec::with_capacity(ask.parts.len());
+        for (shard, weight) in ask.parts {
+            parts.push(self.add_part(number, shard, weight));
+        }
+        self.deadlines.insert((deadline, number));
+        self.callers.insert(ask.caller, number);
+        let query = Query {
+            caller: ask.caller,
+            name: ask.name,
+            class: ask.class,
+            key: ask.key,
+            text: ask.text,
+            deadline,
+            parts,
+            first: None,
+            taken: ask.arrived,
+            attempts: 0,
+        };
+        self.queries.insert(number, query);
+        Ok(())
+    }
+
+    /// The client of a query has left; it gets no answer.
+    pub fn client_left(&mut self, caller: Caller) {
+        if let Some(number) = self.callers.get(&caller).copied() {
+            self.close(number);
+            self.events.push(Event::ClientLeft { id: QueryId(number) });
+        }
+    }
+
+    /// News of the list of index hosts.
+    pub fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
+        self.events.push(Event::List { kind, entries: entries.into() });
+    }
+
+    /// A discovery call failed, or the watch ended.
+    pub fn list_failed(&mut self) {
+        self.events.push(Event::ListFailed);
+    }
+
+    /// The last byte of an attempt's message went out: from here on it may run.
+    pub fn written(&mut self, attempt: AttemptId) {
+        if let Some(attempt) = self.attempts.get_mut(&attempt) {
+            attempt.written = true;
+        }
+    }
+
+    /// An attempt brought its value.
+    pub fn served(&mut self, attempt: AttemptId, value: Value, now: Time) {
+        if self.attempts.contains_key(&attempt)
+            && let Some(part) = self.parts.get_mut(&attempt.part)
+        {
+            part.value.get_or_insert(value);
+        }
+        self.ended(attempt, Outcome::Ok, now);
+    }
+
+    /// An attempt ended; a second end of one attempt is dropped, so the module sees exactly one.
+    pub fn ended(&mut self, id: AttemptId, outcome: Outcome, now: Time) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.timeouts.remove(&(attempt.until, id));
+        tracing::debug!(part = id.part, leg = id.leg, host = attempt.host.0, ?outcome, "ended");
+        self.events.push(Event::Ended {
+            part: PartId(id.part),
+            attempt: id.leg,
+            server: attempt.host,
+            outcome,
+            took: now.saturating_sub(attempt.sent),
+            load: LoadReport::default(),
+        });
+    }
+
+    /// A connection broke, or ended: what had been written whole may have run, the rest never did.
+    pub fn broken(&mut self, attempt: AttemptId, now: Time) {
+        let written = self.attempts.get(&attempt).is_some_and(|a| a.written);
+        self.ended(attempt, if written { Outcome::Reset } else { Outcome::ConnectFailed }, now);
+    }
+
+    /// A probe ended.
+    pub fn probed(&mut self, host: ServerId, outcome: Outcome, now: Time) {
+        if let Some(sent) = self.probes.remove(&host) {
+            let took = now.saturating_sub(sent);
+            self.events.push(Event::Probed { server: host, outcome, took, load: LoadReport::default() });
+        }
+    }
+
+    /// When the next turn is to run.
+    pub fn due(&self) -> Option<Time> {
+        if !self.events.is_empty() {
+            return Some(self.last_turn + self.settings.tick);
+        }
+        let times = [
+            self.wakes.first().copied(),
+            self.timeouts.first().map(|t| t.0),
+            self.deadlines.first().map(|d| d.0),
+            self.probes.values().min().map(|at| at + self.limits.probe),
+        ];
+        Some(times.into_iter().flatten().min()?.max(self.last_turn + self.settings.tick))
+    }
+
+    /// One turn of the module: it is told all that arrived, and what it decides is carried out.
+    pub fn turn(&mut self, now: Time, ports: &mut (impl Clients + Hosts + Directory)) {
+        self.last_turn = now;
+        self.time_out(now, ports);
+        while self.wakes.first().is_some_and(|at| *at <= now) {
+            self.wakes.pop_first();
+            if !matches!(self.events.last(), Some(Event::Wake)) {
+                self.events.push(Event::Wake);
+            }
+        }
+        if self.events.is_empty() {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        self.aggregator.turn(now, &self.events, &mut actions);
+        self.events.clear();
+        let mut calls: Vec<(ServerId, Vec<Outgoing>)> = Vec::new();
+        for action in actions.drain(..) {
+            self.carry_out(action, now, &mut calls, ports);
+        }
+        self.actions = actions;
+        let most = self.settings.call_parts as usize;
+        for (host, mut parts) in calls {
+            while parts.len() > most {
+                let rest = parts.split_off(most);
+                ports.call(host, std::mem::replace(&mut parts, rest));
+            }
+            ports.call(host, parts);
+        }
+    }
+
+    fn time_out(&mut self, now: Time, ports: &mut (impl Clients + Hosts)) {
+        while let Some(&(at, id)) = self.timeouts.first()
+            && at <= now
+        {
+            self.timeouts.pop_first();
+            let Some(attempt) = self.attempts.get(&id) else { continue };
+            let outcome = if attempt.written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            ports.give_up(attempt.host, id);
+            self.ended(id, outcome, now);
+        }
+        let late: Vec<ServerId> =
+            self.probes.iter().filter(|p| *p.1 + self.limits.probe <= now).map(|p| *p.0).collect();
+        for host in late {
+            self.probed(host, Outcome::TimedOut, now);
+        }
+        // The module ends queries in good time; this guards the rule should it ever not.
+        while let Some(&(at, number)) = self.deadlines.first()
+            && at <= now
+        {
+            self.deadlines.pop_first();
+            if let Some(query) = self.close(number) {
+                tracing::warn!(query = &*query.name, "no decision in time");
+                ports.answer(query.caller, Answer::Failed(Reason::TimeUp));
+                self.events.push(Event::ClientLeft { id: QueryId(number) });
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        action: Action,
+        now: Time,
+        calls: &mut Vec<(ServerId, Vec<Outgoing>)>,
+        ports: &mut (impl Clients + Hosts + Directory),
+    ) {
+        match action {
+            Action::Send { part, server, until } => self.send(part.0, server, until, now, calls),
+            Action::Cancel { part, attempt } => {
+                let id = AttemptId { part: part.0, leg: attempt };
+                if let Some(attempt) = self.attempts.get(&id) {
+                    let outcome = if attempt.written { Outcome::Cancelled } else { Outcome::Skipped };
+                    ports.give_up(attempt.host, id);
+                    self.ended(id, outcome, now);
+                }
+            }
+            Action::Answer { query, whole } => self.answer(query.0, whole, now, ports),
+            Action::Refuse { query, hold_off } => {
+                if let Some(query) = self.close(query.0) {
+                    let held = now.saturating_sub(query.taken) / MS;
+                    tracing::debug!(query = &*query.name, held, attempts = query.attempts, "refused");
+                    ports.answer(query.caller, Answer::Refused { hold_off });
+                }
+            }
+            Action::Fail { query } => {
+                if let Some(query) = self.close(query.0) {
+                    ports.answer(query.caller, Answer::Failed(Reason::GivenUp));
+                }
+            }
+            Action::WakeAt(at) => {
+                self.wakes.insert(at);
+            }
+            Action::Probe(host) => {
+                if self.probes.insert(host, now).is_none() {
+                    ports.probe(host);
+                }
+            }
+            Action::Watch(on) => ports.watch(on),
+            Action::Fetch => ports.fetch(),
+            Action::Close(host) => ports.close_idle(host),
+            Action::Note(text) => tracing::info!(note = text, "module"),
+        }
+    }
+
+    fn send(
+        &mut self,
+        number: u64,
+        host: ServerId,
+        until: Time,
+        now: Time,
+        calls: &mut Vec<(ServerId, Vec<Outgoing>)>,
+    ) {
+        let Some(part) = self.parts.get_mut(&number) else { return };
+        let Some(query) = self.queries.get_mut(&part.query) else { return };
+        let id = AttemptId { part: number, leg: part.attempts };
+        part.attempts += 1;
+        let until = if until == 0 { query.deadline } else { until.min(query.deadline) };
+        self.attempts.insert(id, Attempt { host, sent: now, until, written: false });
+        let class = &self.settings.classes[query.class];
+        // Written later than this, a repeat would no longer be dropped by the index host.
+        let first_sent = *part.first_sent.get_or_insert(now);
+        let repeatable = match class.effect {
+            Effect::Keyed if id.leg > 0 => first_sent + class.key_lifetime,
+            _ => Time::MAX,
+        };
+        let over = part.value.is_some() || part.attempts > self.settings.max_attempts;
+        if over || until.min(repeatable) <= now {
+            self.ended(id, Outcome::Skipped, now);
+            return;
+        }
+        query.attempts += 1;
+        self.timeouts.insert((until, id));
+        let second = query.first.as_ref();
+        let outgoing = Outgoing {
+            id,
+            name: format!("{}.{}{}", query.name, part.shard, if second.is_some() { ".r" } else { "" }),
+            shard: part.shard,
+            until,
+            not_after: repeatable,
+            key: query.key.clone(),
+            from: second.map(|(from, _)| from.clone()),
+            text: query.text.clone(),
+            first_whole: second.map(|(_, whole)| *whole),
+        };
+        match calls.iter_mut().find(|(to, _)| *to == host) {
+            Some((_, parts)) => parts.push(outgoing),
+            None => calls.push((host, vec![outgoing])),
+        }
+    }
+
+    fn answer(&mut self, number: u64, whole: bool, now: Time, ports: &mut impl Clients) {
+        let Some(query) = self.queries.get(&number) else { return };
+        let class = &self.settings.classes[query.class];
+        let (floor, need, second_step) = (class.floor, class.need, class.second_step as usize);
+        let parts = query.parts.iter().filter_map(|id| self.parts.get(id));
+        let mut within: Vec<(u32, Value)> =
+            parts.clone().filter_map(|p| Some((p.shard, p.value.clone()?))).collect();
+        let weight: f64 = parts.filter(|p| p.value.is_some()).map(|p| p.weight).sum();
+        let all = within.len() == query.parts.len();
+        let enough = if query.first.is_some() { all } else { weight + ROUNDING >= need };
+        let honest = whole && enough && query.first.as_ref().is_none_or(|first| first.1);
+        if within.is_empty() || weight + ROUNDING < floor {
+            // An answer from less than the class's least share must never go out, whoever asked for it.
+            tracing::error!(query = &*query.name, weight, "an answer from too few parts was held back");
+            if let Some(query) = self.close(number) {
+                ports.answer(query.caller, Answer::Failed(Reason::GivenUp));
+            }
+            self.events.push(Event::ClientLeft { id: QueryId(number) });
+            return;
+        }
+        if second_step > 0 && query.first.is_none() {
+            self.second_step(number, within, honest, second_step);
+            return;
+        }
+        if let Some(query) = self.close(number) {
+            tracing::debug!(
+                query = &*query.name,
+                took = now.saturating_sub(query.taken) / MS,
+                whole = honest,
+                attempts = query.attempts,
+                "answered"
+            );
+            within.sort_by_key(|(shard, _)| *shard);
+            ports.answer(query.caller, Answer::Served { whole: honest, values: within });
+        }
+    }
+
+    /// Begins the second step: parts at the shards in with the highest scores, told to the module next turn.
+    fn second_step(&mut self, number: u64, mut within: Vec<(u32, Value)>, whole: bool, most: usize) {
+        within.sort_by_key(|(shard, _)| *shard);
+        let from: Vec<String> = within.iter().map(|(shard, _)| shard.to_string()).collect();
+        within.sort_by(|a, b| b.1.score.total_cmp(&a.1.score).then(a.0.cmp(&b.0)));
+        within.truncate(most);
+        let weight = 1.0 / within.len() as f64;
+        let parts: Vec<u64> = within.iter().map(|(shard, _)| self.add_part(number, *shard, weight)).collect();
+        if let Some(query) = self.queries.get_mut(&number) {
+            query.first = Some((from.join("+").into(), whole));
+            for old in std::mem::replace(&mut query.parts, parts) {
+                self.parts.remove(&old);
+            }
+        }
+    }
+
+    fn add_part(&mut self, query: u64, shard: u32, weight: f64) -> u64 {
+        let id = self.fresh_id();
+        self.parts.insert(id, Part { query, shard, weight, attempts: 0, first_sent: None, value: None });
+        self.events.push(Event::Part { id: PartId(id), number: query, shard, weight });
+        id
+    }
+
+    fn close(&mut self, number: u64) -> Option<Query> {
+        let query = self.queries.remove(&number)?;
+        self.callers.remove(&query.caller);
+        self.deadlines.remove(&(query.deadline, number));
+        for part in &query.parts {
+            self.parts.remove(part);
+        }
+        Some(query)
+    }
+
+    fn fresh_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// Fails whatever is still open: the program is about to end.
+    pub fn fail_all(&mut self, clients: &mut impl Clients) {
+        while let Some((&number, _)) = self.queries.first_key_value() {
+            if let Some(query) = self.close(number) {
+                clients.answer(query.caller, Answer::Failed(Reason::Ending));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bitternsill/src/core/ports.rs
@@ -0,0 +1,171 @@
+//! The plain types and small traits by which fronts and index-host links meet the core.
+
+use bramblestair::interface::{ServerId, Time};
+use std::rc::Rc;
+
+/// Whoever waits for an answer; the number means something to its front alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Caller(pub u64);
+
+/// One attempt for one part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The part's number in the core.
+    pub part: u64,
+    /// Which attempt of it, from 0.
+    pub leg: u32,
+}
+
+/// A query as a front hands it in.
+#[derive(Debug)]
+pub struct Ask {
+    /// Who waits.
+    pub caller: Caller,
+    /// The client's id for it.
+    pub name: Rc<str>,
+    /// Its class, by place in the settings.
+    pub class: usize,
+    /// The idempotency key, in a keyed class.
+    pub key: Option<Rc<str>>,
+    /// The client says that it asks again.
+    pub repeat: bool,
+    /// How long the client waits, counted from `arrived`.
+    pub budget: Time,
+    /// When the query's last byte came.
+    pub arrived: Time,
+    /// What every part carries.
+    pub text: Rc<str>,
+    /// Shard and weight of each part.
+    pub parts: Vec<(u32, f64)>,
+}
+
+/// Why a query is turned away before the module sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// As much is held as the settings allow.
+    TableFull,
+    /// The same caller already waits for an answer.
+    Busy,
+}
+
+/// What an index host gave for a part.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Value {
+    /// Its rank among the values of a query.
+    pub score: Score,
+    /// The value itself, passed on unchanged.
+    pub body: Rc<str>,
+}
+
+/// A score, kept exact where it is a whole number.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Score {
+    /// A whole number.
+    Whole(i128),
+    /// Any other number.
+    Real(f64),
+}
+
+impl Score {
+    /// Reads a score; what is no number ranks last.
+    pub fn parse(text: &str) -> Self {
+        match text.parse() {
+            Ok(whole) => Score::Whole(whole),
+            Err(_) => Score::Real(text.parse().unwrap_or(f64::NEG_INFINITY)),
+        }
+    }
+
+    /// Orders scores; whole ones exactly.
+    pub fn total_cmp(&self, other: &Self) -> std::cmp::Ordering {
+        match (self, other) {
+            (Score::Whole(a), Score::Whole(b)) => a.cmp(b),
+            _ => self.real().total_cmp(&other.real()),
+        }
+    }
+
+    fn real(&self) -> f64 {
+        match *self {
+            Score::Whole(n) => n as f64,
+            Score::Real(x) => x,
+        }
+    }
+}
+
+/// Why a query failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// Its time ended without a decision.
+    TimeUp,
+    /// The module gave it up.
+    GivenUp,
+    /// The program is ending.
+    Ending,
+}
+
+/// The one final answer to a query.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Served from the parts that are in.
+    Served {
+        /// Whether it is marked whole.
+        whole: bool,
+        /// Each part that is in, by shard.
+        values: Vec<(u32, Value)>,
+    },
+    /// Turned away; asking again is harmless.
+    Refused {
+        /// How long to keep away; 0 for no advice.
+        hold_off: Time,
+    },
+    /// Given up.
+    Failed(Reason),
+}
+
+/// One part on its way to an index host.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Which attempt.
+    pub id: AttemptId,
+    /// The part's id on the wire.
+    pub name: String,
+    /// Its shard.
+    pub shard: u32,
+    /// When the gatherer stops waiting.
+    pub until: Time,
+    /// It must not be written later than this.
+    pub not_after: Time,
+    /// The idempotency key, in a keyed class.
+    pub key: Option<Rc<str>>,
+    /// In a second step: the shards that were in after the first.
+    pub from: Option<Rc<str>>,
+    /// In a second step: whether the first was whole.
+    pub first_whole: Option<bool>,
+    /// The query's text.
+    pub text: Rc<str>,
+}
+
+/// The fronts, as the core sees them.
+pub trait Clients {
+    /// Passes on a query's final answer.
+    fn answer(&mut self, caller: Caller, answer: Answer);
+}
+
+/// The links to index hosts, as the core sees them.
+pub trait Hosts {
+    /// Sends the parts of one call.
+    fn call(&mut self, host: ServerId, parts: Vec<Outgoing>);
+    /// Gives an attempt up.
+    fn give_up(&mut self, host: ServerId, attempt: AttemptId);
+    /// Probes a host.
+    fn probe(&mut self, host: ServerId);
+    /// Closes the idle connections to a host.
+    fn close_idle(&mut self, host: ServerId);
+}
+
+/// Discovery, as the core sees it.
+pub trait Directory {
+    /// Begins or ends the watch.
+    fn watch(&mut self, on: bool);
+    /// Asks once for the whole list.
+    fn fetch(&mut self);
+}
--- /dev/null
+++ b/bitternsill/src/core/settings.rs
@@ -0,0 +1,73 @@
+//! The settings: the module's share is read by the adapter's parser, the program's own share here.
+
+use bramblestair::interface::{Effect, Settings, Time};
+use bramblestair::wire::read_settings;
+use serde_json::Value;
+use std::fmt;
+
+/// What the program itself needs of the settings.
+#[derive(Debug, Clone, Default)]
+pub struct Deployment {
+    /// The classes' names, in the settings' order.
+    pub classes: Vec<String>,
+    /// Which classes carry an idempotency key.
+    pub keyed: Vec<bool>,
+    /// How many shards there are.
+    pub shards: u32,
+    /// The halls' names.
+    pub zones: Vec<String>,
+    /// The machine kinds' names.
+    pub kinds: Vec<String>,
+    /// Calls one connection carries at once.
+    pub calls_per_connection: usize,
+    /// An idle connection is closed by the index host after this.
+    pub host_idle: Option<Time>,
+    /// How long a connection may take to come up.
+    pub connect: Option<Time>,
+    /// How long sends to a leaving host may go on.
+    pub drain_grace: Option<Time>,
+}
+
+/// Settings that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Reads both shares of the settings.
+pub fn read(value: &Value) -> Result<(Settings, Deployment), SettingsError> {
+    let settings = read_settings(&value.to_string()).map_err(SettingsError)?;
+    let words = |list: &Value| -> Vec<String> {
+        let items = list.as_array().map(Vec::as_slice).unwrap_or_default();
+        items.iter().map(|item| item.as_str().unwrap_or_default().to_owned()).collect()
+    };
+    let number = |group: &str, key: &str| value[group][key].as_f64().filter(|n| *n >= 0.0);
+    let names: Vec<String> = value["request_classes"]
+        .as_array()
+        .map(Vec::as_slice)
+        .unwrap_or_default()
+        .iter()
+        .map(|class| class["name"].as_str().unwrap_or_default().to_owned())
+        .collect();
+    if names.iter().any(String::is_empty) {
+        return Err(SettingsError("a class of `request_classes` has no `name`".to_owned()));
+    }
+    let deployment = Deployment {
+        classes: names,
+        keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
+        shards: number("extra", "ranges").map_or(settings.cells, |n| n as u32),
+        zones: words(&value["zones"]),
+        kinds: words(&value["kinds"]),
+        calls_per_connection: number("limits", "streams_per_conn").map_or(1, |n| n.max(1.0) as usize),
+        host_idle: number("limits", "conn_idle").map(|n| n as Time),
+        connect: number("limits", "connect_timeout").map(|n| n as Time),
+        drain_grace: number("guarantees", "drain_grace").map(|n| n as Time),
+    };
+    Ok((settings, deployment))
+}
--- /dev/null
+++ b/bitternsill/src/describe/mod.rs
@@ -0,0 +1,3 @@
+//! Descriptions of the program's surfaces, made from the tables that the code routes by.
+
+pub mod openapi;
--- /dev/null
+++ b/bitternsill/src/describe/openapi.rs
@@ -0,0 +1,94 @@
+//! The HTTP surfaces as an OpenAPI description.
+
+use crate::front::platform::client::{Operation, ROUTES, Route};
+use crate::front::platform::query::{AGAIN, BUDGET, CALL_CLASS, CALL_ID, KEY};
+use crate::limits::Limits;
+use serde_json::{Map, Value as Json, json};
+
+fn parameters(route: &Route) -> Json {
+    if route.operation != Operation::Query {
+        return json!([]);
+    }
+    let header = |name: &str, required: bool, schema: Json, about: &str| json!({"name": name, "in": "header", "required": required, "schema": schema, "description": about});
+    json!([
+        header(CALL_ID, true, json!({"type": "string"}), "Differs with every request, a retry included"),
+        header(CALL_CLASS, true, json!({"type": "string"}), "The query's class"),
+        header(BUDGET, true, json!({"type": "number", "minimum": 0}), "Seconds that the client waits"),
+        header(AGAIN, false, json!({"type": "string", "enum": ["1"]}), "Marks a retry"),
+        header(KEY, false, json!({"type": "string"}), "Required in a keyed class"),
+    ])
+}
+
+fn request_body(limits: &Limits) -> Json {
+    let range = json!({
+        "type": "object",
+        "required": ["range", "portion"],
+        "properties": {
+            "range": {"type": "integer", "minimum": 0, "description": "The part's shard"},
+            "portion": {"type": "number", "minimum": 0, "description": "Its share of the whole answer"},
+            "price": {"type": "integer", "description": "A guess at its work, in microseconds"},
+            "hash": {"type": "string", "pattern": "^[0-9a-f]{16}$"}
+        }
+    });
+    let schema = json!({
+        "type": "object",
+        "required": ["ranges", "predicate"],
+        "properties": {
+            "ranges": {"type": "array", "minItems": 1, "items": range},
+            "predicate": {"type": "string", "description": "What every part carries"}
+        }
+    });
+    let about = format!("At most {} bytes, with a length or in chunks", limits.body_bytes);
+    json!({"required": true, "description": about, "content": {"application/json": {"schema": schema}}})
+}
+
+fn answer_content() -> Json {
+    let answer = json!({
+        "type": "object",
+        "required": ["range", "blob"],
+        "properties": {"range": {"type": "integer"}, "blob": {"type": "string"}}
+    });
+    json!({"application/json": {"schema": {
+        "type": "object",
+        "required": ["total", "answers"],
+        "properties": {
+            "total": {"type": "boolean", "description": "Whether the answer is whole"},
+            "answers": {"type": "array", "items": answer}
+        }
+    }}})
+}
+
+fn operation(route: &Route, limits: &Limits) -> Json {
+    let mut responses = Map::new();
+    for (status, meaning) in route.answers {
+        let mut response = json!({"description": meaning});
+        if *status == 200 && route.operation == Operation::Query {
+            response["content"] = answer_content();
+        }
+        responses.insert(status.to_string(), response);
+    }
+    let mut operation = json!({
+        "summary": route.summary,
+        "operationId": format!("{:?}", route.operation).to_lowercase(),
+        "parameters": parameters(route),
+        "responses": responses,
+    });
+    if route.operation == Operation::Query {
+        operation["requestBody"] = request_body(limits);
+    }
+    operation
+}
+
+/// The description.
+pub fn describe(limits: &Limits) -> Json {
+    let mut paths = Map::new();
+    for route in ROUTES {
+        let path = paths.entry(route.path).or_insert_with(|| json!({}));
+        path[route.method.to_lowercase()] = operation(route, limits);
+    }
+    json!({
+        "openapi": "3.1.0",
+        "info": {"title": "bitternsill", "version": env!("CARGO_PKG_VERSION")},
+        "paths": paths,
+    })
+}
--- /dev/null
+++ b/bitternsill/src/front/hosts.rs
@@ -0,0 +1,250 @@
+//! The table of index hosts: where they are, what discovery says of them, and the connections to each.
+
+use super::{Gatherer, Message};
+use crate::core::ports::{AttemptId, Outgoing};
+use crate::limits::Limits;
+use crate::net::{Connection, Net, Token};
+use bramblestair::interface::{Entry, ListKind, ServerId, Standing, Time};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Opens connections in the protocol that an index host speaks.
+pub trait Connector {
+    /// Begins to connect; the connection object tells the table and the core of its fate.
+    fn connect(&self, host: ServerId, to: SocketAddr, now: Time)
+    -> io::Result<Box<dyn Connection<Gatherer>>>;
+
+    /// How many calls one connection carries at once.
+    fn calls_per_connection(&self) -> usize;
+}
+
+/// One line of the list, as a front reads it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// The host's name; the same at every gatherer.
+    pub uid: String,
+    /// Where it listens; absent where a change only says that it left.
+    pub endpoint: Option<SocketAddr>,
+    /// The rest, as the module wants it; its `server` is filled in by the table.
+    pub entry: Entry,
+}
+
+struct Link {
+    token: Token,
+    calls: usize,
+}
+
+struct Host {
+    endpoint: Option<SocketAddr>,
+    standing: Standing,
+    leaving_since: Option<Time>,
+    links: Vec<Link>,
+    attempts: HashMap<AttemptId, Token>,
+}
+
+/// Every index host that any list has named.
+pub struct HostTable {
+    connector: Box<dyn Connector>,
+    limits: Rc<Limits>,
+    ids: HashMap<String, ServerId>,
+    hosts: BTreeMap<ServerId, Host>,
+    next: u32,
+}
+
+impl HostTable {
+    /// A table without hosts.
+    pub fn new(connector: Box<dyn Connector>, limits: Rc<Limits>) -> Self {
+        HostTable { connector, limits, ids: HashMap::new(), hosts: BTreeMap::new(), next: 1 }
+    }
+
+    /// Whether any host takes work.
+    pub fn any_active(&self) -> bool {
+        self.hosts.values().any(|h| h.standing == Standing::Ready)
+    }
+
+    /// Takes the lines of a list and gives the module's entries.
+    pub fn update(
+        &mut self,
+        kind: ListKind,
+        members: Vec<Member>,
+        net: &mut Net<Gatherer>,
+        now: Time,
+    ) -> Vec<Entry> {
+        let mut entries = Vec::with_capacity(members.len());
+        let mut listed = Vec::new();
+        for mut member in members {
+            let Some(id) = self.id(&member.uid) else {
+                tracing::warn!(uid = member.uid, "more index hosts than the table holds");
+                continue;
+            };
+            listed.push(id);
+            member.entry.server = id;
+            let new = Host {
+                endpoint: None,
+                standing: Standing::Gone,
+                leaving_since: None,
+                links: Vec::new(),
+                attempts: HashMap::new(),
+            };
+            let host = self.hosts.entry(id).or_insert(new);
+            if member.endpoint.is_some() && host.endpoint != member.endpoint {
+                host.endpoint = member.endpoint;
+                // Connections to a former address end by themselves; new calls must not use them.
+                for link in host.links.drain(..) {
+                    net.post(link.token, Message::HostLeaves);
+                }
+            }
+            host.stand(member.entry.standing, net, now);
+            entries.push(member.entry);
+        }
+        if kind != ListKind::Partial {
+            for (id, host) in &mut self.hosts {
+                if !listed.contains(id) {
+                    host.stand(Standing::Gone, net, now);
+                }
+            }
+        }
+        self.forget_gone();
+        entries
+    }
+
+    fn id(&mut self, uid: &str) -> Option<ServerId> {
+        if let Some(id) = self.ids.get(uid) {
+            return Some(*id);
+        }
+        if self.ids.len() >= self.limits.hosts || uid.len() > self.limits.name_bytes {
+            return None;
+        }
+        let id = ServerId(self.next);
+        self.next += 1;
+        self.ids.insert(uid.to_owned(), id);
+        Some(id)
+    }
+
+    /// Drops hosts that have left and hold nothing, once the table is half full: it must not grow for ever.
+    fn forget_gone(&mut self) {
+        if self.ids.len() * 2 < self.limits.hosts {
+            return;
+        }
+        let kept = |h: &Host| h.standing != Standing::Gone || !h.links.is_empty() || !h.attempts.is_empty();
+        self.hosts.retain(|_, host| kept(host));
+        self.ids.retain(|_, id| self.hosts.contains_key(id));
+    }
+
+    /// Sends the parts of one call; gives them back where no connection can be had.
+    pub fn call(
+        &mut self,
+        id: ServerId,
+        parts: Vec<Outgoing>,
+        net: &mut Net<Gatherer>,
+        now: Time,
+    ) -> Result<(), Vec<Outgoing>> {
+        let grace = self.limits.drain_grace / 2;
+        let allowed = |h: &Host| h.leaving_since.is_none_or(|at| now < at + grace);
+        let Some(host) = self.hosts.get_mut(&id).filter(|h| allowed(h)) else { return Err(parts) };
+        let Some(token) = host.link(id, self.connector.as_ref(), &self.limits, net, now) else {
+            return Err(parts);
+        };
+        for part in &parts {
+            host.attempts.insert(part.id, token);
+        }
+        if let Some(link) = host.links.iter_mut().find(|l| l.token == token) {
+            link.calls += 1;
+        }
+        net.post(token, Message::Call(parts));
+        Ok(())
+    }
+
+    /// Tells the connection that carries an attempt to give it up.
+    pub fn give_up(&mut self, id: ServerId, attempt: AttemptId, net: &mut Net<Gatherer>) {
+        if let Some(token) = self.hosts.get_mut(&id).and_then(|h| h.attempts.remove(&attempt)) {
+            net.post(token, Message::GiveUp(attempt));
+        }
+    }
+
+    /// Sends a probe; false where no connection can be had.
+    pub fn probe(&mut self, id: ServerId, net: &mut Net<Gatherer>, now: Time) -> bool {
+        let Some(host) = self.hosts.get_mut(&id).filter(|h| h.leaving_since.is_none()) else { return false };
+        let token = host.link(id, self.connector.as_ref(), &self.limits, net, now);
+        token.map(|token| net.post(token, Message::Probe)).is_some()
+    }
+
+    /// Closes the connections to a host that carry nothing.
+    pub fn close_idle(&mut self, id: ServerId, net: &mut Net<Gatherer>) {
+        let Some(host) = self.hosts.get_mut(&id) else { return };
+        // They are out of the table at once, so that the call that follows opens a new one.
+        host.links.retain(|link| {
+            let idle = link.calls == 0;
+            if idle {
+                net.post(link.token, Message::CloseIdle);
+            }
+            !idle
+        });
+    }
+
+    /// An attempt has ended on its connection.
+    pub fn attempt_ended(&mut self, id: ServerId, attempt: AttemptId) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.attempts.remove(&attempt);
+        }
+    }
+
+    /// A call has ended on a connection: one more fits.
+    pub fn call_ended(&mut self, id: ServerId, token: Token) {
+        let links = self.hosts.get_mut(&id).map(|h| &mut h.links);
+        if let Some(link) = links.and_then(|links| links.iter_mut().find(|l| l.token == token)) {
+            link.calls = link.calls.saturating_sub(1);
+        }
+    }
+
+    /// A connection is to take no more calls, or has ended.
+    pub fn link_ended(&mut self, id: ServerId, token: Token) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.links.retain(|l| l.token != token);
+        }
+    }
+}
+
+impl Host {
+    fn stand(&mut self, standing: Standing, net: &mut Net<Gatherer>, now: Time) {
+        self.standing = standing;
+        if standing == Standing::Ready {
+            self.leaving_since = None;
+        } else if self.leaving_since.is_none() {
+            self.leaving_since = Some(now);
+            for link in &self.links {
+                net.post(link.token, Message::HostLeaves);
+            }
+        }
+    }
+
+    /// The connection for the next call: one with room, else a new one, else the least busy.
+    fn link(
+        &mut self,
+        id: ServerId,
+        connector: &dyn Connector,
+        limits: &Limits,
+        net: &mut Net<Gatherer>,
+        now: Time,
+    ) -> Option<Token> {
+        let least = self.links.iter().min_by_key(|l| l.calls).map(|l| (l.calls, l.token));
+        match least {
+            Some((calls, token)) if calls < connector.calls_per_connection() => return Some(token),
+            Some((_, token)) if self.links.len() >= limits.connections_per_host => return Some(token),
+            _ => {}
+        }
+        match connector.connect(id, self.endpoint?, now) {
+            Ok(connection) => {
+                let token = net.open(connection);
+                self.links.push(Link { token, calls: 0 });
+                Some(token)
+            }
+            Err(problem) => {
+                tracing::warn!(host = id.0, %problem, "no connection can be opened");
+                least.map(|(_, token)| token)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/http.rs
@@ -0,0 +1,448 @@
+//! HTTP/1.1 messages, read from any split of their bytes, and written.
+
+use std::fmt;
+
+/// What is wrong with a message, and the status that says so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HttpError {
+    /// The message breaks the grammar.
+    Malformed(&'static str),
+    /// The head is longer than the limit.
+    HeadTooLarge,
+    /// The body is longer than the limit.
+    BodyTooLarge,
+    /// A transfer coding other than chunked.
+    UnknownCoding,
+    /// Not HTTP/1.0 or 1.1.
+    Version,
+}
+
+impl HttpError {
+    /// The status of the answer.
+    pub fn status(self) -> u16 {
+        match self {
+            HttpError::Malformed(_) => 400,
+            HttpError::HeadTooLarge => 431,
+            HttpError::BodyTooLarge => 413,
+            HttpError::UnknownCoding => 501,
+            HttpError::Version => 505,
+        }
+    }
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::Malformed(what) => write!(f, "malformed message: {what}"),
+            HttpError::HeadTooLarge => f.write_str("the head is too large"),
+            HttpError::BodyTooLarge => f.write_str("the body is too large"),
+            HttpError::UnknownCoding => f.write_str("unknown transfer coding"),
+            HttpError::Version => f.write_str("unknown version"),
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// A start line and headers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Head {
+    /// Method and target, or version and status: the start line's first two words.
+    pub start: (String, String),
+    /// True for HTTP/1.0.
+    pub old: bool,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The value of a header, if it stands there once; names are compared without case.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let mut all = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        all.next().filter(|_| all.next().is_none()).map(|(_, value)| value.as_str())
+    }
+
+    fn has_word(&self, name: &str, word: &str) -> bool {
+        let lines = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        lines.flat_map(|(_, v)| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// Whether the connection is to be kept after this message.
+    pub fn keeps_alive(&self) -> bool {
+        !self.has_word("Connection", "close") && (!self.old || self.has_word("Connection", "keep-alive"))
+    }
+
+    /// Whether the sender waits to be told to go on before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.has_word("Expect", "100-continue")
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Head,
+    Length(usize),
+    ChunkSize,
+    Chunk(usize),
+    ChunkEnd,
+    Trailers,
+    UntilEnd,
+    Done,
+}
+
+/// How far a message has been read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Progress {
+    /// More bytes are wanted; the head may be there already.
+    More,
+    /// The message is whole.
+    Whole,
+}
+
+/// Reads one message after the other from a buffer.
+#[derive(Debug)]
+pub struct Reader {
+    state: State,
+    response: bool,
+    scanned: usize,
+    spent: usize,
+    head_limit: usize,
+    body_limit: usize,
+    /// The head, once read.
+    pub head: Option<Head>,
+    /// The body as far as it has come; a reader of a stream takes from it as it goes.
+    pub body: Vec<u8>,
+}
+
+impl Reader {
+    /// A reader of requests.
+    pub fn requests(head_limit: usize, body_limit: usize) -> Self {
+        Reader {
+            state: State::Head,
+            response: false,
+            scanned: 0,
+            spent: 0,
+            head_limit,
+            body_limit,
+            head: None,
+            body: Vec::new(),
+        }
+    }
+
+    /// A reader of responses.
+    pub fn responses(head_limit: usize, body_limit: usize) -> Self {
+        Reader { response: true, ..Reader::requests(head_limit, body_limit) }
+    }
+
+    /// Takes the message that was read; the next one begins.
+    pub fn take(&mut self) -> (Head, Vec<u8>) {
+        let next = Reader { response: self.response, ..Reader::requests(self.head_limit, self.body_limit) };
+        let done = std::mem::replace(self, next);
+        (done.head.unwrap_or_default(), done.body)
+    }
+
+    /// True where nothing of a message has come yet.
+    pub fn is_fresh(&self) -> bool {
+        self.state == State::Head && self.scanned == 0
+    }
+
+    /// True where the message ends with its connection.
+    pub fn ends_with_connection(&self) -> bool {
+        self.state == State::UntilEnd
+    }
+
+    /// Reads on; what was understood is taken out of `input`.
+    pub fn read(&mut self, input: &mut Vec<u8>) -> Result<Progress, HttpError> {
+        let mut at = 0;
+        let result = self.step(input, &mut at);
+        input.drain(..at);
+        result
+    }
+
+    fn step(&mut self, input: &[u8], at: &mut usize) -> Result<Progress, HttpError> {
+        loop {
+            let rest = &input[*at..];
+            match self.state {
+                State::Head => {
+                    let Some(length) = self.head_length(rest)? else { return Ok(Progress::More) };
+                    let head = parse_head(&rest[..length], self.response)?;
+                    *at += length;
+                    self.scanned = 0;
+                    let interim = self.response && head.start.1.starts_with('1');
+                    if !interim {
+                        self.state = self.framing(&head)?;
+                        self.head = Some(head);
+                    }
+                }
+                State::Length(0) | State::Done => {
+                    self.state = State::Done;
+                    return Ok(Progress::Whole);
+                }
+                State::Length(left) => {
+                    let n = left.min(rest.len());
+                    if n == 0 {
+                        return Ok(Progress::More);
+                    }
+                    self.add(&rest[..n])?;
+                    *at += n;
+                    self.state = State::Length(left - n);
+                }
+                State::UntilEnd => {
+                    self.add(rest)?;
+                    *at += rest.len();
+                    return Ok(Progress::More);
+                }
+                State::ChunkSize => {
+                    let Some(line) = line(rest, 256)? else { return Ok(Progress::More) };
+                    *at += line.len() + 2;
+                    let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
+                    let size = hex(digits).ok_or(HttpError::Malformed("chunk size"))?;
+                    self.state = if size == 0 { State::Trailers } else { State::Chunk(size) };
+                }
+                State::Chunk(left) => {
+                    let n = left.min(rest.len());
+                    if n == 0 {
+                        return Ok(Progress::More);
+                    }
+                    self.add(&rest[..n])?;
+                    *at += n;
+                    self.state = if n == left { State::ChunkEnd } else { State::Chunk(left - n) };
+                }
+                State::ChunkEnd => match rest {
+                    [b'\r', b'\n', ..] => {
+                        *at += 2;
+                        self.state = State::ChunkSize;
+                    }
+                    [] | [b'\r'] => return Ok(Progress::More),
+                    _ => return Err(HttpError::Malformed("chunk end")),
+                },
+                State::Trailers => {
+                    let Some(line) = line(rest, self.head_limit)? else { return Ok(Progress::More) };
+                    *at += line.len() + 2;
+                    self.spent += line.len() + 2;
+                    if self.spent > self.head_limit {
+                        return Err(HttpError::HeadTooLarge);
+                    }
+                    if line.is_empty() {
+                        self.state = State::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The head's length with its empty line, once that has come; blank lines before it are skipped with it.
+    fn head_length(&mut self, rest: &[u8]) -> Result<Option<usize>, HttpError> {
+        let from = self.scanned.saturating_sub(3);
+        let lead = rest.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        let end = rest[from.max(lead).min(rest.len())..].windows(4).position(|w| w == b"\r\n\r\n");
+        self.scanned = rest.len();
+        match end {
+            Some(end) if from.max(lead) + end + 4 <= self.head_limit => Ok(Some(from.max(lead) + end + 4)),
+            None if rest.len() <= self.head_limit => Ok(None),
+            _ => Err(HttpError::HeadTooLarge),
+        }
+    }
+
+    fn framing(&self, head: &Head) -> Result<State, HttpError> {
+        let named = |name: &str| head.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name)).count();
+        if self.response && matches!(head.start.1.as_str(), "204" | "304") {
+            return Ok(State::Length(0));
+        }
+        if named("Transfer-Encoding") > 0 {
+            // Both framings at once are how requests are smuggled past another reader.
+            if named("Content-Length") > 0 || head.old {
+                return Err(HttpError::Malformed("two framings"));
+            }
+            return match head.get("Transfer-Encoding") {
+                Some(coding) if coding.eq_ignore_ascii_case("chunked") => Ok(State::ChunkSize),
+                _ => Err(HttpError::UnknownCoding),
+            };
+        }
+        match named("Content-Length") {
+            0 if self.response => Ok(State::UntilEnd),
+            0 => Ok(State::Length(0)),
+            1 => {
+                let digits = head.get("Content-Length").unwrap_or_default();
+                if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) {
+                    return Err(HttpError::Malformed("content length"));
+                }
+                match digits.parse() {
+                    Ok(length) if length <= self.body_limit => Ok(State::Length(length)),
+                    _ => Err(HttpError::BodyTooLarge),
+                }
+            }
+            _ => Err(HttpError::Malformed("two content lengths")),
+        }
+    }
+
+    fn add(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        if self.body.len() + bytes.len() > self.body_limit {
+            return Err(HttpError::BodyTooLarge);
+        }
+        self.body.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+/// The bytes before the next line end, if it has come.
+fn line(rest: &[u8], most: usize) -> Result<Option<&[u8]>, HttpError> {
+    match rest.windows(2).position(|w| w == b"\r\n") {
+        Some(end) if end <= most => Ok(Some(&rest[..end])),
+        None if rest.len() <= most => Ok(None),
+        _ => Err(HttpError::Malformed("line too long")),
+    }
+}
+
+fn hex(digits: &[u8]) -> Option<usize> {
+    if digits.is_empty() || digits.len() > 7 || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return None;
+    }
+    usize::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+}
+
+fn parse_head(bytes: &[u8], response: bool) -> Result<Head, HttpError> {
+    let text = std::str::from_utf8(bytes).map_err(|_| HttpError::Malformed("bytes that are no text"))?;
+    let mut lines = text.trim_start_matches(['\r', '\n']).split("\r\n");
+    let first = lines.next().unwrap_or_default();
+    let mut words = first.splitn(3, ' ');
+    let (a, b, c) = (
+        words.next().unwrap_or_default(),
+        words.next().unwrap_or_default(),
+        words.next().unwrap_or_default(),
+    );
+    let version = if response { a } else { c };
+    let old = match version {
+        "HTTP/1.1" => false,
+        "HTTP/1.0" => true,
+        v if v.starts_with("HTTP/") => return Err(HttpError::Version),
+        _ => return Err(HttpError::Malformed("start line")),
+    };
+    let status = b.len() == 3 && b.bytes().all(|d| d.is_ascii_digit());
+    let target = !a.is_empty() && a.bytes().all(is_token) && !b.is_empty();
+    if if response { !status } else { !target } {
+        return Err(HttpError::Malformed("start line"));
+    }
+    let mut headers = Vec::new();
+    for line in lines.filter(|line| !line.is_empty()) {
+        let (name, value) = line.split_once(':').ok_or(HttpError::Malformed("header"))?;
+        if name.is_empty() || !name.bytes().all(is_token) || value.bytes().any(|b| b < b' ' && b != b'\t') {
+            return Err(HttpError::Malformed("header"));
+        }
+        headers.push((name.to_owned(), value.trim_matches([' ', '\t']).to_owned()));
+    }
+    Ok(Head { start: (a.to_owned(), b.to_owned()), old, headers })
+}
+
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// A response to be written.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Response {
+    /// The status.
+    pub status: u16,
+    /// Further header lines, without their line ends.
+    pub headers: Vec<String>,
+    /// The body's type.
+    pub content_type: &'static str,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    /// A response of plain text.
+    pub fn text(status: u16, body: impl Into<String>) -> Self {
+        let body: String = body.into();
+        Response { status, headers: Vec::new(), content_type: "text/plain", body: (body + "\n").into_bytes() }
+    }
+
+    /// The bytes on the wire; without its body where the request was a `HEAD`.
+    pub fn encode(&self, close: bool, with_body: bool) -> Vec<u8> {
+        let mut out = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
+            self.status,
+            reason(self.status),
+            self.content_type,
+            self.body.len()
+        );
+        for header in &self.headers {
+            out.push_str(header);
+            out.push_str("\r\n");
+        }
+        out.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
+        let mut out = out.into_bytes();
+        if with_body {
+            out.extend_from_slice(&self.body);
+        }
+        out
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Status",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read_split(bytes: &[u8], at: usize, body_limit: usize) -> Result<Option<(Head, Vec<u8>)>, HttpError> {
+        let mut reader = Reader::requests(1024, body_limit);
+        let mut input = Vec::new();
+        for piece in [&bytes[..at], &bytes[at..]] {
+            input.extend_from_slice(piece);
+            if reader.read(&mut input)? == Progress::Whole {
+                return Ok(Some(reader.take()));
+            }
+        }
+        Ok(None)
+    }
+
+    #[test]
+    fn any_split_of_the_bytes_reads_the_same() {
+        let whole = b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n\
+            3\r\nabc\r\n0a;x=y\r\n0123456789\r\n0\r\nT: u\r\n\r\n";
+        for at in 0..whole.len() {
+            let (head, body) = read_split(whole, at, 64).unwrap().expect("a whole message");
+            assert_eq!((head.start.1.as_str(), body.as_slice()), ("/api", &b"abc0123456789"[..]), "{at}");
+        }
+    }
+
+    #[test]
+    fn what_breaks_the_grammar_or_a_bound_is_named() {
+        let cases: [(&str, u16); 9] = [
+            ("POST /api HTTP/1.1\r\nContent-Length: 99\r\n\r\n", 413),
+            ("POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            ("POST /api HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+            ("POST /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+            ("POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\n", 413),
+            ("POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n", 400),
+            ("POST /api HTTP/2.0\r\n\r\n", 505),
+            ("POST\r\n\r\n", 400),
+            ("GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        ];
+        for (text, status) in cases {
+            let bytes = [text.as_bytes(), &[b'x'; 90]].concat();
+            let result = read_split(&bytes, 10, 64);
+            assert_eq!(result.map(|_| ()).map_err(HttpError::status), Err(status), "{text:?}");
+        }
+        let long = vec![b'a'; 2000];
+        assert_eq!(read_split(&long, 1000, 64), Err(HttpError::HeadTooLarge));
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/mod.rs
@@ -0,0 +1,216 @@
+//! The fronts: what speaks with clients, index hosts and discovery on one side and with the core on the other.
+
+pub mod catalogue;
+pub mod clients;
+pub mod hosts;
+pub mod http;
+pub mod platform;
+pub mod signals;
+
+use crate::core::Core;
+use crate::core::ports::{Answer, AttemptId, Caller, Clients, Directory, Hosts, Outgoing};
+use crate::limits::Limits;
+use crate::net::{Net, Token, World};
+use bramblestair::interface::{Outcome, ServerId, Time};
+use clients::ClientTable;
+use hosts::HostTable;
+use std::rc::Rc;
+
+/// What connections are told.
+#[derive(Debug)]
+pub enum Message {
+    /// The final answer to the query that this connection waits on.
+    Answer(Answer),
+    /// Send these parts as one call.
+    Call(Vec<Outgoing>),
+    /// Give an attempt up.
+    GiveUp(AttemptId),
+    /// Send a probe.
+    Probe,
+    /// Close if nothing is out.
+    CloseIdle,
+    /// The host leaves: nothing unsent may go there any more.
+    HostLeaves,
+    /// Make room: close if no request is being read or answered.
+    MakeRoom,
+    /// Discovery: begin or end the watch.
+    Watch(bool),
+    /// Discovery: ask once.
+    Fetch,
+    /// The program is ending: take no more connections, close what is idle.
+    Retire,
+}
+
+/// How far the program's end has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Serving.
+    Serving,
+    /// Told to end: still accepting, until this time.
+    Leaving(Time),
+    /// Accepting nothing; finishing what is held, until this time.
+    Finishing(Time),
+    /// Everything is answered; the last bytes are being written, until this time.
+    Done(Time),
+}
+
+/// What all connections share.
+pub struct Gatherer {
+    /// Queries and decisions.
+    pub core: Core,
+    /// The index hosts and the connections to them.
+    pub hosts: HostTable,
+    /// The clients' connections.
+    pub clients: ClientTable,
+    /// Every bound.
+    pub limits: Rc<Limits>,
+    /// How far the end has come.
+    pub phase: Phase,
+    /// The connection that speaks with discovery, where there is one.
+    pub directory: Option<Token>,
+    /// When to report ready at the latest; `None` once the list has come.
+    pub ready_by: Option<Time>,
+    /// The listeners.
+    pub listeners: Vec<Token>,
+}
+
+impl Gatherer {
+    /// Whether clients should be sent here.
+    pub fn is_ready(&self, now: Time) -> bool {
+        self.phase == Phase::Serving && self.hosts.any_active() && self.ready_by.is_none_or(|by| by <= now)
+    }
+
+    /// Whether answers close their connections.
+    pub fn is_leaving(&self) -> bool {
+        self.phase != Phase::Serving
+    }
+
+    /// Begins the end: from here on every answer closes its connection.
+    pub fn leave(&mut self, now: Time) {
+        if self.phase == Phase::Serving {
+            tracing::info!(open = self.core.open_queries(), "told to end");
+            self.phase = Phase::Leaving(now + self.limits.keep_serving);
+        }
+    }
+
+    fn advance(&mut self, net: &mut Net<Self>, now: Time) {
+        match self.phase {
+            Phase::Leaving(until) if until <= now => {
+                let last = now + self.limits.last_call.saturating_sub(self.limits.keep_serving);
+                self.phase = Phase::Finishing(last);
+                for token in self.listeners.drain(..) {
+                    net.post(token, Message::Retire);
+                }
+                for token in self.clients.tokens() {
+                    net.post(token, Message::Retire);
+                }
+            }
+            Phase::Finishing(until) => {
+                if until <= now {
+                    let mut desk = Desk::new(&mut self.hosts, net, self.directory, now);
+                    self.core.fail_all(&mut desk);
+                }
+                if self.core.open_queries() == 0 {
+                    self.phase = Phase::Done(now + self.limits.linger);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+impl World for Gatherer {
+    type Message = Message;
+
+    fn due(&self, now: Time) -> Option<Time> {
+        let phase = match self.phase {
+            Phase::Serving => None,
+            Phase::Leaving(until) | Phase::Done(until) => Some(until),
+            Phase::Finishing(_) if self.core.open_queries() == 0 => Some(now),
+            Phase::Finishing(until) => Some(until),
+        };
+        [self.core.due(), phase].into_iter().flatten().min()
+    }
+
+    fn turn(&mut self, net: &mut Net<Self>, now: Time) {
+        if self.core.due().is_some_and(|at| at <= now) {
+            let mut desk = Desk::new(&mut self.hosts, net, self.directory, now);
+            self.core.turn(now, &mut desk);
+            let (unsent, unprobed) = (desk.unsent, desk.unprobed);
+            for attempt in unsent {
+                self.core.ended(attempt, Outcome::ConnectFailed, now);
+            }
+            for host in unprobed {
+                self.core.probed(host, Outcome::ConnectFailed, now);
+            }
+        }
+        self.advance(net, now);
+    }
+
+    fn finished(&self, now: Time) -> bool {
+        matches!(self.phase, Phase::Done(until) if self.clients.is_empty() || until <= now)
+    }
+}
+
+/// Carries out what the core decides: it looks connections up and posts to them.
+struct Desk<'a> {
+    hosts: &'a mut HostTable,
+    net: &'a mut Net<Gatherer>,
+    directory: Option<Token>,
+    now: Time,
+    unsent: Vec<AttemptId>,
+    unprobed: Vec<ServerId>,
+}
+
+impl<'a> Desk<'a> {
+    fn new(
+        hosts: &'a mut HostTable,
+        net: &'a mut Net<Gatherer>,
+        directory: Option<Token>,
+        now: Time,
+    ) -> Self {
+        Desk { hosts, net, directory, now, unsent: Vec::new(), unprobed: Vec::new() }
+    }
+}
+
+impl Clients for Desk<'_> {
+    fn answer(&mut self, caller: Caller, answer: Answer) {
+        self.net.post(Token::from_bits(caller.0), Message::Answer(answer));
+    }
+}
+
+impl Hosts for Desk<'_> {
+    fn call(&mut self, host: ServerId, parts: Vec<Outgoing>) {
+        if let Err(parts) = self.hosts.call(host, parts, self.net, self.now) {
+            self.unsent.extend(parts.into_iter().map(|part| part.id));
+        }
+    }
+
+    fn give_up(&mut self, host: ServerId, attempt: AttemptId) {
+        self.hosts.give_up(host, attempt, self.net);
+    }
+
+    fn probe(&mut self, host: ServerId) {
+        if !self.hosts.probe(host, self.net, self.now) {
+            self.unprobed.push(host);
+        }
+    }
+
+    fn close_idle(&mut self, host: ServerId) {
+        self.hosts.close_idle(host, self.net);
+    }
+}
+
+impl Directory for Desk<'_> {
+    fn watch(&mut self, on: bool) {
+        if let Some(token) = self.directory {
+            self.net.post(token, Message::Watch(on));
+        }
+    }
+
+    fn fetch(&mut self) {
+        if let Some(token) = self.directory {
+            self.net.post(token, Message::Fetch);
+        }
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -0,0 +1,276 @@
+//! Discovery: the snapshot, the watch, and what to do when either is lost.
+//!
+//! The module decides when to ask and how long to wait after a failure; this connection object carries that out,
+//! notices silence, and keeps the last list in force meanwhile.
+
+use crate::front::hosts::Member;
+use crate::front::http::{Progress, Reader};
+use crate::front::{Gatherer, Message};
+use crate::net::{self, Connection, Context, Input, Ready, Stream};
+use bramblestair::interface::{Entry, ListKind, ServerId, Standing};
+use serde_json::Value as Json;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+type Cx<'a> = Context<'a, Gatherer>;
+
+/// The path of the list and of its watch.
+pub const MEMBERS: &str = "/catalog/members";
+
+/// A list that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListError(pub &'static str);
+
+impl fmt::Display for ListError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "list: {}", self.0)
+    }
+}
+
+impl std::error::Error for ListError {}
+
+/// Names that the list uses, and the numbers that stand for them.
+#[derive(Debug, Default, Clone)]
+pub struct Names {
+    /// Halls, as far as they are known.
+    pub zones: Vec<String>,
+    /// Machine kinds, as far as they are known.
+    pub kinds: Vec<String>,
+}
+
+fn place(names: &mut Vec<String>, name: &str) -> u32 {
+    // A name that no setting told gets the next number, up to a bound.
+    match names.iter().position(|n| n == name) {
+        Some(at) => at as u32,
+        None if names.len() < 64 => {
+            names.push(name.to_owned());
+            names.len() as u32 - 1
+        }
+        None => 63,
+    }
+}
+
+/// Reads a list or a change: its version, whether it is the whole list, and its lines.
+pub fn read_list(json: &Json, names: &mut Names) -> Result<(u64, bool, Vec<Member>), ListError> {
+    let version = json["rev"].as_u64().ok_or(ListError("no `rev`"))?;
+    let whole = json["all"].as_bool().unwrap_or(false);
+    let targets = json["targets"].as_array().ok_or(ListError("no `targets`"))?;
+    let mut members = Vec::with_capacity(targets.len());
+    for target in targets {
+        let standing = match target["state"].as_str() {
+            Some("active") => Standing::Ready,
+            Some("leaving") => Standing::Draining,
+            Some("left") => Standing::Gone,
+            _ => return Err(ListError("unknown `state`")),
+        };
+        let endpoint = target["endpoint"].as_str().and_then(|e| e.parse().ok());
+        if standing == Standing::Ready && endpoint.is_none() {
+            return Err(ListError("an active target without `endpoint`"));
+        }
+        members.push(Member {
+            uid: target["uid"].as_str().ok_or(ListError("no `uid`"))?.to_owned(),
+            endpoint,
+            entry: Entry {
+                server: ServerId(0),
+                zone: place(&mut names.zones, target["az"].as_str().unwrap_or_default()),
+                kind: place(&mut names.kinds, target["model"].as_str().unwrap_or_default()),
+                cell: target["pod_group"].as_u64().unwrap_or(0) as u32,
+                standing,
+                heft: target["capacity_hint"].as_f64().unwrap_or(1.0),
+                born: target["boot_ms"].as_u64().unwrap_or(0).saturating_mul(1_000_000),
+            },
+        });
+    }
+    Ok((version, whole, members))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    Snapshot,
+    Watch,
+}
+
+struct Open {
+    stream: Stream,
+    call: Call,
+    reader: Reader,
+    input: Vec<u8>,
+    up: bool,
+    answered: bool,
+}
+
+/// The object that speaks with discovery; its socket comes and goes.
+pub struct Discovery {
+    to: SocketAddr,
+    names: Names,
+    version: Option<u64>,
+    open: Option<Open>,
+    /// A call that waits until the one under way has ended.
+    next: Option<Call>,
+}
+
+impl Discovery {
+    /// Speaks with discovery at this address; `version` is that of the list held from before, if any.
+    pub fn new(to: SocketAddr, names: Names, version: Option<u64>) -> Self {
+        Discovery { to, names, version, open: None, next: None }
+    }
+
+    fn begin(&mut self, cx: &mut Cx<'_>, call: Call) {
+        let target = match (call, self.version) {
+            (Call::Snapshot, _) => MEMBERS.to_owned(),
+            (Call::Watch, Some(version)) => format!("{MEMBERS}?stream=1&index={version}"),
+            (Call::Watch, None) => format!("{MEMBERS}?stream=1"),
+        };
+        let close = if call == Call::Snapshot { "Connection: close\r\n" } else { "" };
+        let request = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n{close}\r\n", self.to);
+        let opened = net::connect(self.to).and_then(|mut stream| {
+            stream.push(request.as_bytes());
+            stream.arm(cx.net, cx.token, Ready { readable: false, writable: true })?;
+            Ok(stream)
+        });
+        match opened {
+            Ok(stream) => {
+                let reader = Reader::responses(cx.world.limits.head_bytes, cx.world.limits.watch_line_bytes);
+                self.open =
+                    Some(Open { stream, call, reader, input: Vec::new(), up: false, answered: false });
+                cx.set_timer(cx.now + cx.world.limits.discovery_call);
+            }
+            Err(problem) => {
+                tracing::warn!(%problem, "discovery cannot be called");
+                cx.world.core.list_failed();
+            }
+        }
+    }
+
+    /// Drops the connection; what the list said last stays in force.
+    fn end(&mut self, cx: &mut Cx<'_>, failed: bool, why: &str) {
+        if self.open.take().is_some() {
+            cx.clear_timer();
+            if failed {
+                tracing::info!(why, "discovery call or watch ended");
+                cx.world.core.list_failed();
+            }
+        }
+        if let Some(call) = self.next.take() {
+            self.begin(cx, call);
+        }
+    }
+
+    /// One JSON object of a snapshot or a watch.
+    fn take(&mut self, cx: &mut Cx<'_>, text: &[u8]) -> Result<(), ListError> {
+        let json: Json = serde_json::from_slice(text).map_err(|_| ListError("not JSON"))?;
+        let (version, whole, members) = read_list(&json, &mut self.names)?;
+        let kind = if whole { ListKind::Complete } else { ListKind::Partial };
+        tracing::debug!(version, whole, lines = members.len(), "list");
+        let entries = cx.world.hosts.update(kind, members, cx.net, cx.now);
+        cx.world.core.list(kind, entries);
+        cx.world.ready_by = None;
+        self.version = Some(version);
+        Ok(())
+    }
+
+    /// Takes what the body has brought: lines of a watch at once, a snapshot when it is whole.
+    fn body(&mut self, cx: &mut Cx<'_>, whole: bool) -> Result<(), ListError> {
+        let Some(open) = &mut self.open else { return Ok(()) };
+        if open.call == Call::Snapshot {
+            if !whole {
+                return Ok(());
+            }
+            let body = std::mem::take(&mut open.reader.body);
+            return self.take(cx, &body);
+        }
+        while let Some(open) = &mut self.open
+            && let Some(end) = open.reader.body.iter().position(|b| *b == b'\n')
+        {
+            let line: Vec<u8> = open.reader.body.drain(..=end).collect();
+            open.answered = true;
+            if !line.trim_ascii().is_empty() {
+                self.take(cx, &line)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn read(&mut self, cx: &mut Cx<'_>) {
+        let Some(open) = &mut self.open else { return };
+        let input = open.stream.read(&mut open.input, cx.world.limits.read_burst);
+        let progress = open.reader.read(&mut open.input);
+        if let Some(head) = &open.reader.head
+            && head.start.1 != "200"
+        {
+            return self.end(cx, true, "refused");
+        }
+        let ended = !matches!(input, Ok(Input::Open));
+        let whole = match progress {
+            Ok(Progress::Whole) => true,
+            Ok(Progress::More) => ended && open.reader.ends_with_connection(),
+            Err(_) => return self.end(cx, true, "not understood"),
+        };
+        let call = open.call;
+        if call == Call::Watch && open.reader.head.is_some() {
+            cx.set_timer(cx.now + cx.world.limits.watch_silence);
+        }
+        if let Err(problem) = self.body(cx, whole) {
+            tracing::warn!(%problem, "discovery");
+            return self.end(cx, true, "not understood");
+        }
+        if whole || ended {
+            self.end(cx, call == Call::Watch || !whole, "closed");
+        }
+    }
+}
+
+impl Connection<Gatherer> for Discovery {
+    fn opened(&mut self, _cx: &mut Cx<'_>) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        let Some(open) = &mut self.open else { return };
+        if !open.up {
+            if open.stream.failure().is_some() {
+                return self.end(cx, true, "no connection");
+            }
+            open.up = open.stream.is_connected();
+        }
+        if open.up {
+            if open.stream.flush().is_err() {
+                return self.end(cx, true, "broken");
+            }
+            let ready = Ready { readable: true, writable: open.stream.unwritten() > 0 };
+            if open.stream.arm(cx.net, cx.token, ready).is_err() {
+                return self.end(cx, true, "broken");
+            }
+        }
+        if ready.readable {
+            self.read(cx);
+        }
+    }
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        let under_way = self.open.as_ref().map(|open| (open.call, open.answered));
+        match (message, under_way) {
+            (Message::Watch(false), Some((Call::Watch, _))) => self.end(cx, false, "unwatched"),
+            // A watch that is asked for anew replaces the present one.
+            (Message::Watch(true), Some((Call::Watch, _))) => {
+                self.next = Some(Call::Watch);
+                self.end(cx, false, "watched anew");
+            }
+            (Message::Watch(true), Some(_)) => self.next = Some(Call::Watch),
+            (Message::Watch(true), None) => self.begin(cx, Call::Watch),
+            (Message::Fetch, None) => self.begin(cx, Call::Snapshot),
+            // A watch brings the whole list where much was missed; one beside a snapshot is asked for after it.
+            (Message::Fetch, Some((Call::Watch, _))) => {
+                self.next = Some(Call::Watch);
+                self.open = None;
+                self.begin(cx, Call::Snapshot);
+            }
+            _ => {}
+        }
+    }
+
+    fn timer(&mut self, cx: &mut Cx<'_>) {
+        self.end(cx, true, "silent");
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/platform/frames.rs
@@ -0,0 +1,183 @@
+//! The frames between gatherers and index hosts: a length, a letter and the rest.
+
+use crate::core::ports::{Outgoing, Score, Value};
+use bramblestair::interface::Time;
+use std::fmt;
+
+/// What an index host sent.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Frame {
+    /// How a part ended.
+    Ended {
+        /// The part's id.
+        name: String,
+        /// How.
+        end: End,
+    },
+    /// The answer to a probe.
+    Probed {
+        /// Whether the host is well.
+        good: bool,
+    },
+    /// The frame before could not be used; the connection is closed.
+    Unusable(String),
+}
+
+/// How an index host ended a part.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// Served, with its value.
+    Good(Value),
+    /// An error; it may have run.
+    Bad,
+    /// Turned away; it never ran.
+    Later,
+}
+
+/// A frame that cannot be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrameError {
+    /// Its length is over the limit, or nothing.
+    Length(usize),
+    /// Its letter is none of an index host's.
+    Letter(u8),
+    /// Its line is not as the protocol has it.
+    Line,
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::Length(n) => write!(f, "a frame of {n} bytes"),
+            FrameError::Letter(letter) => write!(f, "a frame with the letter {:?}", char::from(*letter)),
+            FrameError::Line => f.write_str("a frame whose line is malformed"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// Reads the next whole frame and takes it out of `input`; any split of the bytes gives the same frames.
+pub fn read(input: &mut Vec<u8>, most: usize) -> Result<Option<Frame>, FrameError> {
+    let Some((length, rest)) = input.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*length) as usize;
+    if length == 0 || length > most {
+        return Err(FrameError::Length(length));
+    }
+    let Some(body) = rest.get(..length) else { return Ok(None) };
+    let frame = parse(body)?;
+    input.drain(..4 + length);
+    Ok(Some(frame))
+}
+
+fn parse(body: &[u8]) -> Result<Frame, FrameError> {
+    let (letter, rest) = body.split_first().ok_or(FrameError::Length(0))?;
+    match letter {
+        b'q' => {
+            let end = rest.iter().position(|b| *b == b'\n').ok_or(FrameError::Line)?;
+            let line = std::str::from_utf8(&rest[..end]).map_err(|_| FrameError::Line)?;
+            let mut words = line.split(' ');
+            let (Some(name), Some(end_word), Some(score)) = (words.next(), words.next(), words.next()) else {
+                return Err(FrameError::Line);
+            };
+            let end = match end_word {
+                "good" => match std::str::from_utf8(&rest[end + 1..]) {
+                    Ok(body) => End::Good(Value { score: Score::parse(score), body: body.into() }),
+                    // It cannot be passed on as it came, so it is no value.
+                    Err(_) => End::Bad,
+                },
+                "bad" => End::Bad,
+                "later" => End::Later,
+                _ => return Err(FrameError::Line),
+            };
+            Ok(Frame::Ended { name: name.to_owned(), end })
+        }
+        b'o' | b'p' => Ok(Frame::Probed { good: rest != b"bad" }),
+        b'r' => Ok(Frame::Unusable(String::from_utf8_lossy(rest).into_owned())),
+        other => Err(FrameError::Letter(*other)),
+    }
+}
+
+fn frame(letter: u8, rest: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(rest.len() + 5);
+    out.extend_from_slice(&(rest.len() as u32 + 1).to_le_bytes());
+    out.push(letter);
+    out.extend_from_slice(rest);
+    out
+}
+
+/// One call with its parts.
+pub fn call(parts: &[Outgoing], now: Time) -> Vec<u8> {
+    let mut rest = Vec::new();
+    for part in parts {
+        // What the host is told to wait for is what is left now that the frame is written.
+        let left = part.until.saturating_sub(now).div_ceil(1_000_000).max(1);
+        let mut list = format!("d={left}");
+        if let Some(key) = &part.key {
+            list += &format!(",k={key}");
+        }
+        if let Some(from) = &part.from {
+            list += &format!(",from={from},whole={}", u8::from(part.first_whole == Some(true)));
+        }
+        let line = format!("{} {} {list} {}\n", part.name, part.shard, part.text.len());
+        rest.extend_from_slice(line.as_bytes());
+        rest.extend_from_slice(part.text.as_bytes());
+    }
+    frame(b'm', &rest)
+}
+
+/// A part is given up.
+pub fn give_up(name: &str) -> Vec<u8> {
+    frame(b'n', name.as_bytes())
+}
+
+/// A probe.
+pub fn probe() -> Vec<u8> {
+    frame(b'o', b"")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::ports::AttemptId;
+
+    #[test]
+    fn calls_are_written_as_the_protocol_has_them() {
+        let part = Outgoing {
+            id: AttemptId { part: 1, leg: 0 },
+            name: "9b1f.3.r".to_owned(),
+            shard: 3,
+            until: 240_000_000,
+            not_after: 0,
+            key: Some("5c0f".into()),
+            from: Some("3+5+9".into()),
+            first_whole: Some(false),
+            text: "c41e77d0".into(),
+        };
+        let bytes = call(&[part.clone(), Outgoing { from: None, name: "9b1f.3".to_owned(), ..part }], 0);
+        assert_eq!(bytes[..4], (bytes.len() as u32 - 4).to_le_bytes());
+        let text = String::from_utf8_lossy(&bytes[4..]);
+        insta::assert_snapshot!(text, @r"
+        m9b1f.3.r 3 d=240,k=5c0f,from=3+5+9,whole=0 8
+        c41e77d09b1f.3 3 d=240,k=5c0f 8
+        c41e77d0
+        ");
+    }
+
+    #[test]
+    fn frames_are_read_at_any_split_and_bad_ones_named() {
+        let whole = frame(b'q', b"a.3 good 18402777190000000001 -\nva\nlue");
+        for at in 0..whole.len() {
+            let mut input = whole[..at].to_vec();
+            assert_eq!(read(&mut input, 100), Ok(None));
+            input.extend_from_slice(&whole[at..]);
+            let value = Value { score: Score::Whole(18402777190000000001), body: "va\nlue".into() };
+            let wanted = Frame::Ended { name: "a.3".to_owned(), end: End::Good(value) };
+            assert_eq!(read(&mut input, 100), Ok(Some(wanted)));
+            assert!(input.is_empty());
+        }
+        assert_eq!(read(&mut frame(b'q', b"a.3 odd 1 -\n"), 100), Err(FrameError::Line));
+        assert_eq!(read(&mut frame(b'z', b""), 100), Err(FrameError::Letter(b'z')));
+        assert_eq!(read(&mut vec![255, 255, 255, 255], 100), Err(FrameError::Length(u32::MAX as usize)));
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/platform/link.rs
@@ -0,0 +1,339 @@
+//! One connection to an index host, in frames.
+
+use super::frames::{self, End, Frame};
+use crate::core::ports::{AttemptId, Outgoing};
+use crate::front::hosts::Connector;
+use crate::front::{Gatherer, Message};
+use crate::limits::Limits;
+use crate::net::{self, Connection, Context, Input, Ready, Stream};
+use bramblestair::interface::{Outcome, ServerId, Time};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+type Cx<'a> = Context<'a, Gatherer>;
+
+/// Opens links in frames.
+pub struct FrameConnector {
+    /// Every bound.
+    pub limits: Rc<Limits>,
+}
+
+impl Connector for FrameConnector {
+    fn connect(
+        &self,
+        host: ServerId,
+        to: SocketAddr,
+        now: Time,
+    ) -> io::Result<Box<dyn Connection<Gatherer>>> {
+        Ok(Box::new(Link {
+            host,
+            stream: net::connect(to)?,
+            up: false,
+            retiring: false,
+            connect_by: now + self.limits.connect,
+            used: now,
+            input: Vec::new(),
+            queue: VecDeque::new(),
+            writing: None,
+            out: HashMap::new(),
+            calls: HashMap::new(),
+            next_call: 0,
+            given_up: VecDeque::new(),
+            probes: VecDeque::new(),
+        }))
+    }
+
+    fn calls_per_connection(&self) -> usize {
+        self.limits.calls_per_connection
+    }
+}
+
+/// A call's parts, as they wait to be written or are being written.
+struct Call {
+    number: u64,
+    parts: Vec<Outgoing>,
+}
+
+struct Link {
+    host: ServerId,
+    stream: Stream,
+    up: bool,
+    /// Takes no new work; closes once nothing is out.
+    retiring: bool,
+    connect_by: Time,
+    used: Time,
+    input: Vec<u8>,
+    /// Calls of which no byte is written yet.
+    queue: VecDeque<Call>,
+    /// The call whose frame is partly written.
+    writing: Option<Call>,
+    /// What is out here, by the part's id on the wire.
+    out: HashMap<String, (AttemptId, u64)>,
+    /// How many parts of each call have not ended.
+    calls: HashMap<u64, usize>,
+    next_call: u64,
+    /// Ids given up here whose answer may still come.
+    given_up: VecDeque<String>,
+    probes: VecDeque<Time>,
+}
+
+impl Link {
+    fn end_part(&mut self, cx: &mut Cx<'_>, call: u64) {
+        if let Some(left) = self.calls.get_mut(&call) {
+            *left -= 1;
+            if *left == 0 {
+                self.calls.remove(&call);
+                cx.world.hosts.call_ended(self.host, cx.token);
+            }
+        }
+    }
+
+    /// Hands queued calls to the socket, one frame at a time so that no byte of the next is written early.
+    fn write(&mut self, cx: &mut Cx<'_>) {
+        loop {
+            if let Err(problem) = self.stream.flush() {
+                tracing::debug!(host = self.host.0, %problem, "a link broke");
+                return cx.close();
+            }
+            if self.stream.unwritten() > 0 {
+                break;
+            }
+            if let Some(call) = self.writing.take() {
+                for part in &call.parts {
+                    cx.world.core.written(part.id);
+                }
+            }
+            let Some(mut call) = self.queue.pop_front() else { break };
+            // The host no longer drops a repeat that reaches it too late, so that must not be written.
+            let (fresh, late) = call.parts.into_iter().partition(|p: &Outgoing| p.not_after > cx.now);
+            call.parts = fresh;
+            for part in late {
+                self.unsent(cx, &part, call.number, Outcome::Skipped);
+            }
+            if call.parts.is_empty() {
+                continue;
+            }
+            self.stream.push(&frames::call(&call.parts, cx.now));
+            self.used = cx.now;
+            self.writing = Some(call);
+        }
+        let ready = Ready { readable: true, writable: self.stream.unwritten() > 0 };
+        if self.stream.arm(cx.net, cx.token, ready).is_err() {
+            cx.close();
+        }
+    }
+
+    fn unsent(&mut self, cx: &mut Cx<'_>, part: &Outgoing, call: u64, outcome: Outcome) {
+        self.out.remove(&part.name);
+        cx.world.hosts.attempt_ended(self.host, part.id);
+        cx.world.core.ended(part.id, outcome, cx.now);
+        self.end_part(cx, call);
+    }
+
+    fn take_call(&mut self, cx: &mut Cx<'_>, parts: Vec<Outgoing>) {
+        let number = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(number, parts.len());
+        let waiting: usize = self.queue.iter().map(|c| c.parts.len()).sum();
+        let mut taken = Vec::with_capacity(parts.len());
+        for part in parts {
+            // Two attempts of one part on one connection could not be told apart.
+            if self.retiring || waiting >= cx.world.limits.queued_parts || self.out.contains_key(&part.name) {
+                self.unsent_new(cx, &part, number);
+                continue;
+            }
+            self.out.insert(part.name.clone(), (part.id, number));
+            taken.push(part);
+        }
+        if !taken.is_empty() {
+            self.queue.push_back(Call { number, parts: taken });
+        }
+        if self.up {
+            self.write(cx);
+        }
+        self.schedule(cx);
+    }
+
+    /// Turns a part away without touching an attempt of the same name that is out.
+    fn unsent_new(&mut self, cx: &mut Cx<'_>, part: &Outgoing, call: u64) {
+        cx.world.hosts.attempt_ended(self.host, part.id);
+        cx.world.core.ended(part.id, Outcome::ConnectFailed, cx.now);
+        self.end_part(cx, call);
+    }
+
+    fn give_up(&mut self, cx: &mut Cx<'_>, attempt: AttemptId) {
+        let Some((name, call)) = self
+            .out
+            .iter()
+            .find(|(_, (id, _))| *id == attempt)
+            .map(|(name, (_, call))| (name.clone(), *call))
+        else {
+            return;
+        };
+        self.out.remove(&name);
+        self.end_part(cx, call);
+        for queued in &mut self.queue {
+            let before = queued.parts.len();
+            queued.parts.retain(|p| p.id != attempt);
+            if queued.parts.len() < before {
+                return;
+            }
+        }
+        if self.up {
+            self.given_up.push_back(name.clone());
+            if self.given_up.len() > cx.world.limits.queued_parts {
+                self.given_up.pop_front();
+            }
+            self.stream.push(&frames::give_up(&name));
+            self.used = cx.now;
+            self.write(cx);
+        }
+        self.schedule(cx);
+    }
+
+    fn frame(&mut self, cx: &mut Cx<'_>, frame: Frame) {
+        match frame {
+            Frame::Ended { name, end } => {
+                // An id given up here may be out again: only a value can be told to belong to either.
+                let doubled = self.given_up.iter().position(|n| *n == name);
+                doubled.map(|at| self.given_up.remove(at));
+                let Some((attempt, call)) = self.out.remove(&name) else { return };
+                cx.world.hosts.attempt_ended(self.host, attempt);
+                match end {
+                    End::Good(value) => cx.world.core.served(attempt, value, cx.now),
+                    End::Later if doubled.is_none() => cx.world.core.ended(attempt, Outcome::Full, cx.now),
+                    End::Later | End::Bad => cx.world.core.ended(attempt, Outcome::Error, cx.now),
+                }
+                self.end_part(cx, call);
+            }
+            Frame::Probed { good } => {
+                if self.probes.pop_front().is_some() {
+                    let outcome = if good { Outcome::Ok } else { Outcome::Error };
+                    cx.world.core.probed(self.host, outcome, cx.now);
+                }
+            }
+            Frame::Unusable(words) => {
+                tracing::warn!(host = self.host.0, words, "an index host could not use a frame");
+                cx.close();
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.out.is_empty() && self.queue.is_empty() && self.writing.is_none() && self.probes.is_empty()
+    }
+
+    /// Sets the timer: to come up in time, or to close before the host does for want of use.
+    fn schedule(&mut self, cx: &mut Cx<'_>) {
+        if !self.up {
+            cx.set_timer(self.connect_by);
+        } else if self.is_idle() {
+            if self.retiring {
+                return cx.close();
+            }
+            cx.set_timer(self.used + cx.world.limits.host_idle);
+        } else {
+            cx.clear_timer();
+        }
+    }
+
+    /// Ends what is queued: none of its bytes were written, so it never ran.
+    fn drop_unsent(&mut self, cx: &mut Cx<'_>) {
+        for call in std::mem::take(&mut self.queue) {
+            for part in &call.parts {
+                self.unsent(cx, part, call.number, Outcome::ConnectFailed);
+            }
+        }
+    }
+}
+
+impl Connection<Gatherer> for Link {
+    fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
+        cx.set_timer(self.connect_by);
+        self.stream.arm(cx.net, cx.token, Ready { readable: false, writable: true })
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        if !self.up {
+            if let Some(problem) = self.stream.failure() {
+                tracing::debug!(host = self.host.0, %problem, "no connection");
+                return cx.close();
+            }
+            if !self.stream.is_connected() {
+                return;
+            }
+            self.up = true;
+            self.used = cx.now;
+            self.write(cx);
+            return self.schedule(cx);
+        }
+        if ready.readable {
+            let end = self.stream.read(&mut self.input, cx.world.limits.read_burst);
+            loop {
+                match frames::read(&mut self.input, cx.world.limits.frame_bytes) {
+                    Ok(Some(frame)) => {
+                        self.used = cx.now;
+                        self.frame(cx, frame);
+                    }
+                    Ok(None) => break,
+                    Err(problem) => {
+                        tracing::warn!(host = self.host.0, %problem, "a link is given up");
+                        return cx.close();
+                    }
+                }
+            }
+            if !matches!(end, Ok(Input::Open)) {
+                return cx.close();
+            }
+        }
+        self.write(cx);
+        self.schedule(cx);
+    }
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        match message {
+            Message::Call(parts) => self.take_call(cx, parts),
+            Message::GiveUp(attempt) => self.give_up(cx, attempt),
+            Message::Probe => {
+                if self.retiring || self.probes.len() >= cx.world.limits.queued_probes {
+                    return cx.world.core.probed(self.host, Outcome::ConnectFailed, cx.now);
+                }
+                self.probes.push_back(cx.now);
+                // Bytes pushed while connecting are written as soon as the connection is up.
+                self.stream.push(&frames::probe());
+                if self.up {
+                    self.write(cx);
+                }
+                self.schedule(cx);
+            }
+            Message::CloseIdle if self.is_idle() => cx.close(),
+            Message::CloseIdle | Message::HostLeaves => {
+                self.retiring = true;
+                cx.world.hosts.link_ended(self.host, cx.token);
+                self.drop_unsent(cx);
+                self.schedule(cx);
+            }
+            _ => {}
+        }
+    }
+
+    fn timer(&mut self, cx: &mut Cx<'_>) {
+        if !self.up || self.is_idle() {
+            cx.close();
+        }
+    }
+
+    fn closed(&mut self, cx: &mut Cx<'_>) {
+        cx.world.hosts.link_ended(self.host, cx.token);
+        for (_, (attempt, _)) in self.out.drain() {
+            cx.world.hosts.attempt_ended(self.host, attempt);
+            cx.world.core.broken(attempt, cx.now);
+        }
+        if !self.probes.is_empty() {
+            let outcome = if self.up { Outcome::Reset } else { Outcome::ConnectFailed };
+            cx.world.core.probed(self.host, outcome, cx.now);
+        }
+    }
+}
--- /dev/null
+++ b/bitternsill/src/front/platform/query.rs
@@ -0,0 +1,133 @@
+//! What a client's request says, and what its answer looks like.
+
+use crate::core::ports::{Answer, Ask, Caller, Reason};
+use crate::core::settings::Deployment;
+use crate::front::http::{Head, Response};
+use crate::limits::Limits;
+use bramblestair::interface::Time;
+use serde_json::Value as Json;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Why a request is not a query.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueryError {
+    /// A header is missing, doubled or malformed.
+    Header(&'static str),
+    /// The body is not what a query carries.
+    Body(&'static str),
+}
+
+impl fmt::Display for QueryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            QueryError::Header(name) => write!(f, "header {name} is missing or malformed"),
+            QueryError::Body(what) => write!(f, "body: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for QueryError {}
+
+/// The header that names the query.
+pub const CALL_ID: &str = "X-Call-Id";
+/// The header that names its class.
+pub const CALL_CLASS: &str = "X-Call-Class";
+/// The header that says how long the client waits, in seconds.
+pub const BUDGET: &str = "X-Budget";
+/// The header that marks a repeat.
+pub const AGAIN: &str = "X-Again";
+/// The header that makes a repeat harmless, in a keyed class.
+pub const KEY: &str = "Idempotency-Key";
+
+/// Reads a query.
+pub fn parse(
+    head: &Head,
+    body: &[u8],
+    caller: Caller,
+    now: Time,
+    deployment: &Deployment,
+    limits: &Limits,
+) -> Result<Ask, QueryError> {
+    // Ids and keys travel on in the frames' lines, where a space, a comma or a line end would mean something.
+    let plain = |name: &'static str| {
+        let fits = |v: &&str| {
+            (1..=limits.name_bytes).contains(&v.len())
+                && v.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=')
+        };
+        head.get(name).filter(fits).ok_or(QueryError::Header(name))
+    };
+    let name = plain(CALL_ID)?;
+    let class = head.get(CALL_CLASS).and_then(|class| deployment.classes.iter().position(|c| c == class));
+    let class = class.ok_or(QueryError::Header(CALL_CLASS))?;
+    let budget = head.get(BUDGET).and_then(seconds).ok_or(QueryError::Header(BUDGET))?;
+    let key = if deployment.keyed[class] { Some(plain(KEY)?.into()) } else { None };
+    let (text, parts) = parse_body(body, deployment.shards)?;
+    Ok(Ask {
+        caller,
+        name: name.into(),
+        class,
+        key,
+        repeat: head.get(AGAIN) == Some("1"),
+        budget,
+        arrived: now,
+        text: text.into(),
+        parts,
+    })
+}
+
+/// Seconds with decimals; more than an hour is taken for an hour.
+fn seconds(text: &str) -> Option<Time> {
+    let digits = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let seconds: f64 = text.parse().ok().filter(|_| digits)?;
+    Some((seconds.min(3600.0) * 1e9) as Time)
+}
+
+fn parse_body(body: &[u8], shards: u32) -> Result<(String, Vec<(u32, f64)>), QueryError> {
+    let json: Json = serde_json::from_slice(body).map_err(|_| QueryError::Body("not JSON"))?;
+    let text = json["predicate"].as_str().ok_or(QueryError::Body("`predicate` is not text"))?;
+    let ranges = json["ranges"].as_array().ok_or(QueryError::Body("`ranges` is not a list"))?;
+    let mut seen = BTreeSet::new();
+    let mut parts = Vec::with_capacity(ranges.len());
+    for range in ranges {
+        let shard = range["range"].as_u64().and_then(|n| u32::try_from(n).ok());
+        let shard = shard.filter(|n| *n < shards).ok_or(QueryError::Body("`range` names no shard"))?;
+        let weight = range["portion"].as_f64().filter(|w| *w >= 0.0);
+        let weight = weight.ok_or(QueryError::Body("`portion` is no share"))?;
+        // Two parts at one shard would have the same id on the wire.
+        if !seen.insert(shard) {
+            return Err(QueryError::Body("a `range` stands twice"));
+        }
+        parts.push((shard, weight));
+    }
+    if parts.is_empty() {
+        return Err(QueryError::Body("`ranges` is empty"));
+    }
+    Ok((text.to_owned(), parts))
+}
+
+/// The response that carries an answer.
+pub fn respond(answer: &Answer) -> Response {
+    match answer {
+        Answer::Served { whole, values } => {
+            let answers: Vec<Json> = values
+                .iter()
+                .map(|(shard, value)| serde_json::json!({"range": shard, "blob": &*value.body}))
+                .collect();
+            let body = serde_json::json!({"total": whole, "answers": answers}).to_string().into_bytes();
+            Response { status: 200, headers: Vec::new(), content_type: "application/json", body }
+        }
+        Answer::Refused { hold_off } => {
+            let mut response = Response::text(503, "refused: ask again later");
+            if *hold_off > 0 {
+                response.headers.push(format!("Retry-After: {:.3}", *hold_off as f64 / 1e9));
+            }
+            response
+        }
+        Answer::Failed(reason) => match reason {
+            Reason::TimeUp => Response::text(504, "failed: no answer in time"),
+            Reason::GivenUp => Response::text(500, "failed: given up"),
+            Reason::Ending => Response::text(500, "failed: the gatherer is ending"),
+        },
+    }
+}
--- /dev/null
+++ b/bitternsill/src/limits.rs
@@ -0,0 +1,126 @@
+//! Every size, count and time that bounds the program, in one place.
+//!
+//! Filled once at start, from the defaults here and from what the settings say, and handed down by reference.
+
+use bramblestair::interface::Time;
+
+/// One millisecond in the clock's unit.
+pub const MS: Time = 1_000_000;
+
+/// The program's bounds.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Bytes of a message's start line and headers.
+    pub head_bytes: usize,
+    /// Bytes of a message's body.
+    pub body_bytes: usize,
+    /// Bytes of one frame, or of one protocol data unit.
+    pub frame_bytes: usize,
+    /// Bytes of one line of a watch.
+    pub watch_line_bytes: usize,
+    /// Characters of a query's id, of its key and of a catalogue query.
+    pub name_bytes: usize,
+    /// Bytes read from a connection before others get their turn.
+    pub read_burst: usize,
+    /// File descriptors the process may hold.
+    pub descriptors: usize,
+    /// Client connections held at once.
+    pub clients: usize,
+    /// Connections to one index host.
+    pub connections_per_host: usize,
+    /// Calls in flight on one connection.
+    pub calls_per_connection: usize,
+    /// Parts that wait for room on one connection.
+    pub queued_parts: usize,
+    /// Probes that wait for their answer on one connection.
+    pub queued_probes: usize,
+    /// Index hosts held in the table, those that have left included.
+    pub hosts: usize,
+    /// Connections accepted before others get their turn.
+    pub accept_burst: usize,
+    /// Shards of the deployment.
+    pub shards: u32,
+    /// How long a connection may take to come up.
+    pub connect: Time,
+    /// A connection to an index host idle for this long is closed, before the host does it.
+    pub host_idle: Time,
+    /// How long a probe is awaited.
+    pub probe: Time,
+    /// How long a client may take over one request's bytes.
+    pub request_read: Time,
+    /// How long a client's connection may stay without a request.
+    pub client_idle: Time,
+    /// How long a closed connection's last bytes are waited for.
+    pub linger: Time,
+    /// How long accepting rests after descriptors ran out.
+    pub accept_rest: Time,
+    /// How long a discovery call may take to be answered.
+    pub discovery_call: Time,
+    /// A watch silent for this long is broken.
+    pub watch_silence: Time,
+    /// Taken off the time the module is told a client will wait.
+    pub patience_margin: Time,
+    /// An open query is failed this long before its client's time ends.
+    pub answer_margin: Time,
+    /// How long after a notice new work to a leaving host may go on.
+    pub drain_grace: Time,
+    /// After SIGTERM: how long connections are accepted and kept.
+    pub keep_serving: Time,
+    /// After SIGTERM: when whatever is left is failed and the program ends.
+    pub last_call: Time,
+    /// How long a start waits for discovery before it reports ready with the list it was given.
+    pub first_list: Time,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 64 << 10,
+            frame_bytes: 128 << 10,
+            watch_line_bytes: 256 << 10,
+            name_bytes: 256,
+            read_burst: 64 << 10,
+            descriptors: 1024,
+            clients: 512,
+            connections_per_host: 4,
+            calls_per_connection: 32,
+            queued_parts: 1024,
+            queued_probes: 16,
+            hosts: 256,
+            accept_burst: 64,
+            shards: 1024,
+            connect: 250 * MS,
+            host_idle: 22_500 * MS,
+            probe: 250 * MS,
+            request_read: 10_000 * MS,
+            client_idle: 120_000 * MS,
+            linger: 500 * MS,
+            accept_rest: 20 * MS,
+            discovery_call: 1_500 * MS,
+            watch_silence: 4_500 * MS,
+            patience_margin: 15 * MS,
+            answer_margin: 8 * MS,
+            drain_grace: 2_000 * MS,
+            keep_serving: 900 * MS,
+            last_call: 3_500 * MS,
+            first_list: 1_500 * MS,
+        }
+    }
+}
+
+impl Limits {
+    /// Shares out the descriptors: some for the program itself, some for index hosts, the rest for clients.
+    pub fn with_descriptors(mut self, descriptors: usize) -> Self {
+        self.descriptors = descriptors;
+        let own = 16 + descriptors / 8;
+        self.clients = descriptors.saturating_sub(own).clamp(4, 4096) * 3 / 4;
+        self
+    }
+
+    /// Closing idle connections at three quarters of the host's own limit leaves a request time to cross.
+    pub fn with_host_idle(mut self, host_limit: Time) -> Self {
+        self.host_idle = host_limit / 4 * 3;
+        self
+    }
+}
--- /dev/null
+++ b/bitternsill/src/net/reactor.rs
@@ -0,0 +1,299 @@
+//! The reactor: it owns every connection object and calls it back when something is ready, due or posted.
+
+use super::Clock;
+use bramblestair::interface::Time;
+use rustix::buffer::spare_capacity;
+use rustix::event::{Timespec, epoll};
+use std::collections::{BTreeSet, VecDeque};
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+
+/// Names one connection; a later connection in the same slot has another generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Token {
+    index: u32,
+    generation: u32,
+}
+
+impl Token {
+    /// The token as one number, for epoll and for those who must not know what a connection is.
+    pub fn bits(self) -> u64 {
+        u64::from(self.index) << 32 | u64::from(self.generation)
+    }
+
+    /// The token that a number stands for.
+    pub fn from_bits(bits: u64) -> Self {
+        Token { index: (bits >> 32) as u32, generation: bits as u32 }
+    }
+}
+
+/// What a descriptor is ready for.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Ready {
+    /// Bytes, an end or a failure can be read.
+    pub readable: bool,
+    /// Bytes can be written, or a connection attempt has ended.
+    pub writable: bool,
+}
+
+/// What all connections share, and what happens between them.
+pub trait World: Sized {
+    /// What connections and the world tell each other.
+    type Message;
+
+    /// When [`World::turn`] wants to run next.
+    fn due(&self, now: Time) -> Option<Time>;
+
+    /// Runs after the callbacks of one round.
+    fn turn(&mut self, net: &mut Net<Self>, now: Time);
+
+    /// True once the program may end.
+    fn finished(&self, now: Time) -> bool;
+}
+
+/// A connection, a listener or any other descriptor with callbacks.
+pub trait Connection<W: World> {
+    /// The connection has its token; it registers its descriptor here.
+    fn opened(&mut self, cx: &mut Context<'_, W>) -> io::Result<()>;
+
+    /// The descriptor is ready.
+    fn ready(&mut self, cx: &mut Context<'_, W>, ready: Ready);
+
+    /// Something was posted to this connection.
+    fn deliver(&mut self, cx: &mut Context<'_, W>, message: W::Message);
+
+    /// The connection's timer is due.
+    fn timer(&mut self, cx: &mut Context<'_, W>);
+
+    /// The connection is about to be dropped; the last chance to tell the world.
+    fn closed(&mut self, _cx: &mut Context<'_, W>) {}
+}
+
+/// What a callback may use.
+pub struct Context<'a, W: World> {
+    /// The shared state.
+    pub world: &'a mut W,
+    /// The loop.
+    pub net: &'a mut Net<W>,
+    /// This connection.
+    pub token: Token,
+    /// The time of this round.
+    pub now: Time,
+    closing: bool,
+}
+
+impl<W: World> Context<'_, W> {
+    /// Drops this connection after the callback.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    /// Sets this connection's one timer; an earlier setting is void.
+    pub fn set_timer(&mut self, at: Time) {
+        self.net.set_timer(self.token, Some(at));
+    }
+
+    /// Switches this connection's timer off.
+    pub fn clear_timer(&mut self) {
+        self.net.set_timer(self.token, None);
+    }
+}
+
+/// The part of the loop that callbacks may use: registering, opening, posting, timers.
+pub struct Net<W: World> {
+    epoll: OwnedFd,
+    clock: Clock,
+    generations: Vec<u32>,
+    free: Vec<u32>,
+    timers: BTreeSet<(Time, Token)>,
+    due: Vec<Option<Time>>,
+    opened: VecDeque<(Token, Box<dyn Connection<W>>)>,
+    posted: VecDeque<(Token, W::Message)>,
+}
+
+impl<W: World> Net<W> {
+    /// The present moment.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Hands a new connection to the loop.
+    pub fn open(&mut self, connection: Box<dyn Connection<W>>) -> Token {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.generations.push(0);
+            self.due.push(None);
+            (self.generations.len() - 1) as u32
+        });
+        let token = Token { index, generation: self.generations[index as usize] };
+        self.opened.push_back((token, connection));
+        token
+    }
+
+    /// Posts a message to a connection; it is dropped if the connection is no more.
+    pub fn post(&mut self, to: Token, message: W::Message) {
+        self.posted.push_back((to, message));
+    }
+
+    /// Starts to watch a descriptor.
+    pub fn register(&self, fd: impl AsFd, token: Token, ready: Ready) -> io::Result<()> {
+        Ok(epoll::add(&self.epoll, fd, epoll::EventData::new_u64(token.bits()), flags(ready))?)
+    }
+
+    /// Changes what a descriptor is watched for.
+    pub fn rearm(&self, fd: impl AsFd, token: Token, ready: Ready) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(token.bits()), flags(ready))?)
+    }
+
+    fn set_timer(&mut self, token: Token, at: Option<Time>) {
+        // A token of an earlier connection in the slot must not touch the timer of the present one.
+        if self.generations[token.index as usize] != token.generation {
+            return;
+        }
+        let slot = &mut self.due[token.index as usize];
+        if let Some(old) = slot.take() {
+            self.timers.remove(&(old, token));
+        }
+        if let Some(at) = at {
+            *slot = Some(at);
+            self.timers.insert((at, token));
+        }
+    }
+
+    fn release(&mut self, token: Token) {
+        self.set_timer(token, None);
+        let generation = &mut self.generations[token.index as usize];
+        *generation = generation.wrapping_add(1);
+        self.free.push(token.index);
+    }
+}
+
+fn flags(ready: Ready) -> epoll::EventFlags {
+    let mut flags = epoll::EventFlags::empty();
+    if ready.readable {
+        flags |= epoll::EventFlags::IN | epoll::EventFlags::RDHUP;
+    }
+    if ready.writable {
+        flags |= epoll::EventFlags::OUT;
+    }
+    flags
+}
+
+type Slot<W> = (Token, Box<dyn Connection<W>>);
+
+/// The loop itself.
+pub struct Reactor<W: World> {
+    net: Net<W>,
+    slots: Vec<Option<Slot<W>>>,
+    world: W,
+}
+
+impl<W: World> Reactor<W> {
+    /// A loop without connections.
+    pub fn new(world: W, clock: Clock) -> io::Result<Self> {
+        let net = Net {
+            epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            clock,
+            generations: Vec::new(),
+            free: Vec::new(),
+            timers: BTreeSet::new(),
+            due: Vec::new(),
+            opened: VecDeque::new(),
+            posted: VecDeque::new(),
+        };
+        Ok(Reactor { net, slots: Vec::new(), world })
+    }
+
+    /// The loop's outer side, to open the first connections.
+    pub fn parts(&mut self) -> (&mut Net<W>, &mut W) {
+        (&mut self.net, &mut self.world)
+    }
+
+    /// Runs until the world is finished.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
+        loop {
+            self.settle();
+            let now = self.net.now();
+            if self.world.finished(now) {
+                return Ok(());
+            }
+            let due = [self.net.timers.first().map(|t| t.0), self.world.due(now)];
+            let wait = due.into_iter().flatten().min().map(|at| {
+                let left = at.saturating_sub(now);
+                Timespec { tv_sec: (left / 1_000_000_000) as _, tv_nsec: (left % 1_000_000_000) as _ }
+            });
+            events.clear();
+            match epoll::wait(&self.net.epoll, spare_capacity(&mut events), wait.as_ref()) {
+                Ok(_) | Err(rustix::io::Errno::INTR) => {}
+                Err(problem) => return Err(problem.into()),
+            }
+            let now = self.net.now();
+            for event in &events {
+                let flags = event.flags;
+                let ended = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
+                let ready = Ready {
+                    readable: flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP | ended),
+                    writable: flags.intersects(epoll::EventFlags::OUT | ended),
+                };
+                self.with(Token::from_bits(event.data.u64()), now, |c, cx| c.ready(cx, ready));
+            }
+            while let Some(&(at, token)) = self.net.timers.first()
+                && at <= now
+            {
+                self.net.set_timer(token, None);
+                self.with(token, now, |c, cx| c.timer(cx));
+            }
+            self.settle();
+            let now = self.net.now();
+            if self.world.due(now).is_some_and(|at| at <= now) {
+                self.world.turn(&mut self.net, now);
+            }
+        }
+    }
+
+    /// Places what was opened and delivers what was posted, until nothing of either is left.
+    fn settle(&mut self) {
+        loop {
+            let now = self.net.now();
+            if let Some((token, connection)) = self.net.opened.pop_front() {
+                let index = token.index as usize;
+                if self.slots.len() <= index {
+                    self.slots.resize_with(index + 1, || None);
+                }
+                self.slots[index] = Some((token, connection));
+                self.with(token, now, |c, cx| {
+                    if let Err(problem) = c.opened(cx) {
+                        tracing::warn!(%problem, "a connection could not be watched");
+                        cx.close();
+                    }
+                });
+            } else if let Some((token, message)) = self.net.posted.pop_front() {
+                self.with(token, now, |c, cx| c.deliver(cx, message));
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Calls a connection back, if the token still names it: an event of one that is gone is dropped.
+    fn with(
+        &mut self,
+        token: Token,
+        now: Time,
+        call: impl FnOnce(&mut dyn Connection<W>, &mut Context<'_, W>),
+    ) {
+        let Some(slot) = self.slots.get_mut(token.index as usize) else { return };
+        if slot.as_ref().is_none_or(|(present, _)| *present != token) {
+            return;
+        }
+        let Some((_, mut connection)) = slot.take() else { return };
+        let mut cx = Context { world: &mut self.world, net: &mut self.net, token, now, closing: false };
+        call(connection.as_mut(), &mut cx);
+        if cx.closing {
+            connection.closed(&mut cx);
+            self.net.release(token);
+        } else {
+            self.slots[token.index as usize] = Some((token, connection));
+        }
+    }
+}
--- /dev/null
+++ b/bitternsill/src/net/stream.rs
@@ -0,0 +1,127 @@
+//! Sockets that never block, with a buffer for what could not be written yet.
+
+use super::{Net, Ready, Token, World};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, sockopt};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+
+/// How a read ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Input {
+    /// More may come.
+    Open,
+    /// The other side has sent its last byte.
+    Ended,
+}
+
+/// A connected (or connecting) socket and its unwritten bytes.
+pub struct Stream {
+    socket: TcpStream,
+    outgoing: Vec<u8>,
+    written: usize,
+    armed: Option<Ready>,
+}
+
+impl Stream {
+    /// Wraps a socket that does not block.
+    pub fn new(socket: TcpStream) -> Self {
+        Stream { socket, outgoing: Vec::new(), written: 0, armed: None }
+    }
+
+    /// Reads what is there, up to `most` bytes.
+    pub fn read(&mut self, into: &mut Vec<u8>, most: usize) -> io::Result<Input> {
+        let mut chunk = [0; 8192];
+        let mut total = 0;
+        while total < most {
+            match self.socket.read(&mut chunk) {
+                Ok(0) => return Ok(Input::Ended),
+                Ok(n) => {
+                    into.extend_from_slice(&chunk[..n]);
+                    total += n;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(Input::Open)
+    }
+
+    /// Adds bytes to what is to be written.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.outgoing.extend_from_slice(bytes);
+    }
+
+    /// Bytes not yet handed to the system.
+    pub fn unwritten(&self) -> usize {
+        self.outgoing.len() - self.written
+    }
+
+    /// Writes as much as the socket takes.
+    pub fn flush(&mut self) -> io::Result<()> {
+        while self.written < self.outgoing.len() {
+            match self.socket.write(&self.outgoing[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.outgoing.clear();
+        self.written = 0;
+        // One large answer must not pin its buffer for the life of the connection.
+        self.outgoing.shrink_to(16 << 10);
+        Ok(())
+    }
+
+    /// Registers the socket, or changes what it is watched for, if that differs.
+    pub fn arm<W: World>(&mut self, net: &Net<W>, token: Token, ready: Ready) -> io::Result<()> {
+        let same = |a: Ready| (a.readable, a.writable) == (ready.readable, ready.writable);
+        match self.armed {
+            Some(armed) if same(armed) => return Ok(()),
+            Some(_) => net.rearm(&self.socket, token, ready)?,
+            None => net.register(&self.socket, token, ready)?,
+        }
+        self.armed = Some(ready);
+        Ok(())
+    }
+
+    /// The failure of a connection attempt, if it has failed.
+    pub fn failure(&self) -> Option<io::Error> {
+        self.socket.take_error().unwrap_or_else(Some)
+    }
+
+    /// True once the other side is there.
+    pub fn is_connected(&self) -> bool {
+        self.socket.peer_addr().is_ok()
+    }
+
+    /// Says that nothing more will be written.
+    pub fn end_output(&self) {
+        // Fails only where the connection is gone already.
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+}
+
+/// Begins to connect; the socket becomes writable when that has ended.
+pub fn connect(to: SocketAddr) -> io::Result<Stream> {
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    sockopt::set_tcp_nodelay(&socket, true)?;
+    match rustix::net::connect(&socket, &to) {
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(Stream::new(TcpStream::from(socket))),
+        Err(problem) => Err(problem.into()),
+    }
+}
+
+/// A listening socket that does not block.
+pub fn listen(on: SocketAddr) -> io::Result<TcpListener> {
+    // The standard library sets SO_REUSEADDR, so a restart finds its address free.
+    let listener = TcpListener::bind(on)?;
+    // A request in the backlog counts as taken, but a short backlog turns clients away in a burst.
+    rustix::net::listen(&listener, 1024)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
