--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::{config, describe, serve};
 use lexopt::prelude::*;
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Exit status of a call that cannot be understood.
@@ -18,19 +18,27 @@
   serve [--config FILE]   serve the platform until SIGTERM; FILE is its configuration
                           (default: $ROUTER_CONFIG)
   serve --catalogue FILE  serve SRU and Z39.50 instead, as an operator's file sets it up
-  check FILE              say whether an operator's file can be used
+  check FILE              say whether an operator's file can be used, and where not
+                          (a set-up, or an OpenAPI or AsyncAPI description in JSON)
   describe openapi        print the description of the HTTP surfaces
+  describe asyncapi       print the description of the watch and store streams
   version                 print the version
   help                    print this
 
 The log goes to standard error; BITTERNSILL_LOG is error, warn, info (default), debug or trace.
 ";
 
+#[derive(Clone, Copy)]
+enum Description {
+    OpenApi,
+    AsyncApi,
+}
+
 enum Command {
     Serve { config: Option<PathBuf> },
     Catalogue { file: PathBuf },
     Check { file: PathBuf },
-    Describe,
+    Describe(Description),
     Version,
     Help,
 }
@@ -70,7 +78,8 @@
             what.map(|file| Command::Check { file: file.into() }).ok_or_else(|| "which file?".into())
         }
         Some("describe") => match what.as_ref().and_then(|w| w.to_str()) {
-            Some("openapi") => Ok(Command::Describe),
+            Some("openapi") => Ok(Command::Describe(Description::OpenApi)),
+            Some("asyncapi") => Ok(Command::Describe(Description::AsyncApi)),
             Some(other) => Err(format!("no description `{other}`").into()),
             None => Err("which description?".into()),
         },
@@ -92,15 +101,21 @@
     };
     match command {
         Command::Version => println!("bitternsill {}", env!("CARGO_PKG_VERSION")),
-        Command::Describe => println!("{:#}", describe::openapi::describe(&Limits::default())),
+        Command::Describe(Description::OpenApi) => {
+            println!("{:#}", describe::openapi::describe(&Limits::default()));
+        }
+        Command::Describe(Description::AsyncApi) => println!("{:#}", describe::asyncapi::describe()),
         Command::Help => print!("{USAGE}"),
-        Command::Check { file } => match setup::load(&file) {
-            Ok(_) => println!("{}: can be used", file.display()),
-            Err(problem) => {
-                eprintln!("bitternsill: {}: {problem}", file.display());
+        Command::Check { file } => {
+            let problems = check(&file);
+            if !problems.is_empty() {
+                for problem in problems {
+                    eprintln!("bitternsill: {}: {problem}", file.display());
+                }
                 return ExitCode::FAILURE;
             }
-        },
+            println!("{}: fits", file.display());
+        }
         Command::Serve { config } => {
             start_log();
             return served(config::load(config).map_err(Into::into).and_then(serve::platform));
@@ -113,6 +128,16 @@
     ExitCode::SUCCESS
 }
 
+/// What is wrong with an operator's file.
+fn check(file: &Path) -> Vec<String> {
+    let json = match setup::load_json(file) {
+        Ok(json) => json,
+        Err(problem) => return vec![problem.to_string()],
+    };
+    describe::fit::check(&json, &Limits::default())
+        .unwrap_or_else(|| setup::read(&json).err().iter().map(ToString::to_string).collect())
+}
+
 fn served(result: Result<(), serve::ServeError>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/bitternsill/src/describe/openapi.rs
+++ b/bitternsill/src/describe/openapi.rs
@@ -1,5 +1,6 @@
 //! The HTTP surfaces as an OpenAPI description.
 
+use crate::front::catalogue::sru::{OPERATIONS, PARAMETERS, STATUSES};
 use crate::front::platform::client::{Operation, ROUTES, Route};
 use crate::front::platform::query::{AGAIN, BUDGET, CALL_CLASS, CALL_ID, KEY};
 use crate::limits::Limits;
@@ -79,6 +80,35 @@
     operation
 }
 
+/// SRU, where an operator's file sets the catalogue front up.
+fn catalogue() -> Json {
+    let names: Vec<&str> = OPERATIONS.iter().map(|(name, _)| *name).collect();
+    let mut parameters = vec![json!({
+        "name": "database", "in": "path", "required": true, "schema": {"type": "string"},
+        "description": "The database's name"
+    })];
+    parameters.extend(PARAMETERS.iter().map(|(name, about)| {
+        let schema = if *name == "operation" {
+            json!({"type": "string", "enum": names})
+        } else {
+            json!({"type": "string"})
+        };
+        json!({"name": name, "in": "query", "required": false, "schema": schema, "description": about})
+    }));
+    let mut responses = Map::new();
+    for (status, meaning) in STATUSES {
+        let mut response = json!({"description": meaning});
+        response["content"] = json!({"text/xml": {"schema": {"type": "string"}}});
+        responses.insert(status.to_string(), response);
+    }
+    json!({
+        "summary": "SRU: a search, or what the server offers",
+        "operationId": "sru",
+        "parameters": parameters,
+        "responses": responses,
+    })
+}
+
 /// The description.
 pub fn describe(limits: &Limits) -> Json {
     let mut paths = Map::new();
@@ -86,6 +116,7 @@
         let path = paths.entry(route.path).or_insert_with(|| json!({}));
         path[route.method.to_lowercase()] = operation(route, limits);
     }
+    paths.insert("/{database}".to_owned(), json!({"get": catalogue()}));
     json!({
         "openapi": "3.1.0",
         "info": {"title": "bitternsill", "version": env!("CARGO_PKG_VERSION")},
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -5,9 +5,10 @@
 use crate::limits::MS;
 use bramblestair::interface::{Settings, Time};
 use serde_json::Value as Json;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Something in the file that cannot be used.
 #[derive(Debug)]
@@ -41,6 +42,36 @@
     Z3950,
 }
 
+/// A store with several members.
+#[derive(Debug, Clone)]
+pub struct StoreSetup {
+    /// This member.
+    pub member: u64,
+    /// Every member and its address.
+    pub members: BTreeMap<u64, SocketAddr>,
+    /// Whether this member begins the store, where there is none yet.
+    pub begins: bool,
+    /// What this member keeps across its restarts.
+    pub file: PathBuf,
+}
+
+fn read_store(json: &Json) -> Result<Option<StoreSetup>, SetupError> {
+    if json.is_null() {
+        return Ok(None);
+    }
+    let bad = |what: &str| SetupError::Value(format!("`store.{what}`"));
+    let member = json["member"].as_u64().ok_or_else(|| bad("member`: no number"))?;
+    let members = json["members"].as_object().ok_or_else(|| bad("members`: no object"))?;
+    let entry = |(id, address): (&String, &Json)| Some((id.parse().ok()?, address.as_str()?.parse().ok()?));
+    let members: Option<BTreeMap<u64, SocketAddr>> = members.iter().map(entry).collect();
+    let members = members.ok_or_else(|| bad("members`: not numbers with addresses"))?;
+    if !members.contains_key(&member) {
+        return Err(bad("members`: without this member"));
+    }
+    let file = json["file"].as_str().ok_or_else(|| bad("file`: no path"))?.into();
+    Ok(Some(StoreSetup { member, members, begins: json["begins"].as_bool().unwrap_or(false), file }))
+}
+
 /// The file's content.
 #[derive(Debug)]
 pub struct Setup {
@@ -70,14 +101,21 @@
     pub class: usize,
     /// How long a client is taken to wait.
     pub budget: Time,
+    /// This member of the store, and where all of them are.
+    pub store: Option<StoreSetup>,
     /// The module's settings and the program's share of them.
     pub settings: (Settings, Deployment),
 }
 
 /// Reads the file at a path.
 pub fn load(path: &Path) -> Result<Setup, SetupError> {
+    read(&load_json(path)?)
+}
+
+/// Reads the JSON at a path.
+pub fn load_json(path: &Path) -> Result<Json, SetupError> {
     let text = std::fs::read(path).map_err(SetupError::File)?;
-    read(&serde_json::from_slice(&text).map_err(SetupError::Json)?)
+    serde_json::from_slice(&text).map_err(SetupError::Json)
 }
 
 /// Reads the file's content.
@@ -143,6 +181,7 @@
         slice_database,
         class,
         budget: budget.ok_or_else(|| bad("`budget_ms`: no number from 1 to 3600000".to_owned()))? * MS,
+        store: read_store(&json["store"])?,
         settings,
     })
 }
--- a/bitternsill/src/front/catalogue/sru.rs
+++ b/bitternsill/src/front/catalogue/sru.rs
@@ -143,6 +143,15 @@
     ("responseFormat", "application/sru+xml or text/xml"),
 ];
 
+/// Each status that a response may have, and what that means.
+pub const STATUSES: &[(u16, &str)] = &[
+    (200, "The response; what is wrong with the request stands in its diagnostics"),
+    (404, "No such database"),
+    (500, "The search was given up"),
+    (503, "Refused; trying again is harmless"),
+    (504, "No answer in time"),
+];
+
 /// A search under way on a connection.
 struct Search {
     version: Version,
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -5,7 +5,8 @@
 use crate::limits::Limits;
 use crate::net::{Connection, Net, Token};
 use bramblestair::interface::{Entry, ListKind, ServerId, Standing, Time};
-use std::collections::{BTreeMap, HashMap};
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -41,14 +42,14 @@
     standing: Standing,
     leaving_since: Option<Time>,
     links: Vec<Link>,
-    attempts: HashMap<AttemptId, Token>,
+    attempts: BTreeMap<AttemptId, Token>,
 }
 
 /// Every index host that any list has named.
 pub struct HostTable {
     connector: Box<dyn Connector>,
     limits: Rc<Limits>,
-    ids: HashMap<String, ServerId>,
+    ids: BTreeMap<String, ServerId>,
     hosts: BTreeMap<ServerId, Host>,
     next: u32,
 }
@@ -56,7 +57,7 @@
 impl HostTable {
     /// A table without hosts.
     pub fn new(connector: Box<dyn Connector>, limits: Rc<Limits>) -> Self {
-        HostTable { connector, limits, ids: HashMap::new(), hosts: BTreeMap::new(), next: 1 }
+        HostTable { connector, limits, ids: BTreeMap::new(), hosts: BTreeMap::new(), next: 1 }
     }
 
     /// Whether any host takes work.
@@ -64,6 +65,17 @@
         self.hosts.values().any(|h| h.standing == Standing::Ready)
     }
 
+    /// The hosts that have not left, as the store keeps them.
+    pub fn known(&self) -> Json {
+        let host = |(uid, id): (&String, &ServerId)| {
+            let host = self.hosts.get(id).filter(|h| h.standing != Standing::Gone)?;
+            let state = if host.standing == Standing::Ready { "active" } else { "leaving" };
+            let endpoint = host.endpoint.map(|e| e.to_string());
+            Some(json!({"uid": uid, "endpoint": endpoint, "state": state}))
+        };
+        Json::Array(self.ids.iter().filter_map(host).collect())
+    }
+
     /// Takes the lines of a list and gives the module's entries.
     pub fn update(
         &mut self,
@@ -86,7 +98,7 @@
                 standing: Standing::Gone,
                 leaving_since: None,
                 links: Vec::new(),
-                attempts: HashMap::new(),
+                attempts: BTreeMap::new(),
             };
             let host = self.hosts.entry(id).or_insert(new);
             if member.endpoint.is_some() && host.endpoint != member.endpoint {
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -13,6 +13,7 @@
 use crate::core::ports::{Answer, AttemptId, Caller, Clients, Directory, Hosts, Outgoing};
 use crate::limits::Limits;
 use crate::net::{Net, Token, World};
+use crate::store::links::Shelf;
 use bramblestair::interface::{Outcome, ServerId, Time};
 use clients::ClientTable;
 use hosts::HostTable;
@@ -39,6 +40,10 @@
     Watch(bool),
     /// Discovery: ask once.
     Fetch,
+    /// A line of the store, for a member or a watcher.
+    Line(String),
+    /// When the store's timer is due.
+    WakeAt(Time),
     /// The program is ending: take no more connections, close what is idle.
     Retire,
 }
@@ -74,6 +79,8 @@
     pub ready_by: Option<Time>,
     /// The listeners.
     pub listeners: Vec<Token>,
+    /// The store, off the request path; absent once its file has failed.
+    pub shelf: Option<Shelf>,
 }
 
 impl Gatherer {
@@ -95,6 +102,22 @@
         }
     }
 
+    /// Records something in the store.
+    pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Self>) {
+        if let Some(shelf) = &mut self.shelf
+            && let Err(problem) = shelf.record(what, value, net)
+        {
+            tracing::error!(%problem, "the store's file cannot be written; this member stops");
+            self.shelf = None;
+        }
+    }
+
+    /// Records the index hosts as they are known now.
+    pub fn record_members(&mut self, net: &mut Net<Self>) {
+        let known = self.hosts.known().to_string();
+        self.record("members", &known, net);
+    }
+
     fn advance(&mut self, net: &mut Net<Self>, now: Time) {
         match self.phase {
             Phase::Leaving(until) if until <= now => {
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -18,6 +18,10 @@
 /// The path of the list and of its watch.
 pub const MEMBERS: &str = "/catalog/members";
 
+/// The states by their names: the list is read by it, and it is what `describe asyncapi` prints.
+pub const STATES: &[(&str, Standing)] =
+    &[("active", Standing::Ready), ("leaving", Standing::Draining), ("left", Standing::Gone)];
+
 /// A list that cannot be read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListError(pub &'static str);
@@ -58,12 +62,8 @@
     let targets = json["targets"].as_array().ok_or(ListError("no `targets`"))?;
     let mut members = Vec::with_capacity(targets.len());
     for target in targets {
-        let standing = match target["state"].as_str() {
-            Some("active") => Standing::Ready,
-            Some("leaving") => Standing::Draining,
-            Some("left") => Standing::Gone,
-            _ => return Err(ListError("unknown `state`")),
-        };
+        let standing = STATES.iter().find(|(name, _)| target["state"] == *name).map(|(_, s)| *s);
+        let standing = standing.ok_or(ListError("unknown `state`"))?;
         let endpoint = target["endpoint"].as_str().and_then(|e| e.parse().ok());
         if standing == Standing::Ready && endpoint.is_none() {
             return Err(ListError("an active target without `endpoint`"));
@@ -165,6 +165,7 @@
         tracing::debug!(version, whole, lines = members.len(), "list");
         let entries = cx.world.hosts.update(kind, members, cx.net, cx.now);
         cx.world.core.list(kind, entries);
+        cx.world.record_members(cx.net);
         cx.world.ready_by = None;
         self.version = Some(version);
         Ok(())
--- a/bitternsill/src/lib.rs
+++ b/bitternsill/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod limits;
 pub mod net;
 pub mod serve;
+pub mod store;
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -26,6 +26,16 @@
     pub records: usize,
     /// Result sets that one Z39.50 session keeps.
     pub result_sets: usize,
+    /// Entries of the store's log before they are folded into a snapshot.
+    pub store_log: usize,
+    /// Keys that the store holds.
+    pub store_keys: usize,
+    /// Between two heartbeats of the store's leader.
+    pub store_heartbeat: Time,
+    /// How long a member of the store waits for its leader, at the least.
+    pub store_election: Time,
+    /// Between two attempts to connect to another member.
+    pub store_retry: Time,
     /// Characters of a query's id, of its key and of a catalogue query.
     pub name_bytes: usize,
     /// Bytes read from a connection before others get their turn.
@@ -91,6 +101,11 @@
             ber_depth: 128,
             records: 100,
             result_sets: 8,
+            store_log: 256,
+            store_keys: 64,
+            store_heartbeat: 150 * MS,
+            store_election: 600 * MS,
+            store_retry: 100 * MS,
             name_bytes: 256,
             read_burst: 64 << 10,
             descriptors: 1024,
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::core::settings::{self, Deployment};
 use crate::front::catalogue::link::{Dialect, SerialConnector};
 use crate::front::catalogue::session::Session;
-use crate::front::catalogue::setup::{Setup, Speaks};
+use crate::front::catalogue::setup::{Setup, Speaks, StoreSetup};
 use crate::front::catalogue::sru::Sru;
 use crate::front::catalogue::sru_host::SruHost;
 use crate::front::catalogue::z3950_host::Z3950Host;
@@ -21,8 +21,12 @@
 use crate::front::{Gatherer, Phase};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
-use bramblestair::interface::{ListKind, Settings};
-use serde_json::Value as Json;
+use crate::store::file::Journal;
+use crate::store::links::{Incoming, Shelf};
+use crate::store::{Bounds, Membership, Pace, Store};
+use bramblestair::interface::{ListKind, Settings, Time};
+use serde_json::{Value as Json, json};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -39,6 +43,9 @@
     discovery: Option<SocketAddr>,
     known: Json,
     listeners: Vec<(SocketAddr, Accept)>,
+    store: Option<StoreSetup>,
+    /// What the store keeps of the front's set-up.
+    setup: Json,
 }
 
 fn limits(deployment: &Deployment, sockets: usize) -> Limits {
@@ -66,6 +73,8 @@
         discovery: Some(config.discovery),
         known: config.known,
         listeners: vec![(config.listen, accept)],
+        store: None,
+        setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
 }
 
@@ -75,6 +84,13 @@
     // A session may hold result sets, so fewer of them fit into the memory.
     limits.clients = limits.clients.min(limits.sessions);
     let limits = Rc::new(limits);
+    let kept = json!({
+        "front": "catalogue",
+        "database": setup.database,
+        "title": setup.title,
+        "sru": setup.sru.map(|a| a.to_string()),
+        "z3950": setup.z3950.map(|a| a.to_string()),
+    });
     let dialect: fn(SocketAddr) -> Box<dyn Dialect> = match setup.speaks {
         Speaks::Sru => SruHost::dialect,
         Speaks::Z3950 => Z3950Host::dialect,
@@ -111,9 +127,33 @@
         discovery: setup.discovery,
         known: setup.members,
         listeners,
+        store: setup.store,
+        setup: kept,
     })
 }
 
+/// The store: a lone member in memory, or one of several that keep a file.
+fn open_store(
+    setup: Option<&StoreSetup>,
+    limits: &Limits,
+    seed: u64,
+    now: Time,
+) -> Result<(Store, BTreeMap<u64, SocketAddr>), ServeError> {
+    let pace = Pace { heartbeat: limits.store_heartbeat, election: limits.store_election };
+    let bounds = Bounds { log: limits.store_log, keys: limits.store_keys, value_bytes: limits.body_bytes };
+    let Some(setup) = setup else {
+        let lone = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
+        return Ok((Store::start(&lone, pace, bounds, seed, None, now)?, BTreeMap::new()));
+    };
+    let members = setup.members.keys().copied().collect();
+    let membership = Membership { id: setup.member, members, begins: setup.begins };
+    let journal = Journal::open(&setup.file)?;
+    let store = Store::start(&membership, pace, bounds, seed ^ setup.member, Some(journal), now)?;
+    let mut peers = setup.members.clone();
+    peers.remove(&setup.member);
+    Ok((store, peers))
+}
+
 fn run(plan: Plan) -> Result<(), ServeError> {
     let (settings, deployment) = plan.settings;
     let limits = plan.limits;
@@ -129,10 +169,15 @@
         directory: None,
         ready_by: plan.discovery.map(|_| now + limits.first_list),
         listeners: Vec::new(),
+        shelf: None,
     };
     let mut reactor = Reactor::new(gatherer, clock)?;
     let (net, gatherer) = reactor.parts();
-    for (address, accept) in plan.listeners {
+    let (store, peers) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
+    gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, net));
+    let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
+    let store_listener = own.map(|address| (*address, Box::new(Incoming::accept) as Accept));
+    for (address, accept) in plan.listeners.into_iter().chain(store_listener) {
         let token = net.open(Box::new(Listener::new(net::listen(address)?, accept)));
         gatherer.listeners.push(token);
         tracing::info!(name = plan.name, listen = %address, "serving");
@@ -144,6 +189,8 @@
     };
     let entries = gatherer.hosts.update(ListKind::Persisted, members, net, now);
     gatherer.core.list(ListKind::Persisted, entries);
+    gatherer.record("setup", &plan.setup.to_string(), net);
+    gatherer.record_members(net);
     if let Some(address) = plan.discovery {
         gatherer.directory = Some(net.open(Box::new(Discovery::new(address, names, version))));
     }
--- /dev/null
+++ b/bitternsill/src/store/links.rs
@@ -0,0 +1,268 @@
+//! The store on the loop: its timer, its lines to and from other members, and those who watch it.
+
+use super::packet::{Change, Packet};
+use super::{Store, packet};
+use crate::front::{Gatherer, Message};
+use crate::net::{self, Connection, Context, Input, Net, Ready, Stream, Token};
+use bramblestair::interface::Time;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+
+type Cx<'a> = Context<'a, Gatherer>;
+
+/// The store of a gatherer and the connections that belong to it.
+pub struct Shelf {
+    store: Store,
+    name: String,
+    clock: Option<Token>,
+    peers: BTreeMap<u64, Token>,
+    watchers: Vec<Token>,
+}
+
+impl Shelf {
+    /// Puts a store on the loop; a lone member needs neither a timer nor sockets.
+    pub fn new(
+        store: Store,
+        name: String,
+        peers: &BTreeMap<u64, SocketAddr>,
+        net: &mut Net<Gatherer>,
+    ) -> Shelf {
+        let clock = (!peers.is_empty()).then(|| net.open(Box::new(Clock)));
+        let open = |(id, address): (&u64, &SocketAddr)| (*id, net.open(Box::new(Peer::new(*address))));
+        let peers = peers.iter().map(open).collect();
+        Shelf { store, name, clock, peers, watchers: Vec::new() }
+    }
+
+    /// Records something of this gatherer under its name.
+    pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Gatherer>) -> io::Result<()> {
+        let key = format!("{what}/{}", self.name);
+        if self.store.put(&key, value, net.now())?.is_err() {
+            tracing::warn!(key, "the store does not take this much");
+        }
+        self.pump(net);
+        Ok(())
+    }
+
+    /// Passes on what the store has for others.
+    fn pump(&mut self, net: &mut Net<Gatherer>) {
+        for (to, packet) in self.store.take_outbox() {
+            if let Some(token) = self.peers.get(&to) {
+                net.post(*token, Message::Line(packet.write()));
+            }
+        }
+        for change in self.store.take_committed() {
+            let line = watch_line(&change);
+            for token in &self.watchers {
+                net.post(*token, Message::Line(line.clone()));
+            }
+        }
+        if let (Some(token), Some(at)) = (self.clock, self.store.due()) {
+            net.post(token, Message::WakeAt(at));
+        }
+    }
+}
+
+/// What a watch is asked for with.
+pub const WATCH: &str = "watch";
+
+/// One line of a watch.
+fn watch_line(change: &Change) -> String {
+    json!({"key": change.key, "value": change.value}).to_string() + "\n"
+}
+
+/// Does something with the store; where its file fails, the member stops rather than break a promise.
+fn with_store(cx: &mut Cx<'_>, act: impl FnOnce(&mut Store, Time) -> io::Result<()>) {
+    let Some(shelf) = &mut cx.world.shelf else { return };
+    match act(&mut shelf.store, cx.now) {
+        Ok(()) => shelf.pump(cx.net),
+        Err(problem) => {
+            tracing::error!(%problem, "the store's file cannot be written; this member stops");
+            cx.world.shelf = None;
+        }
+    }
+}
+
+struct Clock;
+
+impl Connection<Gatherer> for Clock {
+    fn opened(&mut self, _cx: &mut Cx<'_>) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn ready(&mut self, _cx: &mut Cx<'_>, _ready: Ready) {}
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        if let Message::WakeAt(at) = message {
+            cx.set_timer(at);
+        }
+    }
+
+    fn timer(&mut self, cx: &mut Cx<'_>) {
+        with_store(cx, |store, now| store.timer(now));
+    }
+}
+
+/// The lines to another member; what cannot be sent now is dropped, as the protocol allows.
+struct Peer {
+    to: SocketAddr,
+    stream: Option<Stream>,
+    up: bool,
+    retry_at: Time,
+}
+
+impl Peer {
+    fn new(to: SocketAddr) -> Peer {
+        Peer { to, stream: None, up: false, retry_at: 0 }
+    }
+
+    fn drop_stream(&mut self, cx: &mut Cx<'_>) {
+        self.stream = None;
+        self.up = false;
+        self.retry_at = cx.now + cx.world.limits.store_retry;
+        cx.clear_timer();
+    }
+
+    fn write(&mut self, cx: &mut Cx<'_>) {
+        let Some(stream) = &mut self.stream else { return };
+        let flushed = if self.up { stream.flush() } else { Ok(()) };
+        let ready = Ready { readable: self.up, writable: !self.up || stream.unwritten() > 0 };
+        if flushed.and_then(|()| stream.arm(cx.net, cx.token, ready)).is_err() {
+            self.drop_stream(cx);
+        }
+    }
+}
+
+impl Connection<Gatherer> for Peer {
+    fn opened(&mut self, _cx: &mut Cx<'_>) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        let Some(stream) = &mut self.stream else { return };
+        if !self.up {
+            if stream.failure().is_some() {
+                return self.drop_stream(cx);
+            }
+            self.up = stream.is_connected();
+            cx.clear_timer();
+        } else if ready.readable {
+            // Members answer on connections of their own; here only the end can come.
+            let mut nothing = Vec::new();
+            if !matches!(stream.read(&mut nothing, cx.world.limits.read_burst), Ok(Input::Open)) {
+                return self.drop_stream(cx);
+            }
+        }
+        self.write(cx);
+    }
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        let Message::Line(line) = message else { return };
+        if self.stream.is_none() && cx.now >= self.retry_at {
+            self.stream = net::connect(self.to).ok();
+            self.retry_at = cx.now + cx.world.limits.store_retry;
+            cx.set_timer(cx.now + cx.world.limits.connect);
+        }
+        let limit = cx.world.limits.frame_bytes * 2;
+        if let Some(stream) = self.stream.as_mut().filter(|s| s.unwritten() + line.len() <= limit) {
+            stream.push(line.as_bytes());
+        }
+        self.write(cx);
+    }
+
+    fn timer(&mut self, cx: &mut Cx<'_>) {
+        self.drop_stream(cx);
+    }
+}
+
+/// A connection that was accepted: another member's lines, or somebody who watches.
+pub struct Incoming {
+    stream: Stream,
+    input: Vec<u8>,
+    watches: bool,
+}
+
+impl Incoming {
+    /// The connection object of an accepted socket.
+    pub fn accept(stream: Stream, _world: &Gatherer) -> Box<dyn Connection<Gatherer>> {
+        Box::new(Incoming { stream, input: Vec::new(), watches: false })
+    }
+
+    fn line(&mut self, cx: &mut Cx<'_>, line: &[u8]) -> Result<(), packet::NoPacket> {
+        if line.trim_ascii() == WATCH.as_bytes() {
+            if let Some(shelf) = &mut cx.world.shelf
+                && !std::mem::replace(&mut self.watches, true)
+            {
+                shelf.watchers.push(cx.token);
+                for (key, value) in shelf.store.state() {
+                    let change = Change { key: key.clone(), value: value.clone() };
+                    self.stream.push(watch_line(&change).as_bytes());
+                }
+            }
+            return Ok(());
+        }
+        let packet = Packet::read(line)?;
+        let known = cx.world.shelf.as_ref().is_some_and(|shelf| shelf.peers.contains_key(&packet.from));
+        if !known {
+            return Err(packet::NoPacket("from no member"));
+        }
+        with_store(cx, |store, now| store.receive(packet, now));
+        Ok(())
+    }
+
+    fn write(&mut self, cx: &mut Cx<'_>) {
+        // A watcher that does not read must not fill the memory.
+        let over = self.stream.unwritten() > cx.world.limits.frame_bytes * 4;
+        let flushed = self.stream.flush();
+        let ready = Ready { readable: true, writable: self.stream.unwritten() > 0 };
+        if over || flushed.and_then(|()| self.stream.arm(cx.net, cx.token, ready)).is_err() {
+            cx.close();
+        }
+    }
+}
+
+impl Connection<Gatherer> for Incoming {
+    fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
+        // Members and watchers are not closed to make room for readers.
+        cx.world.clients.set_idle(cx.token, None);
+        self.stream.arm(cx.net, cx.token, Ready { readable: true, writable: false })
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        if ready.readable {
+            let end = self.stream.read(&mut self.input, cx.world.limits.read_burst);
+            while let Some(end) = self.input.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = self.input.drain(..=end).collect();
+                if let Err(problem) = self.line(cx, &line) {
+                    tracing::debug!(%problem, "store");
+                    return cx.close();
+                }
+            }
+            if self.input.len() > cx.world.limits.frame_bytes * 2 || !matches!(end, Ok(Input::Open)) {
+                return cx.close();
+            }
+        }
+        self.write(cx);
+    }
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        match message {
+            Message::Line(line) => {
+                self.stream.push(line.as_bytes());
+                self.write(cx);
+            }
+            Message::Retire => cx.close(),
+            _ => {}
+        }
+    }
+
+    fn timer(&mut self, _cx: &mut Cx<'_>) {}
+
+    fn closed(&mut self, cx: &mut Cx<'_>) {
+        if let Some(shelf) = &mut cx.world.shelf {
+            shelf.watchers.retain(|token| *token != cx.token);
+        }
+        cx.world.clients.remove(cx.token);
+    }
+}
--- /dev/null
+++ b/bitternsill/src/store/packet.rs
@@ -0,0 +1,331 @@
+//! What members of the store say to each other: one JSON object a line.
+
+use raftbare::{ClusterConfig, LogEntries, LogEntry, LogIndex, Message, MessageHeader, MessageSeqNo, NodeId};
+use serde_json::{Value as Json, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// A place in the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Counted from 1; 0 stands before the first entry.
+    pub index: u64,
+    /// The term it was written in.
+    pub term: u64,
+}
+
+/// A key and its new value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: String,
+}
+
+/// The state at a place in the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The last entry it covers.
+    pub position: Position,
+    /// The members at that place.
+    pub members: BTreeSet<u64>,
+    /// Every key and its value.
+    pub state: BTreeMap<String, String>,
+}
+
+impl Snapshot {
+    /// The members, as the library has them.
+    pub fn config(&self) -> ClusterConfig {
+        ClusterConfig {
+            voters: self.members.iter().copied().map(NodeId::new).collect(),
+            ..ClusterConfig::new()
+        }
+    }
+}
+
+/// One entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Entry {
+    /// A new term.
+    Term(u64),
+    /// The members.
+    Members(BTreeSet<u64>),
+    /// A change of the state.
+    Change(Change),
+}
+
+/// A stretch of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Entries {
+    /// What stands before it.
+    pub after: Position,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl Entries {
+    /// A stretch of the library's log, with what its commands say.
+    pub fn new(log: &LogEntries, changes: &BTreeMap<Position, Change>) -> Entries {
+        let mut stretch = Entries { after: log.prev_position().into(), entries: Vec::new() };
+        for (position, entry) in log.iter_with_positions() {
+            let entry = match entry {
+                LogEntry::Term(term) => Entry::Term(term.get()),
+                LogEntry::ClusterConfig(config) => {
+                    Entry::Members(config.voters.iter().map(|id| id.get()).collect())
+                }
+                LogEntry::Command => match changes.get(&Position::from(position)) {
+                    Some(change) => Entry::Change(change.clone()),
+                    // What is not known cannot be passed on; the rest goes when it is.
+                    None => break,
+                },
+            };
+            stretch.entries.push(entry);
+        }
+        stretch
+    }
+
+    /// The library's form of it.
+    pub fn log(&self) -> LogEntries {
+        let mut log = super::after(self.after);
+        for entry in &self.entries {
+            log.push(match entry {
+                Entry::Term(term) => LogEntry::Term((*term).into()),
+                Entry::Members(members) => LogEntry::ClusterConfig(
+                    Snapshot { members: members.clone(), ..Snapshot::default() }.config(),
+                ),
+                Entry::Change(_) => LogEntry::Command,
+            });
+        }
+        log
+    }
+
+    /// The changes in it, each with its place.
+    pub fn changes(&self) -> impl Iterator<Item = (Position, &Change)> {
+        let mut term = self.after.term;
+        self.entries.iter().zip(self.after.index + 1..).filter_map(move |(entry, index)| match entry {
+            Entry::Term(new) => {
+                term = *new;
+                None
+            }
+            Entry::Change(change) => Some((Position { index, term }, change)),
+            Entry::Members(_) => None,
+        })
+    }
+}
+
+/// What a packet says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Body {
+    /// A candidate asks for a vote.
+    Vote {
+        /// The end of its log.
+        last: Position,
+    },
+    /// The answer to that.
+    Voted {
+        /// Whether it is given.
+        granted: bool,
+    },
+    /// The leader's entries, or its heartbeat.
+    Append {
+        /// What is committed.
+        commit: u64,
+        /// The entries.
+        entries: Entries,
+    },
+    /// The answer to that.
+    Appended {
+        /// The end of the member's log.
+        last: Position,
+    },
+    /// The state in place of a log that the leader no longer has.
+    Snapshot(Snapshot),
+    /// A member wants the leader to propose a change.
+    Put(Change),
+}
+
+/// One packet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Packet {
+    /// Who sent it.
+    pub from: u64,
+    /// The sender's term.
+    pub term: u64,
+    /// The sender's count.
+    pub sequence: u64,
+    /// What it says.
+    pub body: Body,
+}
+
+/// A line that is no packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NoPacket(pub &'static str);
+
+impl fmt::Display for NoPacket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no packet: {}", self.0)
+    }
+}
+
+impl std::error::Error for NoPacket {}
+
+/// The kinds of packet with what each is for: written and read by it, and what `describe asyncapi` prints.
+pub const KINDS: &[(&str, &str)] = &[
+    ("vote", "A candidate asks for a vote"),
+    ("voted", "The answer to a candidate"),
+    ("append", "The leader's entries, or its heartbeat"),
+    ("appended", "The answer to the leader"),
+    ("snapshot", "The state in place of entries that the leader no longer has"),
+    ("put", "A member wants the leader to propose a change"),
+];
+
+impl Body {
+    /// The library's message, where the packet is one.
+    pub fn into_message(self, from: u64, term: u64, sequence: u64) -> Option<Message> {
+        let header =
+            MessageHeader { from: NodeId::new(from), term: term.into(), seqno: MessageSeqNo::new(sequence) };
+        Some(match self {
+            Body::Vote { last } => Message::RequestVoteCall { header, last_position: last.into() },
+            Body::Voted { granted } => Message::RequestVoteReply { header, vote_granted: granted },
+            Body::Append { commit, entries } => Message::AppendEntriesCall {
+                header,
+                commit_index: LogIndex::new(commit),
+                entries: entries.log(),
+            },
+            Body::Appended { last } => Message::AppendEntriesReply { header, last_position: last.into() },
+            Body::Snapshot(_) | Body::Put(_) => return None,
+        })
+    }
+
+    fn kind(&self) -> &'static str {
+        match self {
+            Body::Vote { .. } => "vote",
+            Body::Voted { .. } => "voted",
+            Body::Append { .. } => "append",
+            Body::Appended { .. } => "appended",
+            Body::Snapshot(_) => "snapshot",
+            Body::Put(_) => "put",
+        }
+    }
+}
+
+impl Packet {
+    /// The packet that carries a message of the library.
+    pub fn from_message(message: &Message, changes: &BTreeMap<Position, Change>) -> Packet {
+        let body = match message {
+            Message::RequestVoteCall { last_position, .. } => Body::Vote { last: (*last_position).into() },
+            Message::RequestVoteReply { vote_granted, .. } => Body::Voted { granted: *vote_granted },
+            Message::AppendEntriesCall { commit_index, entries, .. } => {
+                Body::Append { commit: commit_index.get(), entries: Entries::new(entries, changes) }
+            }
+            Message::AppendEntriesReply { last_position, .. } => {
+                Body::Appended { last: (*last_position).into() }
+            }
+        };
+        Packet {
+            from: message.from().get(),
+            term: message.term().get(),
+            sequence: message.seqno().get(),
+            body,
+        }
+    }
+
+    /// The line, with its end.
+    pub fn write(&self) -> String {
+        let mut json = match &self.body {
+            Body::Vote { last } | Body::Appended { last } => json!({"last": write_position(*last)}),
+            Body::Voted { granted } => json!({"granted": granted}),
+            Body::Append { commit, entries } => json!({"commit": commit, "log": write_entries(entries)}),
+            Body::Snapshot(snapshot) => write_snapshot(snapshot),
+            Body::Put(change) => json!({"key": change.key, "value": change.value}),
+        };
+        json["kind"] = self.body.kind().into();
+        json["from"] = self.from.into();
+        json["term"] = self.term.into();
+        json["sequence"] = self.sequence.into();
+        json.to_string() + "\n"
+    }
+
+    /// Reads a line.
+    pub fn read(line: &[u8]) -> Result<Packet, NoPacket> {
+        let json: Json = serde_json::from_slice(line).map_err(|_| NoPacket("not JSON"))?;
+        let number = |key: &'static str| json[key].as_u64().ok_or(NoPacket(key));
+        let last = || read_position(&json["last"]).ok_or(NoPacket("last"));
+        let body = match json["kind"].as_str().ok_or(NoPacket("kind"))? {
+            "vote" => Body::Vote { last: last()? },
+            "voted" => Body::Voted { granted: json["granted"].as_bool().ok_or(NoPacket("granted"))? },
+            "append" => Body::Append {
+                commit: number("commit")?,
+                entries: read_entries(&json["log"]).ok_or(NoPacket("log"))?,
+            },
+            "appended" => Body::Appended { last: last()? },
+            "snapshot" => Body::Snapshot(read_snapshot(&json).ok_or(NoPacket("snapshot"))?),
+            "put" => Body::Put(read_change(&json).ok_or(NoPacket("put"))?),
+            _ => return Err(NoPacket("unknown kind")),
+        };
+        Ok(Packet { from: number("from")?, term: number("term")?, sequence: number("sequence")?, body })
+    }
+}
+
+fn write_position(position: Position) -> Json {
+    json!([position.index, position.term])
+}
+
+fn read_position(json: &Json) -> Option<Position> {
+    Some(Position { index: json[0].as_u64()?, term: json[1].as_u64()? })
+}
+
+/// A stretch of the log as JSON.
+pub fn write_entries(entries: &Entries) -> Json {
+    let list: Vec<Json> = entries
+        .entries
+        .iter()
+        .map(|entry| match entry {
+            Entry::Term(term) => json!({"term": term}),
+            Entry::Members(members) => json!({"members": members}),
+            Entry::Change(change) => json!({"key": change.key, "value": change.value}),
+        })
+        .collect();
+    json!({"after": write_position(entries.after), "entries": list})
+}
+
+/// A stretch of the log from JSON.
+pub fn read_entries(json: &Json) -> Option<Entries> {
+    let entry = |json: &Json| {
+        if let Some(term) = json["term"].as_u64() {
+            Some(Entry::Term(term))
+        } else if json["members"].is_array() {
+            Some(Entry::Members(read_members(&json["members"])?))
+        } else {
+            Some(Entry::Change(read_change(json)?))
+        }
+    };
+    let entries = json["entries"].as_array()?.iter().map(entry).collect::<Option<_>>()?;
+    Some(Entries { after: read_position(&json["after"])?, entries })
+}
+
+/// A snapshot as JSON.
+pub fn write_snapshot(snapshot: &Snapshot) -> Json {
+    json!({"position": write_position(snapshot.position), "members": snapshot.members, "state": snapshot.state})
+}
+
+/// A snapshot from JSON.
+pub fn read_snapshot(json: &Json) -> Option<Snapshot> {
+    let state = json["state"].as_object()?.iter();
+    let state =
+        state.map(|(key, value)| Some((key.clone(), value.as_str()?.to_owned()))).collect::<Option<_>>()?;
+    Some(Snapshot {
+        position: read_position(&json["position"])?,
+        members: read_members(&json["members"])?,
+        state,
+    })
+}
+
+fn read_members(json: &Json) -> Option<BTreeSet<u64>> {
+    json.as_array()?.iter().map(Json::as_u64).collect()
+}
+
+fn read_change(json: &Json) -> Option<Change> {
+    Some(Change { key: json["key"].as_str()?.to_owned(), value: json["value"].as_str()?.to_owned() })
+}
