Count a query's time from the beginning of a stall of the program's own

Seen: a query that came while the program stood still was answered 1.88 s after it was sent, with a budget of 1.2 s (story with SIGSTOP for 0.7 s). Cause: its time was counted from when it was read. Now the loop sleeps 50 ms at most, so a round over 100 ms shows a stall, and what is read then counts from its beginning. A first try still failed: epoll_wait returns EINTR when the process goes on, and the next round looked short; an interrupted wait now counts with the next. Ruled out: the module's timers, which end the query in time by what they are told. Also: a watch silent for 3.3 s (was 4.5) is given up, as what discovery has to tell counts as told after 6 s.

--- a/bitternsill/src/front/catalogue/mod.rs
+++ b/bitternsill/src/front/catalogue/mod.rs
@@ -43,6 +43,7 @@
         caller: Caller,
         wanted: usize,
         cql: &str,
+        arrived: Time,
         now: Time,
     ) -> Result<(), Refusal> {
         let shards = world.core.deployment().shards;
@@ -53,7 +54,7 @@
             key: None,
             repeat: false,
             budget: self.budget,
-            arrived: now,
+            arrived,
             text: found::text(wanted, cql).into(),
             parts: (0..shards).map(|shard| (shard, 1.0 / f64::from(shards))).collect(),
         };
--- a/bitternsill/src/front/catalogue/session.rs
+++ b/bitternsill/src/front/catalogue/session.rs
@@ -158,7 +158,7 @@
 
     fn ask(&self, cx: &mut Cx<'_>, wanted: usize, cql: &str) -> Result<(), Diagnostic> {
         let caller = Caller(cx.token.bits());
-        let taken = self.catalogue.search(cx.world, caller, wanted, cql, cx.now);
+        let taken = self.catalogue.search(cx.world, caller, wanted, cql, cx.since, cx.now);
         taken.map_err(|_| Diagnostic::new(2, "too much is held"))
     }
 
--- a/bitternsill/src/front/catalogue/sru.rs
+++ b/bitternsill/src/front/catalogue/sru.rs
@@ -206,7 +206,8 @@
         let node = cql::parse(query, cx.world.limits.depth).map_err(|e| (Diagnostic::from(e), 200))?;
         let wanted = if most == 0 { 0 } else { start - 1 + most };
         let caller = Caller(cx.token.bits());
-        let taken = self.catalogue.search(cx.world, caller, wanted as usize, &node.to_string(), cx.now);
+        let taken =
+            self.catalogue.search(cx.world, caller, wanted as usize, &node.to_string(), cx.since, cx.now);
         match taken {
             Ok(()) => {
                 let as_text = given.get(packing).is_some_and(|p| p == "string");
--- a/bitternsill/src/front/platform/query.rs
+++ b/bitternsill/src/front/platform/query.rs
@@ -45,7 +45,7 @@
     head: &Head,
     body: &[u8],
     caller: Caller,
-    now: Time,
+    arrived: Time,
     deployment: &Deployment,
     limits: &Limits,
 ) -> Result<Ask, QueryError> {
@@ -70,7 +70,7 @@
         key,
         repeat: head.get(AGAIN) == Some("1"),
         budget,
-        arrived: now,
+        arrived,
         text: text.into(),
         parts,
     })
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -125,12 +125,12 @@
             linger: 500 * MS,
             accept_rest: 20 * MS,
             discovery_call: 1_500 * MS,
-            watch_silence: 4_500 * MS,
+            watch_silence: 3_300 * MS,
             patience_margin: 15 * MS,
             answer_margin: 8 * MS,
             drain_grace: 2_000 * MS,
             keep_serving: 900 * MS,
-            last_call: 3_500 * MS,
+            last_call: 3_300 * MS,
             first_list: 1_500 * MS,
         }
     }
--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -8,6 +8,11 @@
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
 
+/// The longest that the loop sleeps; not a limit of the service, but how it notices a stall.
+const LONGEST_WAIT: Time = 50_000_000;
+/// A round that took longer than this began with a stall.
+const STALL: Time = 100_000_000;
+
 /// Names one connection; a later connection in the same slot has another generation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Token {
@@ -79,6 +84,8 @@
     pub token: Token,
     /// The time of this round.
     pub now: Time,
+    /// When what is read in this round may have come at the earliest: before `now` only after a stall.
+    pub since: Time,
     closing: bool,
 }
 
@@ -103,6 +110,7 @@
 pub struct Net<W: World> {
     epoll: OwnedFd,
     clock: Clock,
+    since: Time,
     generations: Vec<u32>,
     free: Vec<u32>,
     timers: BTreeSet<(Time, Token)>,
@@ -193,6 +201,7 @@
         let net = Net {
             epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
             clock,
+            since: clock.now(),
             generations: Vec::new(),
             free: Vec::new(),
             timers: BTreeSet::new(),
@@ -211,6 +220,7 @@
     /// Runs until the world is finished.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
+        let mut interrupted = None;
         loop {
             self.settle();
             let now = self.net.now();
@@ -218,16 +228,23 @@
                 return Ok(());
             }
             let due = [self.net.timers.first().map(|t| t.0), self.world.due(now)];
-            let wait = due.into_iter().flatten().min().map(|at| {
-                let left = at.saturating_sub(now);
-                Timespec { tv_sec: (left / 1_000_000_000) as _, tv_nsec: (left % 1_000_000_000) as _ }
-            });
+            // Waits are short, so that a long one shows that the whole program stood still.
+            let left = due.into_iter().flatten().min().map_or(LONGEST_WAIT, |at| at.saturating_sub(now));
+            let wait = Timespec { tv_sec: 0, tv_nsec: left.min(LONGEST_WAIT) as _ };
+            // A wait that a signal cut short, as it does when the program is made to go on, counts with the next.
+            let asleep = interrupted.take().unwrap_or(now);
             events.clear();
-            match epoll::wait(&self.net.epoll, spare_capacity(&mut events), wait.as_ref()) {
-                Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            match epoll::wait(&self.net.epoll, spare_capacity(&mut events), Some(&wait)) {
+                Ok(_) => {}
+                Err(rustix::io::Errno::INTR) => {
+                    interrupted = Some(asleep);
+                    continue;
+                }
                 Err(problem) => return Err(problem.into()),
             }
             let now = self.net.now();
+            // What is read after a stall may have come at its beginning, and its client has waited since.
+            self.net.since = if now - asleep > STALL { asleep } else { now };
             for event in &events {
                 let flags = event.flags;
                 let ended = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
@@ -287,7 +304,9 @@
             return;
         }
         let Some((_, mut connection)) = slot.take() else { return };
-        let mut cx = Context { world: &mut self.world, net: &mut self.net, token, now, closing: false };
+        let since = self.net.since.min(now);
+        let mut cx =
+            Context { world: &mut self.world, net: &mut self.net, token, now, since, closing: false };
         call(connection.as_mut(), &mut cx);
         if cx.closing {
             connection.closed(&mut cx);
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -171,8 +171,10 @@
         listeners: Vec::new(),
         shelf: None,
     };
+    let signals = Signals::install()?;
     let mut reactor = Reactor::new(gatherer, clock)?;
     let (net, gatherer) = reactor.parts();
+    net.open(Box::new(signals));
     let (store, peers) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
     gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, net));
     let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
@@ -194,7 +196,6 @@
     if let Some(address) = plan.discovery {
         gatherer.directory = Some(net.open(Box::new(Discovery::new(address, names, version))));
     }
-    net.open(Box::new(Signals::install()?));
     reactor.run()?;
     tracing::info!("ended");
     Ok(())
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -64,10 +64,10 @@
         Program { child }
     }
 
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
+    /// Sends a signal.
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
     }
 }
 
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -145,7 +145,7 @@
     kept.write_all(query("k1", "page", &[0], "").as_bytes()).unwrap();
     assert!(!read_response(&mut kept).contains("Connection: close"));
     let start = Instant::now();
-    platform.program.terminate();
+    platform.program.signal("TERM");
     std::thread::sleep(Duration::from_millis(300));
     // New connections and kept ones are still served, and told to close.
     assert!(platform.ask("new", "page", &[1]).starts_with("HTTP/1.1 200"));
@@ -185,3 +185,20 @@
         idle.push(socket);
     }
 }
+
+#[test]
+fn a_query_that_waited_out_a_stall_is_answered_in_its_clients_time() {
+    let hosts = (0..3).map(|_| FrameHost::start(|_| Say::Nothing)).collect();
+    let platform = Platform::start(settings(), hosts);
+    let mut socket = platform.connect();
+    let text = query("q", "page", &[0], "").replace("X-Budget: 3.0", "X-Budget: 1.2");
+    platform.program.signal("STOP");
+    let start = Instant::now();
+    socket.write_all(text.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(700));
+    platform.program.signal("CONT");
+    let answer = read_response(&mut socket);
+    assert!(answer.starts_with("HTTP/1.1 5"), "{answer}");
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(1250), "answered after {took:?}");
+}
