Share the connection steps between links, make room faster, and tell when to come back

At its bound the listener closed one idle connection in 20 ms, so a burst of 100 waited 2 s; it closes 16 in 5 ms. A query turned away at max_open is told when to come back. New stories: descriptors that are really out (120 there, 1,024 told), and a host to which no connection comes up.

--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -111,7 +111,7 @@
         }
         // The settings' bound on what is held: the simulator turns such a query away unseen, so its refusal is due.
         if self.queries.len() + self.parts.len() >= self.settings.max_open as usize {
-            return Err(Refusal::TableFull);
+            return Err(Refusal::TableFull { hold_off: self.settings.max_hold_off });
         }
         let margin = self.limits.answer_margin;
         let deadline = ask.arrived.saturating_add(ask.budget).saturating_sub(margin.min(ask.budget / 4));
--- a/bitternsill/src/core/ports.rs
+++ b/bitternsill/src/core/ports.rs
@@ -43,7 +43,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
     /// As much is held as the settings allow.
-    TableFull,
+    TableFull {
+        /// How long to keep away; 0 for no advice.
+        hold_off: Time,
+    },
     /// The same caller already waits for an answer.
     Busy,
 }
--- a/bitternsill/src/front/catalogue/link.rs
+++ b/bitternsill/src/front/catalogue/link.rs
@@ -5,7 +5,7 @@
 use crate::front::hosts::Connector;
 use crate::front::{Gatherer, Message};
 use crate::limits::Limits;
-use crate::net::{self, Connection, Context, Input, Ready, Stream};
+use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::{Outcome, ServerId, Time};
 use std::collections::VecDeque;
 use std::io;
@@ -258,14 +258,14 @@
 
     fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
         if !self.up {
-            if let Some(problem) = self.stream.failure() {
-                tracing::debug!(host = self.host.0, %problem, "no connection");
-                return cx.close();
-            }
-            if !self.stream.is_connected() {
-                return;
+            match self.stream.attempt() {
+                Attempt::Pending => return,
+                Attempt::Up => self.up = true,
+                Attempt::Failed(problem) => {
+                    tracing::debug!(host = self.host.0, %problem, "no connection");
+                    return cx.close();
+                }
             }
-            self.up = true;
             match self.dialect.hello() {
                 Some(hello) => self.stream.push(&hello),
                 None => self.welcome = true,
--- a/bitternsill/src/front/catalogue/session.rs
+++ b/bitternsill/src/front/catalogue/session.rs
@@ -355,16 +355,11 @@
     }
 
     fn flush(&mut self, cx: &mut Cx<'_>) {
-        if self.stream.flush().is_err() {
-            return cx.close();
-        }
-        let pending = self.stream.unwritten() > 0;
-        if self.state == State::Closing && !pending {
-            self.stream.end_output();
-        }
         let readable = self.input.len() <= cx.world.limits.body_bytes;
-        if self.stream.arm(cx.net, cx.token, Ready { readable, writable: pending }).is_err() {
-            cx.close();
+        match self.stream.flush_and_arm(cx.net, cx.token, readable) {
+            Ok(false) if self.state == State::Closing => self.stream.end_output(),
+            Ok(_) => {}
+            Err(_) => cx.close(),
         }
     }
 }
--- a/bitternsill/src/front/catalogue/sru.rs
+++ b/bitternsill/src/front/catalogue/sru.rs
@@ -214,7 +214,9 @@
                 self.search = Some(Search { version, start, most: most as usize, as_text });
                 Ok(())
             }
-            Err(Refusal::TableFull | Refusal::Busy) => Err((Diagnostic::new(2, "too much is held"), 503)),
+            Err(Refusal::TableFull { .. } | Refusal::Busy) => {
+                Err((Diagnostic::new(2, "too much is held"), 503))
+            }
         }
     }
 
--- a/bitternsill/src/front/listener.rs
+++ b/bitternsill/src/front/listener.rs
@@ -14,22 +14,26 @@
 pub struct Listener {
     socket: TcpListener,
     accept: Accept,
-    resting: bool,
 }
 
 impl Listener {
     /// A listener whose connections are made by `accept`.
     pub fn new(socket: TcpListener, accept: Accept) -> Self {
-        Listener { socket, accept, resting: false }
+        Listener { socket, accept }
     }
 
     fn listen(&mut self, cx: &mut Cx<'_>, on: bool) {
-        self.resting = !on;
         // A rest that cannot be set would spin; the timer below takes the loop out of it all the same.
         let _ = cx.net.rearm(&self.socket, cx.token, Ready { readable: on, writable: false });
     }
 
-    fn rest(&mut self, cx: &mut Cx<'_>) {
+    /// Closes some connections that have been idle longest, and goes on when they are gone.
+    fn make_room(&mut self, cx: &mut Cx<'_>) {
+        for _ in 0..cx.world.limits.room_burst {
+            if !cx.world.clients.make_room(cx.net) {
+                break;
+            }
+        }
         self.listen(cx, false);
         cx.set_timer(cx.now + cx.world.limits.accept_rest);
     }
@@ -38,9 +42,7 @@
         for _ in 0..cx.world.limits.accept_burst {
             // What waits in the backlog counts as taken, so an idle connection gives way to it.
             if cx.world.clients.len() >= cx.world.limits.clients {
-                cx.world.clients.make_room(cx.net);
-                self.rest(cx);
-                return;
+                return self.make_room(cx);
             }
             match self.socket.accept() {
                 Ok((socket, _)) => {
@@ -59,9 +61,7 @@
                 Err(problem) => {
                     // Out of descriptors: without a rest the loop would spin on a listener that stays ready.
                     tracing::warn!(%problem, "cannot accept");
-                    cx.world.clients.make_room(cx.net);
-                    self.rest(cx);
-                    return;
+                    return self.make_room(cx);
                 }
             }
         }
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -78,8 +78,8 @@
                 let ask = query::parse(head, body, caller, cx.since, world.core.deployment(), &world.limits);
                 match ask.map(|ask| world.core.take(ask, cx.now)) {
                     Ok(Ok(())) => Handled::Waiting,
-                    Ok(Err(Refusal::TableFull)) => {
-                        Handled::Done(Response::text(503, "refused: too much is held"))
+                    Ok(Err(Refusal::TableFull { hold_off })) => {
+                        Handled::Done(query::respond(&Answer::Refused { hold_off }))
                     }
                     Ok(Err(Refusal::Busy)) => Handled::Done(Response::text(400, "a query is under way here")),
                     Err(problem) => {
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -6,7 +6,7 @@
 use crate::front::hosts::Member;
 use crate::front::http::{Progress, Reader};
 use crate::front::{Gatherer, Message};
-use crate::net::{self, Connection, Context, Input, Ready, Stream};
+use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::{Entry, ListKind, ServerId, Standing};
 use serde_json::Value as Json;
 use std::fmt;
@@ -230,19 +230,14 @@
     fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
         let Some(open) = &mut self.open else { return };
         if !open.up {
-            if open.stream.failure().is_some() {
-                return self.end(cx, true, "no connection");
+            match open.stream.attempt() {
+                Attempt::Pending => return,
+                Attempt::Up => open.up = true,
+                Attempt::Failed(_) => return self.end(cx, true, "no connection"),
             }
-            open.up = open.stream.is_connected();
         }
-        if open.up {
-            if open.stream.flush().is_err() {
-                return self.end(cx, true, "broken");
-            }
-            let ready = Ready { readable: true, writable: open.stream.unwritten() > 0 };
-            if open.stream.arm(cx.net, cx.token, ready).is_err() {
-                return self.end(cx, true, "broken");
-            }
+        if open.stream.flush_and_arm(cx.net, cx.token, true).is_err() {
+            return self.end(cx, true, "broken");
         }
         if ready.readable {
             self.read(cx);
--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -5,7 +5,7 @@
 use crate::front::hosts::Connector;
 use crate::front::{Gatherer, Message};
 use crate::limits::Limits;
-use crate::net::{self, Connection, Context, Input, Ready, Stream};
+use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::{Outcome, ServerId, Time};
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -119,8 +119,7 @@
             self.used = cx.now;
             self.writing = Some(call);
         }
-        let ready = Ready { readable: true, writable: self.stream.unwritten() > 0 };
-        if self.stream.arm(cx.net, cx.token, ready).is_err() {
+        if self.stream.flush_and_arm(cx.net, cx.token, true).is_err() {
             cx.close();
         }
     }
@@ -257,14 +256,14 @@
 
     fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
         if !self.up {
-            if let Some(problem) = self.stream.failure() {
-                tracing::debug!(host = self.host.0, %problem, "no connection");
-                return cx.close();
-            }
-            if !self.stream.is_connected() {
-                return;
+            match self.stream.attempt() {
+                Attempt::Pending => return,
+                Attempt::Up => self.up = true,
+                Attempt::Failed(problem) => {
+                    tracing::debug!(host = self.host.0, %problem, "no connection");
+                    return cx.close();
+                }
             }
-            self.up = true;
             self.used = cx.now;
             self.write(cx);
             return self.schedule(cx);
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -139,21 +139,20 @@
 
     /// Writes what is there and sets what the socket is watched for.
     fn flush(&mut self, cx: &mut Cx<'_>) {
-        if let Err(problem) = self.stream.flush() {
-            tracing::debug!(%problem, "a client's connection broke");
-            return cx.close();
-        }
-        let pending = self.stream.unwritten() > 0;
-        if self.state == State::Ending && !pending {
-            // Closing at once could reset the connection before the client has read the answer.
-            self.stream.end_output();
-            self.state = State::Lingering;
-            cx.set_timer(cx.now + cx.world.limits.linger);
-        }
         // Bytes past the present request wait in the socket, so that they cannot pile up here.
         let readable = self.input.len() < cx.world.limits.head_bytes + cx.world.limits.body_bytes;
-        if self.stream.arm(cx.net, cx.token, Ready { readable, writable: pending }).is_err() {
-            cx.close();
+        match self.stream.flush_and_arm(cx.net, cx.token, readable) {
+            Ok(false) if self.state == State::Ending => {
+                // Closing at once could reset the connection before the client has read the answer.
+                self.stream.end_output();
+                self.state = State::Lingering;
+                cx.set_timer(cx.now + cx.world.limits.linger);
+            }
+            Ok(_) => {}
+            Err(problem) => {
+                tracing::debug!(%problem, "a client's connection broke");
+                cx.close();
+            }
         }
     }
 }
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -56,6 +56,8 @@
     pub queued_probes: usize,
     /// Index hosts held in the table, those that have left included.
     pub hosts: usize,
+    /// Idle connections closed at once to make room.
+    pub room_burst: usize,
     /// Connections accepted before others get their turn.
     pub accept_burst: usize,
     /// How long a connection may take to come up.
@@ -116,6 +118,7 @@
             queued_parts: 1024,
             queued_probes: 16,
             hosts: 256,
+            room_burst: 16,
             accept_burst: 64,
             connect: 250 * MS,
             host_idle: 22_500 * MS,
@@ -123,7 +126,7 @@
             request_read: 10_000 * MS,
             client_idle: 120_000 * MS,
             linger: 500 * MS,
-            accept_rest: 20 * MS,
+            accept_rest: 5 * MS,
             discovery_call: 1_500 * MS,
             watch_silence: 3_300 * MS,
             patience_margin: 15 * MS,
--- a/bitternsill/src/net/mod.rs
+++ b/bitternsill/src/net/mod.rs
@@ -4,7 +4,7 @@
 mod stream;
 
 pub use reactor::{Connection, Context, Net, Reactor, Ready, Token, World};
-pub use stream::{Input, Stream, connect, listen};
+pub use stream::{Attempt, Input, Stream, connect, listen};
 
 use bramblestair::interface::Time;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
--- a/bitternsill/src/net/stream.rs
+++ b/bitternsill/src/net/stream.rs
@@ -14,6 +14,17 @@
     Ended,
 }
 
+/// How a connection attempt stands.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The other side has not answered.
+    Pending,
+    /// The connection is there.
+    Up,
+    /// There will be none.
+    Failed(io::Error),
+}
+
 /// A connected (or connecting) socket and its unwritten bytes.
 pub struct Stream {
     socket: TcpStream,
@@ -87,14 +98,26 @@
         Ok(())
     }
 
-    /// The failure of a connection attempt, if it has failed.
-    pub fn failure(&self) -> Option<io::Error> {
-        self.socket.take_error().unwrap_or_else(Some)
+    /// Writes what the socket takes and watches it for what is left; says whether anything is.
+    pub fn flush_and_arm<W: World>(
+        &mut self,
+        net: &Net<W>,
+        token: Token,
+        readable: bool,
+    ) -> io::Result<bool> {
+        self.flush()?;
+        let pending = self.unwritten() > 0;
+        self.arm(net, token, Ready { readable, writable: pending })?;
+        Ok(pending)
     }
 
-    /// True once the other side is there.
-    pub fn is_connected(&self) -> bool {
-        self.socket.peer_addr().is_ok()
+    /// How a connection attempt stands.
+    pub fn attempt(&self) -> Attempt {
+        match self.socket.take_error().unwrap_or_else(Some) {
+            Some(problem) => Attempt::Failed(problem),
+            None if self.socket.peer_addr().is_ok() => Attempt::Up,
+            None => Attempt::Pending,
+        }
     }
 
     /// Says that nothing more will be written.
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -3,7 +3,7 @@
 use super::packet::{Change, Packet};
 use super::{Store, packet};
 use crate::front::{Gatherer, Message};
-use crate::net::{self, Connection, Context, Input, Net, Ready, Stream, Token};
+use crate::net::{self, Attempt, Connection, Context, Input, Net, Ready, Stream, Token};
 use bramblestair::interface::Time;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -142,10 +142,11 @@
     fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
         let Some(stream) = &mut self.stream else { return };
         if !self.up {
-            if stream.failure().is_some() {
-                return self.drop_stream(cx);
+            match stream.attempt() {
+                Attempt::Pending => return,
+                Attempt::Up => self.up = true,
+                Attempt::Failed(_) => return self.drop_stream(cx),
             }
-            self.up = stream.is_connected();
             cx.clear_timer();
         } else if ready.readable {
             // Members answer on connections of their own; here only the end can come.
@@ -214,9 +215,7 @@
     fn write(&mut self, cx: &mut Cx<'_>) {
         // A watcher that does not read must not fill the memory.
         let over = self.stream.unwritten() > cx.world.limits.frame_bytes * 4;
-        let flushed = self.stream.flush();
-        let ready = Ready { readable: true, writable: self.stream.unwritten() > 0 };
-        if over || flushed.and_then(|()| self.stream.arm(cx.net, cx.token, ready)).is_err() {
+        if over || self.stream.flush_and_arm(cx.net, cx.token, true).is_err() {
             cx.close();
         }
     }
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -51,11 +51,17 @@
 impl Program {
     /// Starts the program with a file of this content after `option`.
     pub fn start(option: &str, content: &Value) -> Program {
+        Self::start_with(option, content, 1024)
+    }
+
+    /// The same with so many descriptors.
+    pub fn start_with(option: &str, content: &Value, descriptors: u32) -> Program {
         let name = format!("bitternsill-{}-{}", std::process::id(), SERIAL.fetch_add(1, Ordering::Relaxed));
         let path: PathBuf = std::env::temp_dir().join(name);
         std::fs::write(&path, content.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_bitternsill"))
-            .args(["serve", option])
+        let child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" serve \"$@\"")])
+            .args([env!("CARGO_BIN_EXE_bitternsill"), option])
             .arg(&path)
             .env("BITTERNSILL_LOG", std::env::var("BITTERNSILL_LOG").unwrap_or("warn".into()))
             .stdin(Stdio::null())
@@ -243,15 +249,20 @@
 
 impl Platform {
     pub fn start(settings: Value, hosts: Vec<FrameHost>) -> Platform {
+        Self::start_with(settings, hosts, 256, 1024)
+    }
+
+    /// Starts with so many descriptors told by the configuration, and so many there.
+    pub fn start_with(settings: Value, hosts: Vec<FrameHost>, told: u32, there: u32) -> Platform {
         let targets = hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
         let discovery = Discovery::start(targets);
         let address = free_address();
         let config = json!({
             "name": "n0", "listen": address.to_string(), "discovery": discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": told},
             "known": null, "settings": settings
         });
-        let program = Program::start("--config", &config);
+        let program = Program::start_with("--config", &config, there);
         let platform = Platform { program, address, discovery, hosts };
         eventually("ready", || {
             TcpStream::connect(address).is_ok()
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 fn good(score: u64) -> impl Fn(&str) -> Say + Send + Sync + 'static {
@@ -174,15 +175,39 @@
 
 #[test]
 fn more_clients_than_descriptors_are_served_by_closing_idle_connections() {
-    let platform = Platform::start(settings(), three());
-    // The configuration allows 256 descriptors; every connection stays open and idle after its answer.
-    let mut idle = Vec::new();
-    for i in 0..300 {
-        let mut socket = platform.connect();
-        socket.write_all(query(&format!("q{i}"), "page", &[i % 3], "").as_bytes()).unwrap();
-        let answer = read_response(&mut socket);
-        assert!(answer.starts_with("HTTP/1.1 200"), "{i}: {answer}");
-        idle.push(socket);
+    // As many as it was told it may hold; and fewer than that, so that accepting fails.
+    for (told, there) in [(256, 1024), (1024, 120)] {
+        let platform = Platform::start_with(settings(), three(), told, there);
+        // Every connection stays open and idle after its answer.
+        let mut idle = Vec::new();
+        for i in 0..300 {
+            let mut socket = platform.connect();
+            socket.write_all(query(&format!("q{i}"), "page", &[i % 3], "").as_bytes()).unwrap();
+            let answer = read_response(&mut socket);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{told}, {i}: {answer}");
+            idle.push(socket);
+        }
+    }
+}
+
+#[test]
+fn a_host_to_which_no_connection_comes_up_costs_only_the_connect_time() {
+    // Two connections that nobody accepts fill this listener; what follows gets no answer at all.
+    let deaf = TcpListener::bind("127.0.0.1:0").unwrap();
+    rustix::net::listen(&deaf, 0).unwrap();
+    let address = deaf.local_addr().unwrap();
+    let fill: Vec<_> =
+        (0..4).map(|_| TcpStream::connect_timeout(&address, Duration::from_millis(100))).collect();
+    assert!(fill.last().unwrap().is_err(), "the listener is full");
+    let mut hosts = three();
+    hosts[0].address = address;
+    let platform = Platform::start(settings(), hosts);
+    for i in 0..6 {
+        let id = format!("q{i}");
+        let start = Instant::now();
+        let answer = platform.say(&query(&id, "shelf", &[0], "Idempotency-Key: k\r\nConnection: close\r\n"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "it never ran, so it is sent elsewhere: {answer}");
+        assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
     }
 }
 
