Say what was written only where it is seen, and end calls posted to a link that is gone

Found by reading: after the loop of Link::write a last flush could finish a frame without Core::written, so a break after it would have counted its parts as never run; it only arms now. And a call posted to a link that a message before it closes was dropped, and its parts hung until their time-out; World::undelivered ends them as never run. Ruled out for the first: the serial link, which checks after its flush. The reactor has a test of its tokens now.

--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// An attempt has ended on a connection that is gone, at whichever host.
+    pub fn forget_attempt(&mut self, attempt: AttemptId) {
+        for host in self.hosts.values_mut() {
+            host.attempts.remove(&attempt);
+        }
+    }
+
     /// A call has ended on a connection: one more fits.
     pub fn call_ended(&mut self, id: ServerId, token: Token) {
         let links = self.hosts.get_mut(&id).map(|h| &mut h.links);
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -172,6 +172,16 @@
         self.advance(net, now);
     }
 
+    fn undelivered(&mut self, message: Message, now: Time) {
+        // Not a byte of these was written; unsaid, they would hang until their time-out.
+        if let Message::Call(parts) = message {
+            for part in parts {
+                self.hosts.forget_attempt(part.id);
+                self.core.ended(part.id, Outcome::ConnectFailed, now);
+            }
+        }
+    }
+
     fn finished(&self, now: Time) -> bool {
         matches!(self.phase, Phase::Done(until) if self.clients.is_empty() || until <= now)
     }
--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -119,7 +119,9 @@
             self.used = cx.now;
             self.writing = Some(call);
         }
-        if self.stream.flush_and_arm(cx.net, cx.token, true).is_err() {
+        // Only armed here: a flush that finished the frame unseen would leave its parts counted as never run.
+        let ready = Ready { readable: true, writable: self.stream.unwritten() > 0 };
+        if self.stream.arm(cx.net, cx.token, ready).is_err() {
             cx.close();
         }
     }
--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -52,6 +52,9 @@
     /// Runs after the callbacks of one round.
     fn turn(&mut self, net: &mut Net<Self>, now: Time);
 
+    /// A message was posted to a connection that was gone by then.
+    fn undelivered(&mut self, message: Self::Message, now: Time);
+
     /// True once the program may end.
     fn finished(&self, now: Time) -> bool;
 }
@@ -285,13 +288,23 @@
                     }
                 });
             } else if let Some((token, message)) = self.net.posted.pop_front() {
-                self.with(token, now, |c, cx| c.deliver(cx, message));
+                if self.holds(token) {
+                    self.with(token, now, |c, cx| c.deliver(cx, message));
+                } else {
+                    self.world.undelivered(message, now);
+                }
             } else {
                 return;
             }
         }
     }
 
+    /// Whether a token names a connection that is there.
+    fn holds(&self, token: Token) -> bool {
+        let slot = self.slots.get(token.index as usize);
+        slot.and_then(Option::as_ref).is_some_and(|(present, _)| *present == token)
+    }
+
     /// Calls a connection back, if the token still names it: an event of one that is gone is dropped.
     fn with(
         &mut self,
@@ -299,11 +312,10 @@
         now: Time,
         call: impl FnOnce(&mut dyn Connection<W>, &mut Context<'_, W>),
     ) {
-        let Some(slot) = self.slots.get_mut(token.index as usize) else { return };
-        if slot.as_ref().is_none_or(|(present, _)| *present != token) {
+        if !self.holds(token) {
             return;
         }
-        let Some((_, mut connection)) = slot.take() else { return };
+        let Some((_, mut connection)) = self.slots[token.index as usize].take() else { return };
         let since = self.net.since.min(now);
         let mut cx =
             Context { world: &mut self.world, net: &mut self.net, token, now, since, closing: false };
@@ -316,3 +328,71 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+    use std::rc::Rc;
+
+    /// A world that ends after some turns.
+    struct Turns(u32, Rc<RefCell<Vec<String>>>);
+
+    impl World for Turns {
+        type Message = &'static str;
+
+        fn due(&self, now: Time) -> Option<Time> {
+            Some(now)
+        }
+
+        fn turn(&mut self, _net: &mut Net<Self>, _now: Time) {
+            self.0 -= 1;
+        }
+
+        fn undelivered(&mut self, message: &'static str, _now: Time) {
+            self.1.borrow_mut().push(format!("nobody hears {message}"));
+        }
+
+        fn finished(&self, _now: Time) -> bool {
+            self.0 == 0
+        }
+    }
+
+    struct Ear(Rc<RefCell<Vec<String>>>, &'static str);
+
+    impl Connection<Turns> for Ear {
+        fn opened(&mut self, _cx: &mut Context<'_, Turns>) -> io::Result<()> {
+            Ok(())
+        }
+
+        fn ready(&mut self, _cx: &mut Context<'_, Turns>, _ready: Ready) {}
+
+        fn deliver(&mut self, cx: &mut Context<'_, Turns>, message: &'static str) {
+            self.0.borrow_mut().push(format!("{} hears {message}", self.1));
+            if message == "close" {
+                cx.set_timer(cx.now + 1);
+                cx.close();
+            }
+        }
+
+        fn timer(&mut self, _cx: &mut Context<'_, Turns>) {
+            self.0.borrow_mut().push(format!("{}'s timer", self.1));
+        }
+    }
+
+    #[test]
+    fn what_is_meant_for_a_connection_that_is_gone_does_not_reach_the_next_in_its_slot() {
+        let heard = Rc::new(RefCell::new(Vec::new()));
+        let mut reactor = Reactor::new(Turns(3, heard.clone()), Clock::start()).unwrap();
+        let first = reactor.parts().0.open(Box::new(Ear(heard.clone(), "first")));
+        reactor.parts().0.post(first, "close");
+        reactor.run().unwrap();
+        reactor.parts().1.0 = 3;
+        let second = reactor.parts().0.open(Box::new(Ear(heard.clone(), "second")));
+        assert_eq!((first.index, second.index), (0, 0), "the slot is used again");
+        reactor.parts().0.post(first, "late");
+        reactor.parts().0.post(second, "now");
+        reactor.run().unwrap();
+        assert_eq!(*heard.borrow(), ["first hears close", "nobody hears late", "second hears now"]);
+    }
+}
