Stories on the command line; a reader that goes away is no failure

Found by hand: describe asyncapi | head ended in a panic of println!. Output goes through writeln! now and a broken pipe is taken as the reader's choice. The log no longer reports its own failures on standard error, where that would panic too. A lone store member is tested: it commits at once, folds its log and sets no timer.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -5,6 +5,8 @@
 use crate::{config, describe, serve};
 use lexopt::prelude::*;
 use std::ffi::OsString;
+use std::fmt;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -100,12 +102,14 @@
         }
     };
     match command {
-        Command::Version => println!("bitternsill {}", env!("CARGO_PKG_VERSION")),
+        Command::Version => print(format_args!("bitternsill {}", env!("CARGO_PKG_VERSION"))),
         Command::Describe(Description::OpenApi) => {
-            println!("{:#}", describe::openapi::describe(&Limits::default()));
+            print(format_args!("{:#}", describe::openapi::describe(&Limits::default())))
         }
-        Command::Describe(Description::AsyncApi) => println!("{:#}", describe::asyncapi::describe()),
-        Command::Help => print!("{USAGE}"),
+        Command::Describe(Description::AsyncApi) => {
+            print(format_args!("{:#}", describe::asyncapi::describe()))
+        }
+        Command::Help => print(format_args!("{}", USAGE.trim_end())),
         Command::Check { file } => {
             let problems = check(&file);
             if !problems.is_empty() {
@@ -114,18 +118,25 @@
                 }
                 return ExitCode::FAILURE;
             }
-            println!("{}: fits", file.display());
+            print(format_args!("{}: fits", file.display()))
         }
         Command::Serve { config } => {
             start_log();
-            return served(config::load(config).map_err(Into::into).and_then(serve::platform));
+            served(config::load(config).map_err(Into::into).and_then(serve::platform))
         }
         Command::Catalogue { file } => {
             start_log();
-            return served(setup::load(&file).map_err(Into::into).and_then(serve::catalogue));
+            served(setup::load(&file).map_err(Into::into).and_then(serve::catalogue))
         }
     }
-    ExitCode::SUCCESS
+}
+
+/// Prints a line; a reader that has gone, as `head` does, is no failure of ours.
+fn print(line: fmt::Arguments<'_>) -> ExitCode {
+    match writeln!(io::stdout(), "{line}") {
+        Err(problem) if problem.kind() != io::ErrorKind::BrokenPipe => ExitCode::FAILURE,
+        _ => ExitCode::SUCCESS,
+    }
 }
 
 /// What is wrong with an operator's file.
@@ -154,5 +165,7 @@
         .with_max_level(level.unwrap_or(tracing::Level::INFO))
         .with_writer(std::io::stderr)
         .with_ansi(false)
+        // It would say so on standard error too, and panic where that is gone.
+        .log_internal_errors(false)
         .init();
 }
--- a/bitternsill/src/store/mod.rs
+++ b/bitternsill/src/store/mod.rs
@@ -435,4 +435,21 @@
         cluster.run(500 * MS);
         assert_eq!(cluster.value(leader, "late"), None);
     }
+
+    #[test]
+    fn a_lone_member_commits_at_once_and_needs_no_timer() {
+        let membership = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
+        let pace = Pace { heartbeat: MS, election: MS };
+        let bounds = Bounds { log: 8, keys: 2, value_bytes: 10 };
+        let mut store = Store::start(&membership, pace, bounds, 1, None, 0).unwrap();
+        for i in 0..100 {
+            store.put("a", &i.to_string(), 0).unwrap().unwrap();
+            assert_eq!(store.state()["a"], i.to_string());
+        }
+        assert_eq!(store.put("b", "longer than ten bytes", 0).unwrap(), Err(TooLarge));
+        store.put("b", "", 0).unwrap().unwrap();
+        assert_eq!(store.put("c", "", 0).unwrap(), Err(TooLarge));
+        assert!(store.node.log().entries().len() <= 9 && store.changes.len() <= 9, "the log is folded");
+        assert_eq!((store.due(), store.take_outbox().len()), (None, 0));
+    }
 }
--- /dev/null
+++ b/bitternsill/tests/cli.rs
@@ -0,0 +1,67 @@
+//! Stories on the command line.
+
+use std::process::{Command, Stdio};
+
+fn run(args: &[&str]) -> (Option<i32>, String, String) {
+    let program = env!("CARGO_BIN_EXE_bitternsill");
+    let output = Command::new(program).args(args).env_remove("ROUTER_CONFIG").output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.code(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn bad_usage_ends_with_2_and_says_what_is_wrong() {
+    for args in [&[][..], &["fly"], &["serve", "--bogus"], &["describe"], &["describe", "all"], &["check"]] {
+        let (code, out, err) = run(args);
+        assert_eq!((code, out.as_str()), (Some(2), ""), "{args:?}");
+        assert!(err.starts_with("bitternsill: ") && err.contains("usage:"), "{err}");
+    }
+    assert_eq!(run(&["help"]).0, Some(0));
+    assert_eq!(run(&["serve"]).0, Some(1), "no configuration is a failure, not bad usage");
+}
+
+#[test]
+fn check_takes_the_operators_file_and_the_descriptions_that_describe_prints() {
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/catalogue.json");
+    assert_eq!(run(&["check", deploy]).0, Some(0));
+    let directory = std::env::temp_dir().join(format!("bitternsill-check-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).unwrap();
+    for what in ["openapi", "asyncapi"] {
+        let file = directory.join(what);
+        std::fs::write(&file, run(&["describe", what]).1).unwrap();
+        assert_eq!(run(&["check", file.to_str().unwrap()]).0, Some(0), "{what}");
+    }
+    let file = directory.join("broken");
+    let setup = std::fs::read_to_string(deploy).unwrap();
+    for (old, new) in [
+        ("127.0.0.1:7090", "here"),
+        ("\"speak\": \"z3950\"", "\"speak\": \"x\""),
+        ("comics-{slice}", "comics"),
+        ("\"class\": \"search\"", "\"class\": \"other\""),
+        ("\"budget_ms\": 5000", "\"budget_ms\": 0"),
+        ("\"target\": 2500000000", "\"target\": \"soon\""),
+        ("\"state\": \"active\"", "\"state\": \"asleep\""),
+    ] {
+        assert!(setup.contains(old), "{old}");
+        std::fs::write(&file, setup.replacen(old, new, 1)).unwrap();
+        let (code, _, err) = run(&["check", file.to_str().unwrap()]);
+        assert_eq!(code, Some(1), "{new}");
+        assert!(err.lines().count() == 1 && err.contains(": `") || err.contains("settings"), "{err}");
+    }
+    std::fs::remove_dir_all(&directory).unwrap();
+}
+
+/// Found by hand: `describe asyncapi | head` ended in a panic.
+#[test]
+fn a_reader_that_goes_away_is_no_failure() {
+    let program = env!("CARGO_BIN_EXE_bitternsill");
+    let mut child = Command::new(program)
+        .args(["describe", "openapi"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(String::from_utf8_lossy(&output.stderr), "");
+}
