Read the configuration again on SIGHUP and move to the discovery it names

No log line came before it, so it was the signal's default action: Signals::install registered SIGTERM and SIGINT only.

Now SIGHUP reads the file again. A new discovery object calls the address named there while the former one keeps its watch until the new one has heard a list, so no change is missed in between; a file that cannot be read is logged and changes nothing. A retry of the watch that was due before the move no longer ends the watch that is there.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -18,7 +18,7 @@
 
 commands:
   serve [--config FILE]   serve the platform until SIGTERM; FILE is its configuration
-                          (default: $ROUTER_CONFIG)
+                          (default: $ROUTER_CONFIG), read again on SIGHUP
   serve --catalogue FILE  serve SRU and Z39.50 instead, as an operator's file sets it up
   check FILE              say whether an operator's file can be used, and where not
                           (a set-up, or an OpenAPI or AsyncAPI description in JSON)
--- a/bitternsill/src/config.rs
+++ b/bitternsill/src/config.rs
@@ -37,6 +37,8 @@
 /// A gatherer's configuration.
 #[derive(Debug)]
 pub struct Config {
+    /// The file that it was read from.
+    pub path: PathBuf,
     /// Its name.
     pub name: String,
     /// Where clients connect.
@@ -57,7 +59,7 @@
 pub fn load(path: Option<PathBuf>) -> Result<Config, ConfigError> {
     let path = path.or_else(|| std::env::var_os("ROUTER_CONFIG").map(PathBuf::from));
     let path = path.ok_or(ConfigError::NoFile)?;
-    let text = std::fs::read(&path).map_err(|problem| ConfigError::File(path, problem))?;
+    let text = std::fs::read(&path).map_err(|problem| ConfigError::File(path.clone(), problem))?;
     let json: Json = serde_json::from_slice(&text).map_err(ConfigError::Json)?;
     let word = |key: &str, variable: &str| {
         json[key].as_str().map(str::to_owned).or_else(|| std::env::var(variable).ok())
@@ -70,6 +72,7 @@
         other => other.as_u64(),
     };
     Ok(Config {
+        path,
         name: word("name", "ROUTER_NAME").unwrap_or_default(),
         listen: address("listen", "ROUTER_LISTEN")?,
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -75,6 +75,8 @@
 /// The file's content.
 #[derive(Debug)]
 pub struct Setup {
+    /// The file that it was read from; empty where it was none.
+    pub path: PathBuf,
     /// The gatherer's name.
     pub name: String,
     /// For random numbers; told by the file where runs are to be alike.
@@ -109,7 +111,7 @@
 
 /// Reads the file at a path.
 pub fn load(path: &Path) -> Result<Setup, SetupError> {
-    read(&load_json(path)?)
+    Ok(Setup { path: path.to_owned(), ..read(&load_json(path)?)? })
 }
 
 /// Reads the JSON at a path.
@@ -168,6 +170,7 @@
     let budget = json["budget_ms"].as_u64().filter(|ms| (1..=3_600_000).contains(ms));
     let database = wanted("database")?;
     Ok(Setup {
+        path: PathBuf::new(),
         name: text("name").unwrap_or_default(),
         seed: json["seed"].as_u64(),
         sockets: json["sockets"].as_u64().unwrap_or(1024) as usize,
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -17,6 +17,7 @@
 use bramblestair::interface::{Outcome, ServerId, Time};
 use clients::ClientTable;
 use hosts::HostTable;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// What connections are told.
@@ -40,6 +41,8 @@
     Watch(bool),
     /// Discovery: ask once.
     Fetch,
+    /// Discovery: it listens elsewhere now.
+    Moved(SocketAddr),
     /// A line of the store, for a member or a watcher.
     Line(String),
     /// When the store's timer is due.
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -6,7 +6,7 @@
 use crate::front::hosts::Member;
 use crate::front::http::{Progress, Reader};
 use crate::front::{Gatherer, Message};
-use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream};
+use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream, Token};
 use bramblestair::interface::{Entry, ListKind, ServerId, Standing};
 use serde_json::Value as Json;
 use std::fmt;
@@ -108,12 +108,41 @@
     open: Option<Open>,
     /// A call that waits until the one under way has ended.
     next: Option<Call>,
+    /// The object that speaks with the former address, until this one has heard from the present one.
+    former: Option<Token>,
+    /// Discovery has moved: hears its watch out and calls no more.
+    retiring: bool,
 }
 
 impl Discovery {
     /// Speaks with discovery at this address; `version` is that of the list held from before, if any.
     pub fn new(to: SocketAddr, names: Names, version: Option<u64>) -> Self {
-        Discovery { to, names, version, open: None, next: None }
+        Discovery { to, names, version, open: None, next: None, former: None, retiring: false }
+    }
+
+    /// Discovery listens elsewhere: a new object calls there, and this one keeps its watch until that has
+    /// answered, so that no change is missed in between.
+    fn moved(&mut self, cx: &mut Cx<'_>, to: SocketAddr) {
+        if to == self.to || self.retiring {
+            return;
+        }
+        tracing::info!(from = %self.to, %to, "discovery has moved");
+        let mut next = Discovery::new(to, self.names.clone(), self.version);
+        next.former = Some(cx.token);
+        let token = cx.net.open(Box::new(next));
+        cx.net.post(token, Message::Watch(true));
+        cx.world.directory = Some(token);
+        (self.retiring, self.next) = (true, None);
+        if self.open.is_none() {
+            cx.close();
+        }
+    }
+
+    /// What the former address still says is older than what was just heard here.
+    fn release_former(&mut self, cx: &mut Cx<'_>) {
+        if let Some(former) = self.former.take() {
+            cx.net.post(former, Message::CloseIdle);
+        }
     }
 
     fn begin(&mut self, cx: &mut Cx<'_>, call: Call) {
@@ -147,6 +176,9 @@
     fn end(&mut self, cx: &mut Cx<'_>, failed: bool, why: &str) {
         if self.open.take().is_some() {
             cx.clear_timer();
+            if self.retiring {
+                return cx.close();
+            }
             if failed {
                 tracing::info!(why, "discovery call or watch ended");
                 cx.world.core.list_failed();
@@ -167,6 +199,7 @@
         cx.world.core.list(kind, entries);
         cx.world.record_members(cx.net);
         cx.world.ready_by = None;
+        self.release_former(cx);
         self.version = Some(version);
         Ok(())
     }
@@ -248,11 +281,10 @@
         let under_way = self.open.as_ref().map(|open| (open.call, open.answered));
         match (message, under_way) {
             (Message::Watch(false), Some((Call::Watch, _))) => self.end(cx, false, "unwatched"),
-            // A watch that is asked for anew replaces the present one.
-            (Message::Watch(true), Some((Call::Watch, _))) => {
-                self.next = Some(Call::Watch);
-                self.end(cx, false, "watched anew");
-            }
+            (Message::Moved(to), _) => self.moved(cx, to),
+            (Message::CloseIdle, _) if self.retiring => cx.close(),
+            // A retry that was due before discovery moved; the present watch must not be called for twice.
+            (Message::Watch(true), Some((Call::Watch, _))) => {}
             (Message::Watch(true), Some(_)) => self.next = Some(Call::Watch),
             (Message::Watch(true), None) => self.begin(cx, Call::Watch),
             (Message::Fetch, None) => self.begin(cx, Call::Snapshot),
@@ -269,4 +301,8 @@
     fn timer(&mut self, cx: &mut Cx<'_>) {
         self.end(cx, true, "silent");
     }
+
+    fn closed(&mut self, cx: &mut Cx<'_>) {
+        self.release_former(cx);
+    }
 }
--- a/bitternsill/src/front/signals.rs
+++ b/bitternsill/src/front/signals.rs
@@ -1,39 +1,125 @@
-//! SIGTERM and SIGINT as a descriptor of the loop.
+//! Signals as descriptors of the loop: SIGTERM and SIGINT end the program, SIGHUP has it read its file again.
 
+use super::platform::discovery::{Names, read_list};
 use super::{Gatherer, Message};
 use crate::net::{Connection, Context, Ready};
+use bramblestair::interface::ListKind;
+use serde_json::Value as Json;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::error::Error;
 use std::io::{self, Read};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 
-/// The reading end of a pair into which a signal writes a byte.
-pub struct Signals {
+type Cx<'a> = Context<'a, Gatherer>;
+
+/// The reading end of a pair into which some signals write a byte.
+struct Signals {
     socket: UnixStream,
 }
 
 impl Signals {
-    /// Installs the handlers.
-    pub fn install() -> io::Result<Self> {
+    fn install(signals: &[i32]) -> io::Result<Self> {
         let (socket, tell) = UnixStream::pair()?;
         socket.set_nonblocking(true)?;
         tell.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, tell.try_clone()?)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGINT, tell)?;
+        for signal in signals {
+            signal_hook::low_level::pipe::register(*signal, tell.try_clone()?)?;
+        }
         Ok(Signals { socket })
     }
-}
 
-impl Connection<Gatherer> for Signals {
-    fn opened(&mut self, cx: &mut Context<'_, Gatherer>) -> io::Result<()> {
+    fn watch(&self, cx: &Cx<'_>) -> io::Result<()> {
         cx.net.register(&self.socket, cx.token, Ready { readable: true, writable: false })
     }
 
-    fn ready(&mut self, cx: &mut Context<'_, Gatherer>, _ready: Ready) {
-        // Whatever the bytes were, a signal came.
+    /// Whatever the bytes were, a signal came; several at once are one.
+    fn drain(&mut self) {
         let _ = self.socket.read(&mut [0; 64]);
+    }
+}
+
+/// Hears that the program is to end.
+pub struct End(Signals);
+
+impl End {
+    /// Installs the handlers.
+    pub fn install() -> io::Result<Self> {
+        Ok(End(Signals::install(&[SIGTERM, SIGINT])?))
+    }
+}
+
+impl Connection<Gatherer> for End {
+    fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
+        self.0.watch(cx)
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, _ready: Ready) {
+        self.0.drain();
         cx.world.leave(cx.now);
     }
 
-    fn deliver(&mut self, _cx: &mut Context<'_, Gatherer>, _message: Message) {}
+    fn deliver(&mut self, _cx: &mut Cx<'_>, _message: Message) {}
+
+    fn timer(&mut self, _cx: &mut Cx<'_>) {}
+}
+
+/// What the file that the program was started with says now, as far as it takes effect without a restart.
+#[derive(Debug)]
+pub struct Reread {
+    /// Where discovery listens.
+    pub discovery: Option<SocketAddr>,
+    /// Where there is no discovery: the list of index hosts, in its form.
+    pub members: Json,
+}
+
+/// Reads the file again.
+pub type ReadAgain = Box<dyn Fn() -> Result<Reread, Box<dyn Error>>>;
+
+/// Hears that the file is to be read again. Without a handler SIGHUP would end the program.
+pub struct Reload {
+    signals: Signals,
+    read: ReadAgain,
+    names: Names,
+}
+
+impl Reload {
+    /// Installs the handler.
+    pub fn install(read: ReadAgain, names: Names) -> io::Result<Self> {
+        Ok(Reload { signals: Signals::install(&[SIGHUP])?, read, names })
+    }
+
+    fn reload(&mut self, cx: &mut Cx<'_>) -> Result<(), Box<dyn Error>> {
+        let Reread { discovery, members } = (self.read)()?;
+        match (discovery, cx.world.directory) {
+            (Some(to), Some(directory)) => cx.net.post(directory, Message::Moved(to)),
+            (None, None) => {
+                let (_, _, members) = read_list(&members, &mut self.names)?;
+                let entries = cx.world.hosts.update(ListKind::Complete, members, cx.net, cx.now);
+                cx.world.core.list(ListKind::Complete, entries);
+                cx.world.record_members(cx.net);
+            }
+            _ => return Err("with and without discovery: this takes a restart".into()),
+        }
+        Ok(())
+    }
+}
+
+impl Connection<Gatherer> for Reload {
+    fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
+        self.signals.watch(cx)
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, _ready: Ready) {
+        self.signals.drain();
+        match self.reload(cx) {
+            Ok(()) => tracing::info!("the configuration was read again"),
+            // Whatever was in force stays so: a half-written file must not end the service.
+            Err(problem) => tracing::warn!(%problem, "the configuration stays as it was"),
+        }
+    }
+
+    fn deliver(&mut self, _cx: &mut Cx<'_>, _message: Message) {}
 
-    fn timer(&mut self, _cx: &mut Context<'_, Gatherer>) {}
+    fn timer(&mut self, _cx: &mut Cx<'_>) {}
 }
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -1,11 +1,11 @@
 //! Puts the parts together and runs the loop.
 
-use crate::config::{Config, ConfigError};
+use crate::config::{self, Config, ConfigError};
 use crate::core::Core;
 use crate::core::settings::{self, Deployment};
 use crate::front::catalogue::link::{Dialect, SerialConnector};
 use crate::front::catalogue::session::Session;
-use crate::front::catalogue::setup::{Setup, Speaks, StoreSetup};
+use crate::front::catalogue::setup::{self, Setup, Speaks, StoreSetup};
 use crate::front::catalogue::sru::Sru;
 use crate::front::catalogue::sru_host::SruHost;
 use crate::front::catalogue::z3950_host::Z3950Host;
@@ -17,7 +17,7 @@
 use crate::front::platform::discovery::{Discovery, Names, read_list};
 use crate::front::platform::link::FrameConnector;
 use crate::front::server::HttpConnection;
-use crate::front::signals::Signals;
+use crate::front::signals::{End, ReadAgain, Reload, Reread};
 use crate::front::{Gatherer, Phase};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
@@ -43,6 +43,7 @@
     discovery: Option<SocketAddr>,
     known: Json,
     listeners: Vec<(SocketAddr, Accept)>,
+    reread: ReadAgain,
     store: Option<StoreSetup>,
     /// What the store keeps of the front's set-up.
     setup: Json,
@@ -73,6 +74,10 @@
         discovery: Some(config.discovery),
         known: config.known,
         listeners: vec![(config.listen, accept)],
+        reread: Box::new(move || {
+            let fresh = config::load(Some(config.path.clone()))?;
+            Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null })
+        }),
         store: None,
         setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
@@ -127,6 +132,10 @@
         discovery: setup.discovery,
         known: setup.members,
         listeners,
+        reread: Box::new(move || {
+            let fresh = setup::load(&setup.path)?;
+            Ok(Reread { discovery: fresh.discovery, members: fresh.members })
+        }),
         store: setup.store,
         setup: kept,
     })
@@ -171,10 +180,11 @@
         listeners: Vec::new(),
         shelf: None,
     };
-    let signals = Signals::install()?;
+    let (end, reload) = (End::install()?, Reload::install(plan.reread, names.clone())?);
     let mut reactor = Reactor::new(gatherer, clock)?;
     let (net, gatherer) = reactor.parts();
-    net.open(Box::new(signals));
+    net.open(Box::new(end));
+    net.open(Box::new(reload));
     let (store, peers) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
     gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, net));
     let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -46,6 +46,8 @@
 /// The program, ended with the test.
 pub struct Program {
     pub child: Child,
+    /// The file that it was started with.
+    pub file: PathBuf,
 }
 
 impl Program {
@@ -67,7 +69,7 @@
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
-        Program { child }
+        Program { child, file: path }
     }
 
     /// Sends a signal.
@@ -259,6 +261,7 @@
     pub address: SocketAddr,
     pub discovery: Discovery,
     pub hosts: Vec<FrameHost>,
+    pub config: Value,
 }
 
 impl Platform {
@@ -292,7 +295,7 @@
             "known": null, "settings": settings
         });
         let program = Program::start_with("--config", &config, there);
-        let platform = Platform { program, address, discovery, hosts };
+        let platform = Platform { program, address, discovery, hosts, config };
         eventually("ready", || {
             TcpStream::connect(address).is_ok()
                 && platform
@@ -302,6 +305,12 @@
         platform
     }
 
+    /// Replaces the program's file and tells it to read that.
+    pub fn reload(&self, content: &str) {
+        std::fs::write(&self.program.file, content).unwrap();
+        self.program.signal("HUP");
+    }
+
     /// A connection on which a test says what it likes.
     pub fn connect(&self) -> TcpStream {
         let socket = TcpStream::connect(self.address).unwrap();
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -278,3 +278,41 @@
     assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
     assert!(platform.ask("q", "page", &[0]).starts_with("HTTP/1.1 200"));
 }
+
+#[test]
+fn a_new_configuration_moves_discovery_and_loses_no_query_list_or_connection() {
+    let slow = |id: &str| {
+        if id.starts_with("slow") {
+            std::thread::sleep(Duration::from_millis(800));
+        }
+        Say::Good(1, format!("value of {id}"))
+    };
+    let platform = Platform::start(settings(), (0..3).map(|_| FrameHost::start(slow)).collect());
+    let mut held = platform.connect();
+    held.write_all(query("slow", "page", &[0], "").as_bytes()).unwrap();
+    // What cannot be read changes nothing: the present watch goes on.
+    platform.reload("{\"name\": ");
+    assert!(platform.ask("a", "page", &[1]).starts_with("HTTP/1.1 200"));
+    assert_eq!((platform.discovery.asked(), platform.discovery.watches()), (1, 1));
+    let there = Discovery::start(vec![
+        target(0, platform.hosts[0].address, "leaving"),
+        target(1, platform.hosts[1].address, "active"),
+        target(2, platform.hosts[2].address, "active"),
+    ]);
+    let mut config = platform.config.clone();
+    config["discovery"] = there.address.to_string().into();
+    platform.reload(&config.to_string());
+    eventually("a watch at the new address", || there.asked() == 1);
+    assert!(read_response(&mut held).contains("value of slow.0"));
+    eventually("the new list is known", || {
+        let before = platform.hosts[0].seen().len();
+        for i in 0..6 {
+            assert!(platform.ask(&format!("b{i}"), "page", &[0]).starts_with("HTTP/1.1 200"));
+        }
+        platform.hosts[0].seen().len() == before
+    });
+    // The connection that was there before is still served.
+    held.write_all(query("c", "page", &[1], "").as_bytes()).unwrap();
+    assert!(read_response(&mut held).starts_with("HTTP/1.1 200"));
+    assert_eq!(platform.discovery.asked(), 1);
+}
