Give work to a new connection where one falls silent; end odd requests and spoilt answers early

Ruled out: CPU (0.16 of 0.3 s), descriptors (115 of 1024), the module (its sends were right). Now a link with parts out and nothing heard for a quarter of the least aim takes no more work; each mute link in a row of one host doubles that time, so that a silent host does not draw connections.

An answer with an unknown id left its part to its time-out, a length that took in the next frame passed it on as a value, an unreadable report ended the link, and the rest on a spoilt link came as resets, on which the module refuses queries as deadly. Servers that left stayed in the module.

Each story fails on the old sources.

--- a/bitternsill/src/config.rs
+++ b/bitternsill/src/config.rs
@@ -49,6 +49,8 @@
     pub seed: u64,
     /// File descriptors that it may hold.
     pub sockets: usize,
+    /// Memory that it may use, in MB.
+    pub memory_mb: usize,
     /// The list it last had, in discovery's form; null where there is none.
     pub known: Json,
     /// The settings.
@@ -78,6 +80,7 @@
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
         seed: seed.ok_or(ConfigError::Value("seed"))?,
         sockets: json["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
+        memory_mb: json["limits"]["memory_mb"].as_u64().unwrap_or(192) as usize,
         known: json["known"].clone(),
         settings: json["settings"].clone(),
     })
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -14,7 +14,7 @@
 use bramblestair::{Aggregator, interface::Effect};
 use ports::{Answer, Ask, AttemptId, Caller, Clients, Directory, Hosts, Outgoing, Reason, Refusal, Value};
 use settings::Deployment;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
 /// How much a sum of weights may fall short of what is asked for.
@@ -58,6 +58,8 @@
     limits: Rc<Limits>,
     queries: BTreeMap<u64, Query>,
     callers: HashMap<Caller, u64>,
+    /// The names of open queries.
+    names: HashSet<Rc<str>>,
     parts: HashMap<u64, Part>,
     attempts: HashMap<AttemptId, Attempt>,
     timeouts: BTreeSet<(Time, AttemptId)>,
@@ -80,6 +82,7 @@
             limits,
             queries: BTreeMap::new(),
             callers: HashMap::new(),
+            names: HashSet::new(),
             parts: HashMap::new(),
             attempts: HashMap::new(),
             timeouts: BTreeSet::new(),
@@ -109,6 +112,10 @@
         if self.callers.contains_key(&ask.caller) {
             return Err(Refusal::Busy);
         }
+        // Two queries of one name could not be told apart on a link: one would be given the other's values.
+        if self.names.contains(&ask.name) {
+            return Err(Refusal::NameTaken);
+        }
         // The settings' bound on what is held: the simulator turns such a query away unseen, so its refusal is due.
         if self.queries.len() + self.parts.len() >= self.settings.max_open as usize {
             return Err(Refusal::TableFull { hold_off: self.settings.max_hold_off });
@@ -132,6 +139,7 @@
         }
         self.deadlines.insert((deadline, number));
         self.callers.insert(ask.caller, number);
+        self.names.insert(ask.name.clone());
         let query = Query {
             caller: ask.caller,
             name: ask.name,
@@ -200,8 +208,13 @@
 
     /// A connection broke, or ended: what had been written whole may have run, the rest never did.
     pub fn broken(&mut self, attempt: AttemptId, now: Time) {
+        self.cut_off(attempt, Outcome::Reset, now);
+    }
+
+    /// The same with the outcome for what may have run, where more is known than that the connection ended.
+    pub fn cut_off(&mut self, attempt: AttemptId, outcome: Outcome, now: Time) {
         let written = self.attempts.get(&attempt).is_some_and(|a| a.written);
-        self.ended(attempt, if written { Outcome::Reset } else { Outcome::ConnectFailed }, now);
+        self.ended(attempt, if written { outcome } else { Outcome::ConnectFailed }, now);
     }
 
     /// A probe ended.
@@ -439,6 +452,7 @@
     fn close(&mut self, number: u64) -> Option<Query> {
         let query = self.queries.remove(&number)?;
         self.callers.remove(&query.caller);
+        self.names.remove(&query.name);
         self.deadlines.remove(&(query.deadline, number));
         for part in &query.parts {
             self.parts.remove(part);
--- a/bitternsill/src/core/ports.rs
+++ b/bitternsill/src/core/ports.rs
@@ -49,6 +49,8 @@
     },
     /// The same caller already waits for an answer.
     Busy,
+    /// Another query of this name is open.
+    NameTaken,
 }
 
 /// What an index host gave for a part.
@@ -70,12 +72,10 @@
 }
 
 impl Score {
-    /// Reads a score; what is no number ranks last.
-    pub fn parse(text: &str) -> Self {
-        match text.parse() {
-            Ok(whole) => Score::Whole(whole),
-            Err(_) => Score::Real(text.parse().unwrap_or(f64::NEG_INFINITY)),
-        }
+    /// Reads a score, if it is a number.
+    pub fn parse(text: &str) -> Option<Self> {
+        let real = || text.parse().ok().filter(|real: &f64| real.is_finite()).map(Score::Real);
+        text.parse().ok().map(Score::Whole).or_else(real)
     }
 
     /// Orders scores; whole ones exactly.
--- a/bitternsill/src/front/catalogue/session.rs
+++ b/bitternsill/src/front/catalogue/session.rs
@@ -8,6 +8,7 @@
 use crate::core::ports::{Answer, Caller};
 use crate::front::{Gatherer, Message};
 use crate::net::{Connection, Context, Input, Ready, Stream};
+use bramblestair::interface::Time;
 use std::collections::BTreeMap;
 use std::io;
 
@@ -50,6 +51,8 @@
     state: State,
     sets: BTreeMap<String, ResultSet>,
     pending: Option<(Option<Vec<u8>>, Pending)>,
+    /// When the data unit that is not whole yet began to come, or the session, where there was none.
+    begun: Option<Time>,
 }
 
 impl Session {
@@ -62,6 +65,7 @@
             state: State::Fresh,
             sets: BTreeMap::new(),
             pending: None,
+            begun: None,
         })
     }
 
@@ -346,11 +350,19 @@
         cx.set_timer(cx.now + cx.world.limits.linger);
     }
 
-    /// Between requests: may be closed for room, and is closed after long disuse.
+    /// Between requests: may be closed for room, and is closed after long disuse, or when it leaves a data unit
+    /// half said.
     fn rest(&mut self, cx: &mut Cx<'_>) {
-        if self.state != State::Closing && self.pending.is_none() {
+        if self.state == State::Closing || self.pending.is_some() {
+            return;
+        }
+        if self.input.is_empty() {
+            self.begun = None;
             cx.world.clients.set_idle(cx.token, Some(cx.now));
-            cx.set_timer(cx.now + cx.world.limits.client_idle);
+            cx.set_timer(cx.now + cx.world.limits.session_idle);
+        } else {
+            cx.world.clients.set_idle(cx.token, None);
+            cx.set_timer(*self.begun.get_or_insert(cx.now) + cx.world.limits.request_read);
         }
     }
 
@@ -366,7 +378,8 @@
 
 impl Connection<Gatherer> for Session {
     fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
-        self.rest(cx);
+        self.begun = Some(cx.now);
+        cx.set_timer(cx.now + cx.world.limits.request_read);
         self.stream.arm(cx.net, cx.token, Ready { readable: true, writable: false })
     }
 
--- a/bitternsill/src/front/catalogue/sru.rs
+++ b/bitternsill/src/front/catalogue/sru.rs
@@ -214,7 +214,7 @@
                 self.search = Some(Search { version, start, most: most as usize, as_text });
                 Ok(())
             }
-            Err(Refusal::TableFull { .. } | Refusal::Busy) => {
+            Err(Refusal::TableFull { .. } | Refusal::Busy | Refusal::NameTaken) => {
                 Err((Diagnostic::new(2, "too much is held"), 503))
             }
         }
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -43,6 +43,8 @@
     leaving_since: Option<Time>,
     links: Vec<Link>,
     attempts: BTreeMap<AttemptId, Token>,
+    /// Connections that fell mute since the host was last heard.
+    mute: u32,
 }
 
 /// Every index host that any list has named.
@@ -99,6 +101,7 @@
                 leaving_since: None,
                 links: Vec::new(),
                 attempts: BTreeMap::new(),
+                mute: 0,
             };
             let host = self.hosts.entry(id).or_insert(new);
             if member.endpoint.is_some() && host.endpoint != member.endpoint {
@@ -135,11 +138,8 @@
         Some(id)
     }
 
-    /// Drops hosts that have left and hold nothing, once the table is half full: it must not grow for ever.
+    /// Drops hosts that have left and hold nothing: hosts are replaced under new ids for as long as this runs.
     fn forget_gone(&mut self) {
-        if self.ids.len() * 2 < self.limits.hosts {
-            return;
-        }
         let kept = |h: &Host| h.standing != Standing::Gone || !h.links.is_empty() || !h.attempts.is_empty();
         self.hosts.retain(|_, host| kept(host));
         self.ids.retain(|_, id| self.hosts.contains_key(id));
@@ -218,6 +218,19 @@
         }
     }
 
+    /// How long a connection to a host may be mute. Where its connections fall mute one after the other it is the
+    /// host that is silent, and each is given twice the time of the one before.
+    pub fn mute_after(&self, id: ServerId) -> Time {
+        self.limits.link_mute << self.hosts.get(&id).map_or(0, |h| h.mute.min(4))
+    }
+
+    /// A connection has fallen mute, or (`false`) something has come on it.
+    pub fn set_mute(&mut self, id: ServerId, mute: bool) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.mute = if mute { host.mute + 1 } else { 0 };
+        }
+    }
+
     /// A connection is to take no more calls, or has ended.
     pub fn link_ended(&mut self, id: ServerId, token: Token) {
         if let Some(host) = self.hosts.get_mut(&id) {
--- a/bitternsill/src/front/http.rs
+++ b/bitternsill/src/front/http.rs
@@ -396,6 +396,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/bitternsill/src/front/listener.rs
+++ b/bitternsill/src/front/listener.rs
@@ -1,5 +1,6 @@
 //! The listeners, whatever their connections speak.
 
+use super::clients::Room;
 use super::{Gatherer, Message};
 use crate::net::{Connection, Context, Ready, Stream};
 use std::io;
@@ -29,8 +30,9 @@
 
     /// Closes some connections that have been idle longest, and goes on when they are gone.
     fn make_room(&mut self, cx: &mut Cx<'_>) {
+        let grace = cx.world.limits.silent_grace;
         for _ in 0..cx.world.limits.room_burst {
-            if !cx.world.clients.make_room(cx.net) {
+            if cx.world.clients.make_room(cx.net, cx.now, grace) != Room::Made {
                 break;
             }
         }
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -39,6 +39,7 @@
         answers: &[
             (200, "Served; `total` says whether the answer is whole"),
             (400, "The request is no query"),
+            (409, "Another query of this id is open"),
             (413, "The body is too large"),
             (500, "Failed"),
             (503, "Refused; trying again is harmless"),
@@ -82,6 +83,9 @@
                         Handled::Done(query::respond(&Answer::Refused { hold_off }))
                     }
                     Ok(Err(Refusal::Busy)) => Handled::Done(Response::text(400, "a query is under way here")),
+                    Ok(Err(Refusal::NameTaken)) => {
+                        Handled::Done(Response::text(409, "a query of this id is open"))
+                    }
                     Err(problem) => {
                         tracing::debug!(%problem, "bad request");
                         Handled::Done(Response::text(400, problem.to_string()))
--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -8,6 +8,7 @@
 use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::{Outcome, ServerId, Time};
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,7 +41,10 @@
             out: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
-            given_up: VecDeque::new(),
+            past: HashMap::new(),
+            past_order: VecDeque::new(),
+            mute_since: None,
+            partial_since: None,
             probes: VecDeque::new(),
         }))
     }
@@ -56,6 +60,13 @@
     parts: Vec<Outgoing>,
 }
 
+/// Why an id is no longer out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Past {
+    GivenUp,
+    Answered,
+}
+
 struct Link {
     host: ServerId,
     stream: Stream,
@@ -74,8 +85,13 @@
     /// How many parts of each call have not ended.
     calls: HashMap<u64, usize>,
     next_call: u64,
-    /// Ids given up here whose answer may still come.
-    given_up: VecDeque<String>,
+    /// Ids given up or answered here, of which an answer may still come, and their order.
+    past: HashMap<String, Past>,
+    past_order: VecDeque<String>,
+    /// Since when parts have been out here and nothing has come.
+    mute_since: Option<Time>,
+    /// Since when a frame has been there in part.
+    partial_since: Option<Time>,
     probes: VecDeque<Time>,
 }
 
@@ -117,6 +133,7 @@
             }
             self.stream.push(&frames::call(&call.parts, cx.now));
             self.used = cx.now;
+            self.mute_since.get_or_insert(cx.now);
             self.writing = Some(call);
         }
         // Only armed here: a flush that finished the frame unseen would leave its parts counted as never run.
@@ -183,31 +200,65 @@
             }
         }
         if self.up {
-            self.given_up.push_back(name.clone());
-            if self.given_up.len() > cx.world.limits.queued_parts {
-                self.given_up.pop_front();
-            }
             self.stream.push(&frames::give_up(&name));
+            self.remember(cx, name, Past::GivenUp);
             self.used = cx.now;
             self.write(cx);
         }
         self.schedule(cx);
     }
 
+    fn remember(&mut self, cx: &Cx<'_>, name: String, past: Past) {
+        if self.past.insert(name.clone(), past).is_none() {
+            self.past_order.push_back(name);
+        }
+        if self.past_order.len() > cx.world.limits.past_parts
+            && let Some(oldest) = self.past_order.pop_front()
+        {
+            self.past.remove(&oldest);
+        }
+    }
+
+    /// Nothing more can be read here: what is out ends with the connection, and may have run. The host lives, so
+    /// a lone part has had its answer, a bad one, and of several each is called off rather than reset: resets
+    /// would speak of a host that died.
+    fn spoilt(&mut self, cx: &mut Cx<'_>, problem: &dyn fmt::Display) {
+        tracing::debug!(host = self.host.0, %problem, out = self.out.len(), "a link is given up");
+        self.input.clear();
+        let outcome = if self.out.len() == 1 { Outcome::Error } else { Outcome::Cancelled };
+        for (_, (attempt, _)) in self.out.drain() {
+            cx.world.hosts.attempt_ended(self.host, attempt);
+            cx.world.core.cut_off(attempt, outcome, cx.now);
+        }
+        cx.close();
+    }
+
     fn frame(&mut self, cx: &mut Cx<'_>, frame: Frame) {
         match frame {
             Frame::Ended { name, end } => {
                 // An id given up here may be out again: only a value can be told to belong to either.
-                let doubled = self.given_up.iter().position(|n| *n == name);
-                doubled.map(|at| self.given_up.remove(at));
-                let Some((attempt, call)) = self.out.remove(&name) else { return };
+                let doubled = self.past.get(&name) == Some(&Past::GivenUp);
+                let Some((attempt, call)) = self.out.remove(&name) else {
+                    // A second copy, or late; but an id that was never here is somebody's answer, spoilt.
+                    if !self.past.contains_key(&name) || end == End::Spoilt {
+                        self.spoilt(cx, &"an unknown id");
+                    }
+                    return;
+                };
                 cx.world.hosts.attempt_ended(self.host, attempt);
+                let is_spoilt = end == End::Spoilt;
                 match end {
                     End::Good(value) => cx.world.core.served(attempt, value, cx.now),
-                    End::Later if doubled.is_none() => cx.world.core.ended(attempt, Outcome::Full, cx.now),
-                    End::Later | End::Bad => cx.world.core.ended(attempt, Outcome::Error, cx.now),
+                    End::Later if !doubled => cx.world.core.ended(attempt, Outcome::Full, cx.now),
+                    End::Later | End::Bad | End::Spoilt => {
+                        cx.world.core.ended(attempt, Outcome::Error, cx.now);
+                    }
                 }
                 self.end_part(cx, call);
+                self.remember(cx, name, Past::Answered);
+                if is_spoilt {
+                    self.spoilt(cx, &"a spoilt answer");
+                }
             }
             Frame::Probed { good } => {
                 if self.probes.pop_front().is_some() {
@@ -228,18 +279,40 @@
 
     /// Sets the timer: to come up in time, or to close before the host does for want of use.
     fn schedule(&mut self, cx: &mut Cx<'_>) {
+        if self.out.is_empty() {
+            self.mute_since = None;
+        }
         if !self.up {
             cx.set_timer(self.connect_by);
+        } else if let Some(since) = self.partial_since {
+            cx.set_timer(since + cx.world.limits.frame_read);
         } else if self.is_idle() {
             if self.retiring {
                 return cx.close();
             }
             cx.set_timer(self.used + cx.world.limits.host_idle);
+        } else if let Some(since) = self.mute_since.filter(|_| !self.retiring) {
+            cx.set_timer(since + cx.world.hosts.mute_after(self.host));
         } else {
             cx.clear_timer();
         }
     }
 
+    /// A connection can fall silent while its host lives on, as when a machine on the way forgets it: nothing tells
+    /// so but the silence. What is out stays out, and new work takes another connection.
+    fn fall_mute(&mut self, cx: &mut Cx<'_>) {
+        tracing::info!(host = self.host.0, out = self.out.len(), "a link is mute");
+        cx.world.hosts.set_mute(self.host, true);
+        self.retire(cx);
+    }
+
+    fn retire(&mut self, cx: &mut Cx<'_>) {
+        self.retiring = true;
+        cx.world.hosts.link_ended(self.host, cx.token);
+        self.drop_unsent(cx);
+        self.schedule(cx);
+    }
+
     /// Ends what is queued: none of its bytes were written, so it never ran.
     fn drop_unsent(&mut self, cx: &mut Cx<'_>) {
         for call in std::mem::take(&mut self.queue) {
@@ -272,19 +345,29 @@
         }
         if ready.readable {
             let end = self.stream.read(&mut self.input, cx.world.limits.read_burst);
+            if !self.input.is_empty() {
+                self.mute_since = Some(cx.now);
+                cx.world.hosts.set_mute(self.host, false);
+            }
             loop {
                 match frames::read(&mut self.input, cx.world.limits.frame_bytes) {
                     Ok(Some(frame)) => {
                         self.used = cx.now;
+                        self.partial_since = None;
                         self.frame(cx, frame);
+                        if cx.is_closing() {
+                            return;
+                        }
                     }
                     Ok(None) => break,
-                    Err(problem) => {
-                        tracing::warn!(host = self.host.0, %problem, "a link is given up");
-                        return cx.close();
-                    }
+                    Err(problem) => return self.spoilt(cx, &problem),
                 }
             }
+            // Hosts write a frame at once. One that stays in part claims a length that does not fit.
+            self.partial_since = match (self.input.is_empty(), self.partial_since) {
+                (true, _) => None,
+                (false, since) => Some(since.unwrap_or(cx.now)),
+            };
             if !matches!(end, Ok(Input::Open)) {
                 return cx.close();
             }
@@ -310,19 +393,18 @@
                 self.schedule(cx);
             }
             Message::CloseIdle if self.is_idle() => cx.close(),
-            Message::CloseIdle | Message::HostLeaves => {
-                self.retiring = true;
-                cx.world.hosts.link_ended(self.host, cx.token);
-                self.drop_unsent(cx);
-                self.schedule(cx);
-            }
+            Message::CloseIdle | Message::HostLeaves => self.retire(cx),
             _ => {}
         }
     }
 
     fn timer(&mut self, cx: &mut Cx<'_>) {
-        if !self.up || self.is_idle() {
+        if self.partial_since.is_some() {
+            self.spoilt(cx, &"a frame that does not end");
+        } else if !self.up || self.is_idle() {
             cx.close();
+        } else if self.mute_since.is_some_and(|at| at + cx.world.hosts.mute_after(self.host) <= cx.now) {
+            self.fall_mute(cx);
         }
     }
 
--- a/bitternsill/src/front/platform/query.rs
+++ b/bitternsill/src/front/platform/query.rs
@@ -40,6 +40,9 @@
 /// The header that makes a repeat harmless, in a keyed class.
 pub const KEY: &str = "Idempotency-Key";
 
+/// How far a query's shares may be from 1 in all, as its client rounds them.
+const OFF: f64 = 0.01;
+
 /// Reads a query.
 pub fn parse(
     head: &Head,
@@ -63,6 +66,10 @@
     let budget = head.get(BUDGET).and_then(seconds).ok_or(QueryError::Header(BUDGET))?;
     let key = if deployment.keyed[class] { Some(plain(KEY)?.into()) } else { None };
     let (text, parts) = parse_body(body, deployment.shards)?;
+    // Up to a call's share of parts travel in one frame, each with the text.
+    if text.len() > limits.text_bytes {
+        return Err(QueryError::Body("`predicate` is too long"));
+    }
     Ok(Ask {
         caller,
         name: name.into(),
@@ -80,7 +87,7 @@
 fn seconds(text: &str) -> Option<Time> {
     let digits = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let seconds: f64 = text.parse().ok().filter(|_| digits)?;
-    Some((seconds.min(3600.0) * 1e9) as Time)
+    Some((seconds.min(3600.0) * 1e9) as Time).filter(|time| *time > 0)
 }
 
 fn parse_body(body: &[u8], shards: u32) -> Result<(String, Vec<(u32, f64)>), QueryError> {
@@ -92,7 +99,7 @@
     for range in ranges {
         let shard = range["range"].as_u64().and_then(|n| u32::try_from(n).ok());
         let shard = shard.filter(|n| *n < shards).ok_or(QueryError::Body("`range` names no shard"))?;
-        let weight = range["portion"].as_f64().filter(|w| *w >= 0.0);
+        let weight = range["portion"].as_f64().filter(|w| *w > 0.0 && *w <= 1.0 + OFF);
         let weight = weight.ok_or(QueryError::Body("`portion` is no share"))?;
         // Two parts at one shard would have the same id on the wire.
         if !seen.insert(shard) {
@@ -103,6 +110,10 @@
     if parts.is_empty() {
         return Err(QueryError::Body("`ranges` is empty"));
     }
+    // An answer's share could not be told by weights that are not shares of one whole.
+    if (parts.iter().map(|(_, weight)| weight).sum::<f64>() - 1.0).abs() > OFF {
+        return Err(QueryError::Body("the `portion`s do not add up to 1"));
+    }
     Ok((text.to_owned(), parts))
 }
 
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -35,8 +35,8 @@
     Waiting { keep: bool },
     /// The last answer is being written.
     Ending,
-    /// Everything is written; the client's end is awaited.
-    Lingering,
+    /// Everything is written; the client's end is awaited until this time at the latest.
+    Lingering(Time),
 }
 
 /// One client's connection.
@@ -47,7 +47,8 @@
     reader: Reader,
     state: State,
     continued: bool,
-    since: Time,
+    /// Whether a whole request has come.
+    asked: bool,
 }
 
 impl HttpConnection {
@@ -66,7 +67,7 @@
             reader,
             state,
             continued: false,
-            since: 0,
+            asked: false,
         })
     }
 
@@ -83,8 +84,10 @@
                 Ok(Progress::More) => {
                     if fresh && !self.reader.is_fresh() {
                         cx.world.clients.set_idle(cx.token, None);
-                        self.since = cx.now;
-                        cx.set_timer(cx.now + cx.world.limits.request_read);
+                        // A first request's time runs from when its client connected.
+                        if self.asked {
+                            cx.set_timer(cx.now + cx.world.limits.request_read);
+                        }
                     }
                     let waits = self.reader.head.as_ref().is_some_and(Head::expects_continue);
                     if waits && !std::mem::replace(&mut self.continued, true) {
@@ -108,8 +111,13 @@
     fn request(&mut self, cx: &mut Cx<'_>, head: &Head, body: &[u8]) {
         let keep = head.keeps_alive();
         let with_body = head.start.0 != "HEAD";
+        self.asked = true;
         match self.service.request(cx, head, body) {
-            Handled::Done(response) => self.respond(cx, &response, keep, with_body),
+            // What follows a request that makes no sense may make none either: its length may have been wrong.
+            Handled::Done(response) => {
+                let keep = keep && !(400..500).contains(&response.status);
+                self.respond(cx, &response, keep, with_body);
+            }
             Handled::Waiting => {
                 self.state = State::Waiting { keep };
                 cx.world.clients.set_idle(cx.token, None);
@@ -125,6 +133,7 @@
             self.state = State::Reading;
             self.rest(cx);
         } else {
+            cx.world.clients.set_idle(cx.token, None);
             self.state = State::Ending;
             cx.set_timer(cx.now + cx.world.limits.request_read);
         }
@@ -132,7 +141,6 @@
 
     /// Between requests: may be closed for room, and is closed after long disuse.
     fn rest(&mut self, cx: &mut Cx<'_>) {
-        self.since = cx.now;
         cx.world.clients.set_idle(cx.token, Some(cx.now));
         cx.set_timer(cx.now + cx.world.limits.client_idle);
     }
@@ -140,12 +148,13 @@
     /// Writes what is there and sets what the socket is watched for.
     fn flush(&mut self, cx: &mut Cx<'_>) {
         // Bytes past the present request wait in the socket, so that they cannot pile up here.
-        let readable = self.input.len() < cx.world.limits.head_bytes + cx.world.limits.body_bytes;
+        let readable =
+            !matches!(self.state, State::Waiting { .. }) || self.input.len() < cx.world.limits.head_bytes;
         match self.stream.flush_and_arm(cx.net, cx.token, readable) {
             Ok(false) if self.state == State::Ending => {
                 // Closing at once could reset the connection before the client has read the answer.
                 self.stream.end_output();
-                self.state = State::Lingering;
+                self.state = State::Lingering(cx.now + cx.world.limits.drain);
                 cx.set_timer(cx.now + cx.world.limits.linger);
             }
             Ok(_) => {}
@@ -157,32 +166,49 @@
     }
 }
 
+impl HttpConnection {
+    /// After the last answer: what still comes is dropped, so that a reset does not take the answer with it.
+    fn drain(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        self.input = Vec::new();
+        if ready.readable {
+            match (self.stream.discard(cx.world.limits.read_burst), self.state) {
+                (Ok((_, Input::Open)), State::Lingering(until)) => {
+                    return cx.set_timer(until.min(cx.now + cx.world.limits.linger));
+                }
+                (Ok((_, Input::Open)), _) => {}
+                // It said all it had to say, but may still wait for the last answer's bytes.
+                (Ok((_, Input::Ended)), State::Ending) => {
+                    if self.stream.flush().is_err() || self.stream.unwritten() == 0 {
+                        return cx.close();
+                    }
+                }
+                _ => return cx.close(),
+            }
+        }
+        self.flush(cx);
+    }
+}
+
 impl Connection<Gatherer> for HttpConnection {
     fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
-        self.rest(cx);
+        // The listener has entered it as silent, and it stays so until its first byte.
+        cx.set_timer(cx.now + cx.world.limits.request_read);
         self.stream.arm(cx.net, cx.token, Ready { readable: true, writable: false })
     }
 
     fn ready(&mut self, cx: &mut Cx<'_>, ready: Ready) {
+        if matches!(self.state, State::Ending | State::Lingering(_)) {
+            return self.drain(cx, ready);
+        }
         if ready.readable {
             match self.stream.read(&mut self.input, cx.world.limits.read_burst) {
                 Ok(Input::Open) => {}
-                Ok(Input::Ended) if self.state == State::Ending => {
-                    // It said all it had to say, but still waits for the last answer's bytes.
-                    if self.stream.flush().is_err() || self.stream.unwritten() == 0 {
-                        return cx.close();
-                    }
-                }
                 // A client that closes its connection has gone away.
                 Ok(Input::Ended) | Err(_) => {
                     self.read_requests(cx);
                     return cx.close();
                 }
             }
-            if self.state == State::Lingering {
-                self.input.clear();
-                return;
-            }
             self.read_requests(cx);
         }
         self.flush(cx);
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -38,6 +38,8 @@
     pub store_retry: Time,
     /// Characters of a query's id, of its key and of a catalogue query.
     pub name_bytes: usize,
+    /// Bytes of the text that a query's parts carry.
+    pub text_bytes: usize,
     /// Bytes read from a connection before others get their turn.
     pub read_burst: usize,
     /// File descriptors the process may hold.
@@ -52,6 +54,8 @@
     pub calls_per_connection: usize,
     /// Parts that wait for room on one connection.
     pub queued_parts: usize,
+    /// Ids remembered on one connection after they were given up or answered.
+    pub past_parts: usize,
     /// Probes that wait for their answer on one connection.
     pub queued_probes: usize,
     /// Index hosts held in the table, those that have left included.
@@ -64,14 +68,24 @@
     pub connect: Time,
     /// A connection to an index host idle for this long is closed, before the host does it.
     pub host_idle: Time,
+    /// A connection on which parts are out and nothing has come for this long takes no more of them.
+    pub link_mute: Time,
+    /// How long a frame of an index host may be there in part.
+    pub frame_read: Time,
     /// How long a probe is awaited.
     pub probe: Time,
-    /// How long a client may take over one request's bytes.
+    /// How long a client may take over one request's bytes; over its first, counted from when it connected.
     pub request_read: Time,
-    /// How long a client's connection may stay without a request.
+    /// How long a connection may stay without a request after its last one.
     pub client_idle: Time,
-    /// How long a closed connection's last bytes are waited for.
+    /// The same for a catalogue session, whose result sets go with it.
+    pub session_idle: Time,
+    /// A connection that has said nothing for this long gives way to others before those that have asked.
+    pub silent_grace: Time,
+    /// How long a closed connection's next bytes are waited for.
     pub linger: Time,
+    /// How long what a client still sends after its last answer is read and dropped.
+    pub drain: Time,
     /// How long accepting rests after descriptors ran out.
     pub accept_rest: Time,
     /// How long a discovery call may take to be answered.
@@ -109,6 +123,7 @@
             store_election: 600 * MS,
             store_retry: 100 * MS,
             name_bytes: 256,
+            text_bytes: 8 << 10,
             read_burst: 64 << 10,
             descriptors: 1024,
             clients: 512,
@@ -116,16 +131,22 @@
             connections_per_host: 4,
             calls_per_connection: 32,
             queued_parts: 1024,
+            past_parts: 256,
             queued_probes: 16,
             hosts: 256,
             room_burst: 16,
             accept_burst: 64,
             connect: 250 * MS,
             host_idle: 22_500 * MS,
+            link_mute: 400 * MS,
+            frame_read: 400 * MS,
             probe: 250 * MS,
-            request_read: 10_000 * MS,
-            client_idle: 120_000 * MS,
+            request_read: 2_200 * MS,
+            client_idle: 15_000 * MS,
+            session_idle: 120_000 * MS,
+            silent_grace: 50 * MS,
             linger: 500 * MS,
+            drain: 5_000 * MS,
             accept_rest: 5 * MS,
             discovery_call: 1_500 * MS,
             watch_silence: 3_300 * MS,
@@ -148,6 +169,23 @@
         self
     }
 
+    /// Sizes what peers can make the program hold by the memory that there is, in MB.
+    pub fn with_memory(mut self, memory_mb: usize) -> Self {
+        let bytes = memory_mb << 20;
+        // Half of the memory for what clients have sent in part, an eighth for what index hosts have.
+        self.read_burst = (bytes >> 11).clamp(8 << 10, self.read_burst);
+        self.clients = self.clients.min((bytes / 2 / self.body_bytes).max(4));
+        self.frame_bytes = (bytes >> 9).clamp(32 << 10, self.frame_bytes);
+        self.queued_parts = (bytes >> 16).clamp(256, self.queued_parts);
+        self
+    }
+
+    /// Judges connections by the least time in which an answer is wanted.
+    pub fn with_aim(mut self, aim: Time) -> Self {
+        self.link_mute = (aim / 4).clamp(50 * MS, self.link_mute);
+        self
+    }
+
     /// Closing idle connections at three quarters of the host's own limit leaves a request time to cross.
     pub fn with_host_idle(mut self, host_limit: Time) -> Self {
         self.host_idle = host_limit / 4 * 3;
--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -98,6 +98,11 @@
         self.closing = true;
     }
 
+    /// Whether it is to be dropped.
+    pub fn is_closing(&self) -> bool {
+        self.closing
+    }
+
     /// Sets this connection's one timer; an earlier setting is void.
     pub fn set_timer(&mut self, at: Time) {
         self.net.set_timer(self.token, Some(at));
--- a/bitternsill/src/net/stream.rs
+++ b/bitternsill/src/net/stream.rs
@@ -58,6 +58,22 @@
         Ok(Input::Open)
     }
 
+    /// Reads what is there and drops it, up to `most` bytes; says how much that was.
+    pub fn discard(&mut self, most: usize) -> io::Result<(usize, Input)> {
+        let mut chunk = [0; 32 << 10];
+        let mut total = 0;
+        while total < most {
+            match self.socket.read(&mut chunk) {
+                Ok(0) => return Ok((total, Input::Ended)),
+                Ok(n) => total += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok((total, Input::Open))
+    }
+
     /// Adds bytes to what is to be written.
     pub fn push(&mut self, bytes: &[u8]) {
         self.outgoing.extend_from_slice(bytes);
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -49,8 +49,9 @@
     setup: Json,
 }
 
-fn limits(deployment: &Deployment, sockets: usize) -> Limits {
-    let mut limits = Limits::default().with_descriptors(sockets);
+fn limits((settings, deployment): &(Settings, Deployment), sockets: usize) -> Limits {
+    let aim = settings.classes.iter().map(|class| class.aim).min().unwrap_or(Time::MAX);
+    let mut limits = Limits::default().with_descriptors(sockets).with_aim(aim);
     limits.calls_per_connection = deployment.calls_per_connection;
     limits.connect = deployment.connect.unwrap_or(limits.connect);
     limits.drain_grace = deployment.drain_grace.unwrap_or(limits.drain_grace);
@@ -63,7 +64,7 @@
 /// Serves the platform until SIGTERM.
 pub fn platform(config: Config) -> Result<(), ServeError> {
     let settings = settings::read(&config.settings).map_err(ConfigError::Settings)?;
-    let limits = Rc::new(limits(&settings.1, config.sockets));
+    let limits = Rc::new(limits(&settings, config.sockets).with_memory(config.memory_mb));
     let accept: Accept = Box::new(|stream, world| HttpConnection::accept(Box::new(Platform), stream, world));
     run(Plan {
         name: config.name,
@@ -85,7 +86,7 @@
 
 /// Serves an operator's catalogue until SIGTERM.
 pub fn catalogue(setup: Setup) -> Result<(), ServeError> {
-    let mut limits = limits(&setup.settings.1, setup.sockets);
+    let mut limits = limits(&setup.settings, setup.sockets);
     // A session may hold result sets, so fewer of them fit into the memory.
     limits.clients = limits.clients.min(limits.sessions);
     let limits = Rc::new(limits);
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -5,6 +5,8 @@
 use common::*;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 fn good(score: u64) -> impl Fn(&str) -> Say + Send + Sync + 'static {
@@ -49,6 +51,10 @@
 fn what_is_no_query_gets_a_4xx_and_the_program_lives_on() {
     let platform = Platform::start(settings(), three());
     let whole = query("id", "page", &[0], "Connection: close\r\n");
+    let (head, body) = whole.split_once("\r\n\r\n").unwrap();
+    let body = body.replace("c41e77d0", &"x".repeat(9000));
+    let head: Vec<&str> = head.lines().filter(|line| !line.starts_with("Content-Length")).collect();
+    let long = format!("{}\r\nContent-Length: {}\r\n\r\n{body}", head.join("\r\n"), body.len());
     let cases = [
         "GET / HTTP/1.1\r\n\r\n".to_owned(),
         "GET /api HTTP/1.1\r\n\r\n".to_owned(),
@@ -61,6 +67,9 @@
         whole.replace("\"portion\":1.0", "\"portion\":-10"),
         whole.replace("\"predicate\"", "\"predicat3\""),
         whole.replace("Content-Length: ", "Content-Length: 9999999"),
+        whole.replace("X-Budget: 3.0", "X-Budget: 0"),
+        whole.replace("\"portion\":1.0", "\"portion\":0.5"),
+        long,
         query("id", "page", &[1, 1], "Connection: close\r\n"),
         query("id", "shelf", &[1], "Connection: close\r\n"),
     ];
@@ -316,3 +325,167 @@
     assert!(read_response(&mut held).starts_with("HTTP/1.1 200"));
     assert_eq!(platform.discovery.asked(), 1);
 }
+
+/// What a client that says this hears until the connection ends, and how long that takes.
+fn hear(platform: &Platform, said: &[u8]) -> (String, Duration) {
+    let mut socket = platform.connect();
+    let start = Instant::now();
+    let _ = socket.write_all(said);
+    let mut heard = Vec::new();
+    let _ = socket.read_to_end(&mut heard);
+    (String::from_utf8_lossy(&heard).into_owned(), start.elapsed())
+}
+
+#[test]
+fn clients_that_never_finish_or_send_too_much_are_told_so_or_closed_in_time() {
+    let platform = Platform::start(settings(), three());
+    let whole = query("half", "page", &[0], "");
+    let huge = [&b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"[..], &chunks(20 << 20)].concat();
+    let cases: [(&str, &[u8]); 6] = [
+        ("", b""),
+        ("HTTP/1.1 408", b"POST /api HTTP/1.1\r\nX-Call"),
+        ("HTTP/1.1 408", &whole.as_bytes()[..whole.len() - 9]),
+        ("HTTP/1.1 431", &[b'x'; 40_000]),
+        // All of it is read, or a reset would take the answer with it.
+        ("HTTP/1.1 413", &huge),
+        ("HTTP/1.1 400", b"POST /api HTTP/1.1\r\nContent-Length: -5\r\n\r\nhello"),
+    ];
+    let platform = &platform;
+    std::thread::scope(|scope| {
+        for (wanted, said) in cases {
+            scope.spawn(move || {
+                let (heard, took) = hear(platform, said);
+                assert!(
+                    heard.starts_with(wanted) && heard.is_empty() == wanted.is_empty(),
+                    "{wanted}: {heard}"
+                );
+                assert!(took < Duration::from_millis(2900), "{wanted}: {took:?}");
+            });
+        }
+    });
+}
+
+fn chunks(bytes: usize) -> Vec<u8> {
+    let chunk = [&b"10000\r\n"[..], &[b'x'; 0x10000], b"\r\n"].concat();
+    chunk.repeat(bytes / 0x10000)
+}
+
+#[test]
+fn nothing_behind_a_request_that_makes_no_sense_is_read() {
+    let platform = Platform::start(settings(), three());
+    let hidden = query("hidden", "page", &[0], "");
+    let both = "POST /api HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let short = query("short", "page", &[0], "").replace("Content-Length: ", "Content-Length: 0");
+    for cover in [both, &short[..short.len() - 40]] {
+        let (heard, _) = hear(&platform, format!("{cover}{hidden}").as_bytes());
+        assert!(heard.starts_with("HTTP/1.1 400") && heard.matches("HTTP/1.1").count() == 1, "{heard}");
+    }
+    assert!(platform.hosts.iter().all(|h| h.seen().is_empty()));
+}
+
+#[test]
+fn the_id_of_an_open_query_is_taken_and_free_again_after_its_answer() {
+    let slow = |id: &str| {
+        std::thread::sleep(Duration::from_millis(400));
+        Say::Good(1, format!("value of {id}"))
+    };
+    let platform = Platform::start(settings(), (0..3).map(|_| FrameHost::start(slow)).collect());
+    let mut first = platform.connect();
+    first.write_all(query("same", "page", &[0], "").as_bytes()).unwrap();
+    let out = || platform.hosts.iter().any(|h| !h.seen().is_empty());
+    eventually("the first is out", out);
+    assert!(platform.ask("same", "page", &[1]).starts_with("HTTP/1.1 409"));
+    assert!(read_response(&mut first).contains("value of same.0"));
+    assert!(platform.ask("same", "page", &[1]).contains("value of same.1"));
+}
+
+#[test]
+fn a_crowd_of_silent_connections_does_not_cost_a_client_its_idle_one() {
+    let platform = Platform::start(settings(), three());
+    let mut kept = platform.connect();
+    kept.write_all(query("a", "page", &[0], "").as_bytes()).unwrap();
+    assert!(read_response(&mut kept).starts_with("HTTP/1.1 200"));
+    let crowd: Vec<TcpStream> = (0..600).map(|_| platform.connect()).collect();
+    // Whoever comes behind the crowd is served, and so is the connection that was there before it.
+    assert!(platform.ask("b", "page", &[0]).starts_with("HTTP/1.1 200"));
+    kept.write_all(query("c", "page", &[1], "").as_bytes()).unwrap();
+    assert!(read_response(&mut kept).starts_with("HTTP/1.1 200"));
+    drop(crowd);
+}
+
+#[test]
+fn a_spoilt_answer_is_one_failed_attempt_and_what_is_good_is_passed_on_whatever_lies_behind_it() {
+    // Each way to spoil an answer, by the first letter of the query's id.
+    let spoilt = |id: &str| -> Vec<u8> {
+        let answer = |name: &str, end: &str| frame(b'q', format!("{name} {end}\nvalue of {name}").as_bytes());
+        match &id[..1] {
+            "0" => answer("nobody.0", "good 7 -"),
+            "1" => answer(id, "well 7 -"),
+            "2" => frame(b'z', b"?"),
+            "3" => vec![0, 0, 0, 192, b'q'],
+            // A length that takes in what follows it.
+            "4" => {
+                let mut long = answer(id, "good 7 -");
+                long[0] += 60;
+                [long, vec![0; 60]].concat()
+            }
+            // A length of which the rest never comes.
+            _ => vec![200, 0, 0, 0, b'q', b'x'],
+        }
+    };
+    for way in 0..6 {
+        let mut hosts = three();
+        hosts[0] = FrameHost::start(move |id| Say::Raw(spoilt(id)));
+        let platform = Platform::start(settings(), hosts);
+        // Shard 0 is held by the first two hosts, and only the first of them spoils.
+        for i in 0.. {
+            let (id, start) = (format!("{way}f{i}"), Instant::now());
+            let answer = platform.ask(&id, "page", &[0]);
+            let whole =
+                answer.starts_with("HTTP/1.1 200") && answer.contains(&format!("\"value of {id}.0\""));
+            assert!(whole, "{answer}");
+            assert!(start.elapsed() < Duration::from_millis(1300), "{id}: {:?}", start.elapsed());
+            if !platform.hosts[0].seen().is_empty() {
+                break;
+            }
+        }
+    }
+    // Good answers with more than belongs to them: a second copy, noise, an unreadable report.
+    let say = |id: &str| {
+        let good = frame(b'q', format!("{id} good 7 -\nvalue of {id}").as_bytes());
+        Say::Raw(match &id[..1] {
+            "0" => good.repeat(2),
+            "1" => [good, b"\xff\xff\xff\xffnoise".to_vec()].concat(),
+            _ => frame(b'q', &[id.as_bytes(), b" good 7 \xc3\x28\nvalue of ", id.as_bytes()].concat()),
+        })
+    };
+    let platform = Platform::start(settings(), (0..3).map(|_| FrameHost::start(say)).collect());
+    for i in 0..9 {
+        let id = format!("{}q{i}", i % 3);
+        let answer = platform.ask(&id, "page", &[i % 2]);
+        assert!(answer.contains(&format!("value of {id}.{}", i % 2)), "{answer}");
+    }
+    let seen: Vec<String> = platform.hosts.iter().flat_map(FrameHost::seen).collect();
+    assert_eq!(seen.len(), 9, "each was sent once: {seen:?}");
+}
+
+#[test]
+fn a_connection_that_falls_silent_takes_no_more_work_while_its_host_lives_on() {
+    // The first connection to each host goes silent after its first answer, as one that a machine forgot.
+    let hosts = (0..3).map(|_| {
+        let first = Arc::new(AtomicU32::new(0));
+        FrameHost::start_by_connection(move |number, id| {
+            let answered = number == 0 && first.fetch_add(1, Ordering::SeqCst) > 0;
+            if answered { Say::Nothing } else { Say::Good(1, format!("value of {id}")) }
+        })
+    });
+    let platform = Platform::start(settings(), hosts.collect());
+    let mut served = 0;
+    for i in 0..40 {
+        let more = "Idempotency-Key: k\r\nConnection: close\r\n";
+        let answer = platform.say(&query(&format!("q{i}"), "shelf", &[i % 3], more));
+        served += u32::from(answer.starts_with("HTTP/1.1 200"));
+    }
+    // Each of the three connections costs one query or two, and then another one takes its place.
+    assert!(served >= 34, "{served} of 40 served");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,6 +70,7 @@
 struct Server {
     cell: u32,
     ready: bool,
+    gone: bool,
     calls: BTreeMap<u64, u32>,
     limit: f64,
     delay: f64,
@@ -278,7 +279,8 @@
         if kind != ListKind::Partial {
             let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (id, server) in &mut self.servers {
-                server.ready &= listed.contains(id);
+                server.gone |= !listed.contains(id);
+                server.ready &= !server.gone;
             }
         }
         for e in entries {
@@ -287,6 +289,7 @@
             let server = self.servers.entry(e.server).or_insert(new);
             server.cell = e.cell % self.settings.cells;
             server.ready = e.standing == Standing::Ready;
+            server.gone = e.standing == Standing::Gone;
             // A fresh start means a cold server, whatever was known of its last life.
             if e.born > 0 && server.cold_from.is_none_or(|from| e.born > from) {
                 server.limit = START_LIMIT / 2.0;
@@ -296,6 +299,8 @@
                 server.turn = self.rng.f64();
             }
         }
+        // Servers are replaced under new ids for as long as the aggregator runs.
+        self.servers.retain(|_, s| !s.gone || !s.calls.is_empty());
         self.ready = self.servers.values().filter(|s| s.ready).count();
         self.holders = vec![Vec::new(); self.settings.cells as usize];
         for (&id, server) in &self.servers {
@@ -699,7 +704,7 @@
     }
 
     fn room(&self, id: ServerId, class: usize) -> bool {
-        let server = &self.servers[&id];
+        let Some(server) = self.servers.get(&id) else { return false };
         let joins = server.calls.range(self.now..).any(|c| *c.1 < self.settings.call_parts);
         server.ready
             && !self.sick(server, class)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -82,6 +82,28 @@
     assert_eq!(rig.sends(), [], "a server absent from a complete list is gone");
 }
 
+#[test]
+fn servers_replaced_under_new_ids_leave_nothing_behind() {
+    let mut rig = Rig::new(ring(3, 2));
+    let mut sizes = Vec::new();
+    for generation in 1..=100 {
+        let new = (0..3).map(|cell| entry(100 + 3 * generation + cell, cell));
+        let old = (0..3).map(|cell| entry(100 + 3 * (generation - 1) + cell, cell));
+        let gone = old.map(|e| Entry { standing: Standing::Gone, ..e });
+        let entries: Vec<Entry> = new.chain(gone).collect();
+        rig.turn(50 * MS, &[Event::List { kind: ListKind::Partial, entries: entries.into() }]);
+        rig.ask(MS, &[0, 1]);
+        while !rig.sends().is_empty() {
+            let events: Vec<Event> =
+                rig.sends().iter().map(|s| ended(s.0, 0, s.1, Outcome::Ok, MS)).collect();
+            rig.turn(MS, &events);
+        }
+        sizes.push(format!("{:?}", rig.aggregator).len());
+    }
+    // The windows of answers are full by the sixtieth.
+    assert!(sizes[99] < sizes[59] + 500, "{} bytes, then {}", sizes[59], sizes[99]);
+}
+
 #[test]
 fn a_query_that_cannot_be_sent_is_refused_before_its_client_leaves() {
     let mut rig = Rig::new(ring(3, 1));
