Let the parts of a second step follow the one that begins it by a turn

A trace of the frames shows parts .r to several hosts within 100 us, all but one turned down at once and all accepted when sent again a turn later: whoever has not heard by then that the first step is over turns them down. Ruled out: the shards (the scores pick the right ones) and the hosts (the same part is served there). Each cost an attempt and told the module that a sound host fails.

--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -17,6 +17,14 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
+/// Adds a part to the call that goes to its host.
+fn add_to_call(calls: &mut Vec<(ServerId, Vec<Outgoing>)>, host: ServerId, part: Outgoing) {
+    match calls.iter_mut().find(|(to, _)| *to == host) {
+        Some((_, parts)) => parts.push(part),
+        None => calls.push((host, vec![part])),
+    }
+}
+
 /// How much a sum of weights may fall short of what is asked for.
 const ROUNDING: f64 = 0.0001;
 
@@ -30,6 +38,8 @@
     parts: Vec<u64>,
     /// Shards in at the end of the first step, and whether that was whole; set once there is a second.
     first: Option<(Rc<str>, bool)>,
+    /// The host that is told first that the second step has begun, and when.
+    opened: Option<(ServerId, Time)>,
     taken: Time,
     attempts: u32,
 }
@@ -66,6 +76,8 @@
     deadlines: BTreeSet<(Time, u64)>,
     probes: BTreeMap<ServerId, Time>,
     wakes: BTreeSet<Time>,
+    /// Parts of a second step that follow its first by a turn.
+    following: Vec<(ServerId, Outgoing)>,
     events: Vec<Event>,
     actions: Vec<Action>,
     last_turn: Time,
@@ -89,6 +101,7 @@
             deadlines: BTreeSet::new(),
             probes: BTreeMap::new(),
             wakes: BTreeSet::new(),
+            following: Vec::new(),
             events: Vec::new(),
             actions: Vec::new(),
             last_turn: 0,
@@ -149,6 +162,7 @@
             deadline,
             parts,
             first: None,
+            opened: None,
             taken: ask.arrived,
             attempts: 0,
         };
@@ -227,7 +241,7 @@
 
     /// When the next turn is to run.
     pub fn due(&self) -> Option<Time> {
-        if !self.events.is_empty() {
+        if !self.events.is_empty() || !self.following.is_empty() {
             return Some(self.last_turn + self.settings.tick);
         }
         let times = [
@@ -249,13 +263,19 @@
                 self.events.push(Event::Wake);
             }
         }
-        if self.events.is_empty() {
+        let mut calls: Vec<(ServerId, Vec<Outgoing>)> = Vec::new();
+        for (host, part) in std::mem::take(&mut self.following) {
+            // It may have been called off meanwhile.
+            if self.attempts.contains_key(&part.id) {
+                add_to_call(&mut calls, host, part);
+            }
+        }
+        if self.events.is_empty() && calls.is_empty() {
             return;
         }
         let mut actions = std::mem::take(&mut self.actions);
         self.aggregator.turn(now, &self.events, &mut actions);
         self.events.clear();
-        let mut calls: Vec<(ServerId, Vec<Outgoing>)> = Vec::new();
         for action in actions.drain(..) {
             self.carry_out(action, now, &mut calls, ports);
         }
@@ -383,10 +403,16 @@
             text: query.text.clone(),
             first_whole: second.map(|(_, whole)| *whole),
         };
-        match calls.iter_mut().find(|(to, _)| *to == host) {
-            Some((_, parts)) => parts.push(outgoing),
-            None => calls.push((host, vec![outgoing])),
+        // The first step ends when the first part of the second arrives, and whoever has not heard of that by then
+        // turns the others down: they follow when the first has had a turn's time.
+        if query.first.is_some() {
+            let (first, at) = *query.opened.get_or_insert((host, now));
+            if at == now && first != host {
+                self.following.push((host, outgoing));
+                return;
+            }
         }
+        add_to_call(calls, host, outgoing);
     }
 
     fn answer(&mut self, number: u64, whole: bool, now: Time, ports: &mut impl Clients) {
--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -246,6 +246,9 @@
                     return;
                 };
                 cx.world.hosts.attempt_ended(self.host, attempt);
+                if !matches!(end, End::Good(_)) {
+                    tracing::debug!(host = self.host.0, name, ?end, "not served");
+                }
                 let is_spoilt = end == End::Spoilt;
                 match end {
                     End::Good(value) => cx.world.core.served(attempt, value, cx.now),
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use common::*;
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 fn good(score: u64) -> impl Fn(&str) -> Say + Send + Sync + 'static {
@@ -489,3 +490,29 @@
     // Each of the three connections costs one query or two, and then another one takes its place.
     assert!(served >= 34, "{served} of 40 served");
 }
+
+#[test]
+fn the_parts_of_a_second_step_follow_the_one_that_begins_it() {
+    // A host that has not heard that the first step is over turns a part of the second down.
+    let begun: Arc<Mutex<HashMap<String, (usize, Instant)>>> = Arc::default();
+    let hosts = (0..3).map(|host| {
+        let begun = begun.clone();
+        FrameHost::start(move |id| {
+            if let Some((query, _)) = id.strip_suffix(".r").and_then(|id| id.split_once('.')) {
+                let mut begun = begun.lock().unwrap();
+                let (first, at) = *begun.entry(query.to_owned()).or_insert((host, Instant::now()));
+                if first != host && at.elapsed() < Duration::from_millis(2) {
+                    return Say::Bad;
+                }
+            }
+            Say::Good(7, format!("value of {id}"))
+        })
+    });
+    let platform = Platform::start(settings(), hosts.collect());
+    for i in 0..12 {
+        let answer = platform.ask(&format!("s{i}"), "search", &[0, 1, 2]);
+        assert!(answer.contains("\"total\":true"), "{answer}");
+    }
+    let seen: Vec<String> = platform.hosts.iter().flat_map(FrameHost::seen).collect();
+    assert_eq!(seen.iter().filter(|line| line.contains(".r ")).count(), 24, "each once: {seen:?}");
+}
