Call off what is out on a mute link, so that it is tried elsewhere in time

Parts on a link that fell silent stayed out until their aim, and held their host's calls in the module at its limit meanwhile, so that new queries found no room. Ruled out: CPU and the new links (they answer). A link that stays mute for one more link_mute is now closed and its parts end as called off, may have run.

The story now wants every query served; with the parts left out it was 34 of 40.

--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -44,6 +44,7 @@
             past: HashMap::new(),
             past_order: VecDeque::new(),
             mute_since: None,
+            mute: None,
             partial_since: None,
             probes: VecDeque::new(),
         }))
@@ -90,6 +91,8 @@
     past_order: VecDeque<String>,
     /// Since when parts have been out here and nothing has come.
     mute_since: Option<Time>,
+    /// When it was taken to have fallen mute.
+    mute: Option<Time>,
     /// Since when a frame has been there in part.
     partial_since: Option<Time>,
     probes: VecDeque<Time>,
@@ -223,9 +226,12 @@
     /// a lone part has had its answer, a bad one, and of several each is called off rather than reset: resets
     /// would speak of a host that died.
     fn spoilt(&mut self, cx: &mut Cx<'_>, problem: &dyn fmt::Display) {
-        tracing::debug!(host = self.host.0, %problem, out = self.out.len(), "a link is given up");
         self.input.clear();
-        let outcome = if self.out.len() == 1 { Outcome::Error } else { Outcome::Cancelled };
+        self.cut_off(cx, problem, if self.out.len() == 1 { Outcome::Error } else { Outcome::Cancelled });
+    }
+
+    fn cut_off(&mut self, cx: &mut Cx<'_>, problem: &dyn fmt::Display, outcome: Outcome) {
+        tracing::debug!(host = self.host.0, %problem, out = self.out.len(), "a link is given up");
         for (_, (attempt, _)) in self.out.drain() {
             cx.world.hosts.attempt_ended(self.host, attempt);
             cx.world.core.cut_off(attempt, outcome, cx.now);
@@ -294,17 +300,19 @@
                 return cx.close();
             }
             cx.set_timer(self.used + cx.world.limits.host_idle);
-        } else if let Some(since) = self.mute_since.filter(|_| !self.retiring) {
-            cx.set_timer(since + cx.world.hosts.mute_after(self.host));
+        } else if let Some(since) = self.mute_since {
+            let mute = || since + cx.world.hosts.mute_after(self.host);
+            cx.set_timer(self.mute.map_or_else(mute, |at| at + cx.world.limits.link_mute));
         } else {
             cx.clear_timer();
         }
     }
 
     /// A connection can fall silent while its host lives on, as when a machine on the way forgets it: nothing tells
-    /// so but the silence. What is out stays out, and new work takes another connection.
+    /// so but the silence. New work takes another connection at once; what is out is called off a little later.
     fn fall_mute(&mut self, cx: &mut Cx<'_>) {
         tracing::info!(host = self.host.0, out = self.out.len(), "a link is mute");
+        self.mute = Some(cx.now);
         cx.world.hosts.set_mute(self.host, true);
         self.retire(cx);
     }
@@ -349,7 +357,7 @@
         if ready.readable {
             let end = self.stream.read(&mut self.input, cx.world.limits.read_burst);
             if !self.input.is_empty() {
-                self.mute_since = Some(cx.now);
+                (self.mute_since, self.mute) = (Some(cx.now), None);
                 cx.world.hosts.set_mute(self.host, false);
             }
             loop {
@@ -406,7 +414,9 @@
             self.spoilt(cx, &"a frame that does not end");
         } else if !self.up || self.is_idle() {
             cx.close();
-        } else if self.mute_since.is_some_and(|at| at + cx.world.hosts.mute_after(self.host) <= cx.now) {
+        } else if self.mute.is_some() {
+            self.cut_off(cx, &"a link stays mute", Outcome::Cancelled);
+        } else {
             self.fall_mute(cx);
         }
     }
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -484,14 +484,12 @@
         })
     });
     let platform = Platform::start(settings(), hosts.collect());
-    let mut served = 0;
     for i in 0..40 {
         let more = "Idempotency-Key: k\r\nConnection: close\r\n";
         let answer = platform.say(&query(&format!("q{i}"), "shelf", &[i % 3], more));
-        served += u32::from(answer.starts_with("HTTP/1.1 200"));
+        // What is out when the connection falls silent is called off in time for another attempt.
+        assert!(answer.starts_with("HTTP/1.1 200"), "{i}: {answer}");
     }
-    // Each of the three connections costs one query or two, and then another one takes its place.
-    assert!(served >= 34, "{served} of 40 served");
 }
 
 #[test]
