Make room by what a connection has done, and count being turned away as failing

Now kinds give way in turn (silent, half a request or a refused one still draining, asked once, asked often), each after a short grace; a kind of which there are many spares those below it.

--- a/bitternsill/src/front/catalogue/session.rs
+++ b/bitternsill/src/front/catalogue/session.rs
@@ -168,7 +168,7 @@
 
     fn wait(&mut self, cx: &mut Cx<'_>, reference: Option<Vec<u8>>, pending: Pending) {
         self.pending = Some((reference, pending));
-        cx.world.clients.set_idle(cx.token, None);
+        cx.world.clients.set_busy(cx.token);
         cx.clear_timer();
     }
 
@@ -358,11 +358,13 @@
         }
         if self.input.is_empty() {
             self.begun = None;
-            cx.world.clients.set_idle(cx.token, Some(cx.now));
+            // A session holds result sets, so it is worth more than a connection that asked once.
+            cx.world.clients.set_idle(cx.token, cx.now, u32::MAX);
             cx.set_timer(cx.now + cx.world.limits.session_idle);
         } else {
-            cx.world.clients.set_idle(cx.token, None);
-            cx.set_timer(*self.begun.get_or_insert(cx.now) + cx.world.limits.request_read);
+            let begun = *self.begun.get_or_insert(cx.now);
+            cx.world.clients.set_partial(cx.token, begun);
+            cx.set_timer(begun + cx.world.limits.request_read);
         }
     }
 
--- a/bitternsill/src/front/clients.rs
+++ b/bitternsill/src/front/clients.rs
@@ -1,16 +1,21 @@
 //! The table of client connections, whatever they speak: how many there are and which one to close for room.
 
 use super::{Gatherer, Message};
+use crate::limits::Limits;
 use crate::net::{Net, Token};
 use bramblestair::interface::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What a connection without a request is.
+/// What a connection that the core holds no request of is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Rest {
     /// It has never said anything. Crowds of these come, and nobody misses one.
     Silent,
-    /// It waits for its next request.
+    /// It has said a part of a request. Sound clients say all of it at once.
+    Partial,
+    /// It has asked once. Many ask once and stay for good.
+    Once,
+    /// It has asked more than once, and is likely to ask again.
     Idle,
 }
 
@@ -30,6 +35,8 @@
 pub struct ClientTable {
     open: BTreeMap<Token, Option<(Rest, Time)>>,
     resting: BTreeSet<(Rest, Time, Token)>,
+    /// How many there are of each kind.
+    counts: [usize; 4],
 }
 
 impl ClientTable {
@@ -45,15 +52,30 @@
         self.open.remove(&token);
     }
 
-    /// A connection has been idle since this time, or has a request.
-    pub fn set_idle(&mut self, token: Token, since: Option<Time>) {
-        self.set_rest(token, since.map(|at| (Rest::Idle, at)));
+    /// A connection has a request.
+    pub fn set_busy(&mut self, token: Token) {
+        self.set_rest(token, None);
+    }
+
+    /// A connection has been idle since this time, after so many requests.
+    pub fn set_idle(&mut self, token: Token, since: Time, requests: u32) {
+        let rest = if requests > 1 { Rest::Idle } else { Rest::Once };
+        self.set_rest(token, Some((rest, since)));
+    }
+
+    /// A connection has begun to say something.
+    pub fn set_partial(&mut self, token: Token, since: Time) {
+        self.set_rest(token, Some((Rest::Partial, since)));
     }
 
     fn set_rest(&mut self, token: Token, rest: Option<(Rest, Time)>) {
         let Some(slot) = self.open.get_mut(&token) else { return };
         if let Some((kind, at)) = std::mem::replace(slot, rest) {
             self.resting.remove(&(kind, at, token));
+            self.counts[kind as usize] -= 1;
+        }
+        if let Some((kind, _)) = rest {
+            self.counts[kind as usize] += 1;
         }
         self.resting.extend(rest.map(|(kind, at)| (kind, at, token)));
     }
@@ -73,18 +95,33 @@
         self.open.keys().copied().collect()
     }
 
-    /// Asks a connection to close: the one that has been silent longest, else the one idle longest. One that has
-    /// only just been accepted is left alone for `grace`, as its first request may be on its way.
-    pub fn make_room(&mut self, net: &mut Net<Gatherer>, now: Time, grace: Time) -> Room {
-        let (token, is_fresh) = match self.resting.first() {
-            Some(&(rest, at, token)) => (token, rest == Rest::Silent && now < at + grace),
-            None => return Room::None,
-        };
-        if is_fresh {
-            return Room::Soon;
+    /// The connection that has been doing this longest, and since when.
+    fn longest(&self, rest: Rest) -> Option<(Time, Token)> {
+        let first = self.resting.range((rest, 0, Token::from_bits(0))..).next();
+        first.filter(|entry| entry.0 == rest).map(|&(_, at, token)| (at, token))
+    }
+
+    /// Asks a connection to close: of the first kind above the one that has been so longest. One that only just
+    /// came to be so is left alone, as it may say more at once; where there are many of them they will soon make
+    /// room, and spare the kinds below.
+    pub fn make_room(&mut self, net: &mut Net<Gatherer>, now: Time, limits: &Limits) -> Room {
+        let kinds = [
+            (Rest::Silent, limits.silent_grace),
+            (Rest::Partial, limits.partial_grace),
+            (Rest::Once, limits.partial_grace),
+            (Rest::Idle, 0),
+        ];
+        for (rest, grace) in kinds {
+            let Some((at, token)) = self.longest(rest) else { continue };
+            if at + grace <= now {
+                self.set_rest(token, None);
+                net.post(token, Message::MakeRoom);
+                return Room::Made;
+            }
+            if self.counts[rest as usize] * 8 >= self.open.len() {
+                return Room::Soon;
+            }
         }
-        self.set_rest(token, None);
-        net.post(token, Message::MakeRoom);
-        Room::Made
+        if self.resting.is_empty() { Room::None } else { Room::Soon }
     }
 }
--- a/bitternsill/src/front/listener.rs
+++ b/bitternsill/src/front/listener.rs
@@ -30,9 +30,9 @@
 
     /// Closes some connections that have been idle longest, and goes on when they are gone.
     fn make_room(&mut self, cx: &mut Cx<'_>) {
-        let grace = cx.world.limits.silent_grace;
-        for _ in 0..cx.world.limits.room_burst {
-            if cx.world.clients.make_room(cx.net, cx.now, grace) != Room::Made {
+        let limits = cx.world.limits.clone();
+        for _ in 0..limits.room_burst {
+            if cx.world.clients.make_room(cx.net, cx.now, &limits) != Room::Made {
                 break;
             }
         }
--- a/bitternsill/src/front/platform/link.rs
+++ b/bitternsill/src/front/platform/link.rs
@@ -302,7 +302,7 @@
             cx.set_timer(self.used + cx.world.limits.host_idle);
         } else if let Some(since) = self.mute_since {
             let mute = || since + cx.world.hosts.mute_after(self.host);
-            cx.set_timer(self.mute.map_or_else(mute, |at| at + cx.world.limits.link_mute));
+            cx.set_timer(self.mute.map_or_else(mute, |at| at + 2 * cx.world.limits.link_mute));
         } else {
             cx.clear_timer();
         }
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -47,8 +47,8 @@
     reader: Reader,
     state: State,
     continued: bool,
-    /// Whether a whole request has come.
-    asked: bool,
+    /// Whole requests that have come.
+    requests: u32,
 }
 
 impl HttpConnection {
@@ -67,7 +67,7 @@
             reader,
             state,
             continued: false,
-            asked: false,
+            requests: 0,
         })
     }
 
@@ -83,9 +83,9 @@
                 }
                 Ok(Progress::More) => {
                     if fresh && !self.reader.is_fresh() {
-                        cx.world.clients.set_idle(cx.token, None);
+                        cx.world.clients.set_partial(cx.token, cx.now);
                         // A first request's time runs from when its client connected.
-                        if self.asked {
+                        if self.requests > 0 {
                             cx.set_timer(cx.now + cx.world.limits.request_read);
                         }
                     }
@@ -111,7 +111,7 @@
     fn request(&mut self, cx: &mut Cx<'_>, head: &Head, body: &[u8]) {
         let keep = head.keeps_alive();
         let with_body = head.start.0 != "HEAD";
-        self.asked = true;
+        self.requests = self.requests.saturating_add(1);
         match self.service.request(cx, head, body) {
             // What follows a request that makes no sense may make none either: its length may have been wrong.
             Handled::Done(response) => {
@@ -120,7 +120,7 @@
             }
             Handled::Waiting => {
                 self.state = State::Waiting { keep };
-                cx.world.clients.set_idle(cx.token, None);
+                cx.world.clients.set_busy(cx.token);
                 cx.clear_timer();
             }
         }
@@ -133,15 +133,20 @@
             self.state = State::Reading;
             self.rest(cx);
         } else {
-            cx.world.clients.set_idle(cx.token, None);
+            cx.world.clients.set_busy(cx.token);
             self.state = State::Ending;
             cx.set_timer(cx.now + cx.world.limits.request_read);
         }
     }
 
+    fn too_slow(&mut self, cx: &mut Cx<'_>) {
+        self.respond(cx, &Response::text(408, "the request did not come in time"), false, true);
+        self.flush(cx);
+    }
+
     /// Between requests: may be closed for room, and is closed after long disuse.
     fn rest(&mut self, cx: &mut Cx<'_>) {
-        cx.world.clients.set_idle(cx.token, Some(cx.now));
+        cx.world.clients.set_idle(cx.token, cx.now, self.requests);
         cx.set_timer(cx.now + cx.world.limits.client_idle);
     }
 
@@ -155,6 +160,7 @@
                 // Closing at once could reset the connection before the client has read the answer.
                 self.stream.end_output();
                 self.state = State::Lingering(cx.now + cx.world.limits.drain);
+                cx.world.clients.set_partial(cx.token, cx.now);
                 cx.set_timer(cx.now + cx.world.limits.linger);
             }
             Ok(_) => {}
@@ -224,6 +230,7 @@
                     self.flush(cx);
                 }
             }
+            Message::MakeRoom if matches!(self.state, State::Lingering(_)) => cx.close(),
             Message::MakeRoom | Message::Retire => {
                 if self.state != State::Reading {
                     return;
@@ -234,6 +241,9 @@
                 let idle = self.state == State::Reading && self.reader.is_fresh();
                 if idle && self.stream.unwritten() == 0 || !matches!(ended, Ok(Input::Open)) {
                     cx.close();
+                } else if self.state == State::Reading && !idle && matches!(message, Message::MakeRoom) {
+                    // Others wait for its place, and it was given longer than any sound client takes.
+                    self.too_slow(cx);
                 } else {
                     self.flush(cx);
                 }
@@ -244,10 +254,7 @@
 
     fn timer(&mut self, cx: &mut Cx<'_>) {
         match self.state {
-            State::Reading if !self.reader.is_fresh() => {
-                self.respond(cx, &Response::text(408, "the request did not come in time"), false, true);
-                self.flush(cx);
-            }
+            State::Reading if !self.reader.is_fresh() => self.too_slow(cx),
             State::Waiting { .. } => {}
             _ => cx.close(),
         }
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -82,6 +82,8 @@
     pub session_idle: Time,
     /// A connection that has said nothing for this long gives way to others before those that have asked.
     pub silent_grace: Time,
+    /// The same for one that has been half-way through a request, or idle after its only one, this long.
+    pub partial_grace: Time,
     /// How long a closed connection's next bytes are waited for.
     pub linger: Time,
     /// How long what a client still sends after its last answer is read and dropped.
@@ -136,7 +138,7 @@
             past_parts: 256,
             queued_probes: 16,
             hosts: 256,
-            room_burst: 16,
+            room_burst: 64,
             accept_burst: 64,
             connect: 250 * MS,
             host_idle: 22_500 * MS,
@@ -147,6 +149,7 @@
             client_idle: 15_000 * MS,
             session_idle: 120_000 * MS,
             silent_grace: 50 * MS,
+            partial_grace: 150 * MS,
             linger: 500 * MS,
             drain: 5_000 * MS,
             accept_rest: 5 * MS,
--- a/bitternsill/src/net/stream.rs
+++ b/bitternsill/src/net/stream.rs
@@ -160,7 +160,7 @@
     // The standard library sets SO_REUSEADDR, so a restart finds its address free.
     let listener = TcpListener::bind(on)?;
     // A request in the backlog counts as taken, but a short backlog turns clients away in a burst.
-    rustix::net::listen(&listener, 1024)?;
+    rustix::net::listen(&listener, 4096)?;
     listener.set_nonblocking(true)?;
     Ok(listener)
 }
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -224,7 +224,7 @@
 impl Connection<Gatherer> for Incoming {
     fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
         // Members and watchers are not closed to make room for readers.
-        cx.world.clients.set_idle(cx.token, None);
+        cx.world.clients.set_busy(cx.token);
         self.stream.arm(cx.net, cx.token, Ready { readable: true, writable: false })
     }
 
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -535,3 +535,29 @@
     socket.write_all(query("q", "page", &[0], "").as_bytes()).unwrap();
     assert!(read_response(&mut socket).contains("value of q.0"));
 }
+
+#[test]
+fn crowds_that_say_half_a_request_or_ask_once_and_stay_keep_nobody_waiting() {
+    let platform = Platform::start(settings(), three());
+    let mut kept = platform.connect();
+    let mut ask = |id: &str| {
+        kept.write_all(query(id, "page", &[0], "").as_bytes()).unwrap();
+        assert!(read_response(&mut kept).starts_with("HTTP/1.1 200"), "the connection that asks often stays");
+    };
+    ask("a");
+    ask("b");
+    let crowd = |said: &str| -> Vec<TcpStream> {
+        let say = |_| {
+            let mut socket = platform.connect();
+            socket.write_all(said.as_bytes()).unwrap();
+            socket
+        };
+        (0..400).map(say).collect()
+    };
+    let crowds = [crowd("POST /api HTTP/1.1\r\nX-Ca"), crowd("GET /_health HTTP/1.1\r\n\r\n"), crowd("")];
+    let start = Instant::now();
+    assert!(platform.ask("c", "page", &[0]).starts_with("HTTP/1.1 200"));
+    assert!(start.elapsed() < Duration::from_millis(2500), "{:?}", start.elapsed());
+    ask("d");
+    drop(crowds);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -508,7 +508,7 @@
         server.answered = if matches!(outcome, Outcome::Ok | Outcome::Error) { now } else { server.answered };
         match outcome {
             Outcome::Ok => server.errors -= SAMPLE * server.errors,
-            Outcome::Error => {
+            Outcome::Error | Outcome::Full => {
                 (server.errors, server.erred) = (server.errors + SAMPLE * (1.0 - server.errors), now);
             }
             _ => {}
