--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -280,13 +280,13 @@
             self.carry_out(action, now, &mut calls, ports);
         }
         self.actions = actions;
-        let most = self.settings.call_parts as usize;
         for (host, mut parts) in calls {
-            while parts.len() > most {
-                let rest = parts.split_off(most);
+            while !parts.is_empty() {
+                // One frame must not grow with what a client's text holds.
+                let fits = (self.limits.call_bytes / parts[0].text.len().max(1)).max(1);
+                let rest = parts.split_off(fits.min(self.settings.call_parts as usize).min(parts.len()));
                 ports.call(host, std::mem::replace(&mut parts, rest));
             }
-            ports.call(host, parts);
         }
     }
 
--- a/bitternsill/src/front/catalogue/link.rs
+++ b/bitternsill/src/front/catalogue/link.rs
@@ -277,7 +277,12 @@
                     Ok(Some(reply)) => self.reply(cx, reply),
                     Ok(None) => break,
                     Err(Nonsense(problem)) => {
-                        tracing::warn!(host = self.host.0, problem, "a link is given up");
+                        tracing::debug!(host = self.host.0, problem, "a link is given up");
+                        // The search has had its answer, a bad one: the host did not die.
+                        if let Some(part) = self.current.take() {
+                            cx.world.core.cut_off(part.id, Outcome::Error, cx.now);
+                            self.part_ended(cx, part.id);
+                        }
                         return cx.close();
                     }
                 }
--- a/bitternsill/src/front/platform/query.rs
+++ b/bitternsill/src/front/platform/query.rs
@@ -66,10 +66,6 @@
     let budget = head.get(BUDGET).and_then(seconds).ok_or(QueryError::Header(BUDGET))?;
     let key = if deployment.keyed[class] { Some(plain(KEY)?.into()) } else { None };
     let (text, parts) = parse_body(body, deployment.shards)?;
-    // Up to a call's share of parts travel in one frame, each with the text.
-    if text.len() > limits.text_bytes {
-        return Err(QueryError::Body("`predicate` is too long"));
-    }
     Ok(Ask {
         caller,
         name: name.into(),
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -38,8 +38,8 @@
     pub store_retry: Time,
     /// Characters of a query's id, of its key and of a catalogue query.
     pub name_bytes: usize,
-    /// Bytes of the text that a query's parts carry.
-    pub text_bytes: usize,
+    /// Bytes of the texts in one call; a part with a longer one travels alone.
+    pub call_bytes: usize,
     /// Bytes read from a connection before others get their turn.
     pub read_burst: usize,
     /// File descriptors the process may hold.
@@ -127,7 +127,7 @@
             store_election: 600 * MS,
             store_retry: 100 * MS,
             name_bytes: 256,
-            text_bytes: 8 << 10,
+            call_bytes: 64 << 10,
             read_burst: 64 << 10,
             descriptors: 1024,
             clients: 512,
