Keep only so many connections that have asked once, so that clients find places

By half seconds n0 took 56 to 70 queries until 3 s, then 13 to 40, while 222 of 246 answers were the first on their connection and those stayed open: at about 128 of them, a third of the 384 descriptors, no client could connect. Ruled out: max_open (7,107), the table (first full at 6.3 s), parsing (no 4xx), CPU.

A connection that has asked once is now closed after 2 s without a request, and once a twelfth of the descriptors is held by such connections the one idle longest goes when the next comes, unless it has been idle for under 150 ms.

The story fails on the old sources (70 of 70 stay).

--- a/bitternsill/src/front/clients.rs
+++ b/bitternsill/src/front/clients.rs
@@ -101,6 +101,21 @@
         first.filter(|entry| entry.0 == rest).map(|&(_, at, token)| (at, token))
     }
 
+    /// Asks some connections to close where too many have asked once and stayed: clients may have only so many
+    /// connections, and these would take them all long before the table is full.
+    pub fn thin(&mut self, net: &mut Net<Gatherer>, now: Time, limits: &Limits) {
+        // Two at most, for each that comes.
+        for _ in 0..2 {
+            let oldest = self.longest(Rest::Once).filter(|(at, _)| at + limits.partial_grace <= now);
+            let Some((_, token)) = oldest.filter(|_| self.counts[Rest::Once as usize] > limits.once_kept)
+            else {
+                return;
+            };
+            self.set_rest(token, None);
+            net.post(token, Message::MakeRoom);
+        }
+    }
+
     /// Asks a connection to close: of the first kind above the one that has been so longest. One that only just
     /// came to be so is left alone, as it may say more at once; where there are many of them they will soon make
     /// room, and spare the kinds below.
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -147,7 +147,10 @@
     /// Between requests: may be closed for room, and is closed after long disuse.
     fn rest(&mut self, cx: &mut Cx<'_>) {
         cx.world.clients.set_idle(cx.token, cx.now, self.requests);
-        cx.set_timer(cx.now + cx.world.limits.client_idle);
+        cx.world.clients.thin(cx.net, cx.now, &cx.world.limits);
+        // Clients that ask once and stay would in time hold every place that clients may have.
+        let idle = if self.requests > 1 { cx.world.limits.client_idle } else { cx.world.limits.once_idle };
+        cx.set_timer(cx.now + idle);
     }
 
     /// Writes what is there and sets what the socket is watched for.
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -46,6 +46,8 @@
     pub descriptors: usize,
     /// Client connections held at once.
     pub clients: usize,
+    /// Client connections kept that have asked once and no more.
+    pub once_kept: usize,
     /// Client connections held at once where catalogue sessions are served.
     pub sessions: usize,
     /// Connections to one index host.
@@ -78,6 +80,8 @@
     pub request_read: Time,
     /// How long a connection may stay without a request after its last one.
     pub client_idle: Time,
+    /// The same after its only one.
+    pub once_idle: Time,
     /// The same for a catalogue session, whose result sets go with it.
     pub session_idle: Time,
     /// A connection that has said nothing for this long gives way to others before those that have asked.
@@ -131,6 +135,7 @@
             read_burst: 64 << 10,
             descriptors: 1024,
             clients: 512,
+            once_kept: 85,
             sessions: 256,
             connections_per_host: 4,
             calls_per_connection: 32,
@@ -147,6 +152,7 @@
             probe: 250 * MS,
             request_read: 2_200 * MS,
             client_idle: 15_000 * MS,
+            once_idle: 2_000 * MS,
             session_idle: 120_000 * MS,
             silent_grace: 50 * MS,
             partial_grace: 150 * MS,
@@ -172,6 +178,8 @@
         self.descriptors = descriptors;
         let own = 16 + descriptors / 8;
         self.clients = descriptors.saturating_sub(own).clamp(4, 4096) * 3 / 4;
+        // Clients hold a third of the descriptors at most; a quarter of that may be idle after one request.
+        self.once_kept = (descriptors / 12).max(4);
         self
     }
 
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -575,3 +575,31 @@
     let longest = platform.hosts.iter().map(|h| h.longest.load(Ordering::SeqCst)).max();
     assert!(longest.is_some_and(|bytes| bytes < 65_000), "a frame of {longest:?} bytes");
 }
+
+#[test]
+fn clients_that_ask_once_and_stay_do_not_take_every_place_that_clients_may_have() {
+    // A client may have a third of the 256 descriptors; of those a quarter may be idle after one request.
+    let platform = Platform::start(settings(), three());
+    let mut kept = platform.connect();
+    let ask = |socket: &mut TcpStream, id: &str| {
+        socket.write_all(query(id, "page", &[0], "").as_bytes()).unwrap();
+        assert!(read_response(socket).starts_with("HTTP/1.1 200"), "{id}");
+    };
+    ask(&mut kept, "a");
+    ask(&mut kept, "b");
+    let once = |i: u32| {
+        let mut socket = platform.connect();
+        ask(&mut socket, &format!("q{i}"));
+        std::thread::sleep(Duration::from_millis(10));
+        socket
+    };
+    let stayed: Vec<TcpStream> = (0..70).map(once).collect();
+    let open = stayed.iter().filter(|socket| {
+        socket.set_nonblocking(true).unwrap();
+        let mut socket = *socket;
+        !matches!(socket.read(&mut [0; 1]), Ok(0))
+    });
+    let open = open.count();
+    assert!((15..=40).contains(&open), "{open} of 70 are open");
+    ask(&mut kept, "c");
+}
