Move the catalogue's codecs and queries to a package of their own

The second front grows into a subsystem whose decisions must stand apart from sockets; its codecs sat inside the program's front.

BER, CQL, RPN and the Z39.50 data units move to catalogue/, a workspace member without I/O.

--- a/bitternsill/src/front/catalogue/mod.rs
+++ b/bitternsill/src/front/catalogue/mod.rs
@@ -3,16 +3,12 @@
 //! Off on the platform; an operator's file sets it up. Searches go through the same core as the platform's
 //! queries: one part per slice, one final answer, and what is partial says so.
 
-pub mod ber;
-pub mod cql;
 pub mod found;
 pub mod link;
-pub mod rpn;
 pub mod session;
 pub mod setup;
 pub mod sru;
 pub mod sru_host;
-pub mod z3950;
 pub mod z3950_host;
 
 use crate::core::ports::{Ask, Caller, Refusal};
@@ -64,20 +60,3 @@
 
 /// The catalogue as its connections share it.
 pub type Shared = Rc<Catalogue>;
-
-/// Text as XML has it.
-pub fn escape(text: &str) -> String {
-    let mut out = String::with_capacity(text.len());
-    for c in text.chars() {
-        match c {
-            '&' => out.push_str("&amp;"),
-            '<' => out.push_str("&lt;"),
-            '>' => out.push_str("&gt;"),
-            '"' => out.push_str("&quot;"),
-            // XML 1.0 has no way to write the other control characters.
-            c if c < ' ' && !matches!(c, '\t' | '\n' | '\r') => out.push(' '),
-            c => out.push(c),
-        }
-    }
-    out
-}
--- a/bitternsill/src/front/catalogue/session.rs
+++ b/bitternsill/src/front/catalogue/session.rs
@@ -1,14 +1,14 @@
 //! A Z39.50 session with a reader's client: Init, Search, Present, Close.
 
 use super::Shared;
-use super::ber::{self, Class, Item, Writer};
 use super::found::Found;
-use super::rpn::{self, Diagnostic};
-use super::z3950::{self, CloseReason, SERVICES, ServiceKind, SetStatus, Unsupported, tag};
 use crate::core::ports::{Answer, Caller};
 use crate::front::{Gatherer, Message};
 use crate::net::{Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::Time;
+use catalogue::ber::{self, Class, Item, Writer};
+use catalogue::rpn::{self, Diagnostic};
+use catalogue::z3950::{self, CloseReason, SERVICES, ServiceKind, SetStatus, Unsupported, tag};
 use std::collections::BTreeMap;
 use std::io;
 
--- a/bitternsill/src/front/catalogue/sru.rs
+++ b/bitternsill/src/front/catalogue/sru.rs
@@ -1,11 +1,12 @@
 //! SRU for readers' clients: searchRetrieve and explain, versions 1.1, 1.2 and 2.0.
 
-use super::cql::{self, CqlError, INDEXES};
+use super::Shared;
 use super::found::Found;
-use super::{Shared, escape};
 use crate::core::ports::{Answer, Caller, Reason, Refusal};
 use crate::front::http::{Head, Response};
 use crate::front::server::{Cx, Handled, Service};
+use catalogue::cql::{self, CqlError, INDEXES};
+use catalogue::escape;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 
--- a/bitternsill/src/front/catalogue/z3950_host.rs
+++ b/bitternsill/src/front/catalogue/z3950_host.rs
@@ -1,12 +1,12 @@
 //! Z39.50 as spoken to an index host.
 
-use super::ber::{self, Class, Item};
 use super::found::{Found, read_text};
 use super::link::{Dialect, Nonsense, Reply};
-use super::z3950::{self, tag};
-use super::{cql, rpn};
 use crate::core::ports::Outgoing;
 use crate::limits::Limits;
+use catalogue::ber::{self, Class, Item};
+use catalogue::z3950::{self, tag};
+use catalogue::{cql, rpn};
 use std::net::SocketAddr;
 
 /// One session's state; all of it is with the link.
--- a/bitternsill/tests/catalogue.rs
+++ b/bitternsill/tests/catalogue.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use bitternsill::front::catalogue::ber::{self, Item, Writer, universal};
-use bitternsill::front::catalogue::cql;
-use bitternsill::front::catalogue::rpn;
-use bitternsill::front::catalogue::z3950::{self, tag};
+use catalogue::ber::{self, Item, Writer, universal};
+use catalogue::cql;
+use catalogue::rpn;
+use catalogue::z3950::{self, tag};
 use common::*;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/bitternsill/src/front/catalogue/rpn.rs
+++ b/catalogue/src/rpn.rs
@@ -1,7 +1,7 @@
 //! Z39.50's type-1 query, read into the tree of CQL and written from it.
 
-use super::ber::{Class, Item, Writer, universal};
-use super::cql::{Boolean, INDEXES, Node, Relation};
+use crate::ber::{Class, Item, Writer, universal};
+use crate::cql::{Boolean, INDEXES, Node, Relation};
 
 /// The Bib-1 attribute set.
 pub const BIB1: &str = "1.2.840.10003.3.1";
@@ -166,8 +166,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::{ber, cql};
     use super::*;
+    use crate::{ber, cql};
 
     #[test]
     fn a_search_means_the_same_in_both_languages() {
--- a/bitternsill/src/front/catalogue/z3950.rs
+++ b/catalogue/src/z3950.rs
@@ -1,7 +1,7 @@
 //! Z39.50's data units, as far as both sides need them.
 
-use super::ber::{Item, Writer, universal};
-use super::rpn::Diagnostic;
+use crate::ber::{Item, Writer, universal};
+use crate::rpn::Diagnostic;
 
 /// The Bib-1 diagnostic set.
 pub const DIAGNOSTICS: &str = "1.2.840.10003.4.1";
@@ -179,7 +179,7 @@
 /// A diagnostic's parts.
 pub fn write_diagnostic(w: &mut Writer, diagnostic: &Diagnostic) {
     w.oid(DIAGNOSTICS);
-    w.universal(universal::INTEGER, &super::ber::integer(diagnostic.condition));
+    w.universal(universal::INTEGER, &crate::ber::integer(diagnostic.condition));
     w.universal(universal::VISIBLE, diagnostic.addinfo.as_bytes());
 }
 
