--- a/catalogue/src/rpn.rs
+++ b/catalogue/src/rpn.rs
@@ -1,167 +1,400 @@
-//! Z39.50's type-1 query, read into the tree of CQL and written from it.
+//! Z39.50's type-1 and type-101 queries (appendix 3, RPNQuery) and the Bib-1 attributes, read into the tree of CQL
+//! and written from it.
 
 use crate::ber::{Class, Item, Writer, universal};
-use crate::cql::{Boolean, INDEXES, Node, Relation};
+use crate::cql::term::{self, Mask};
+use crate::cql::{Boolean, Clause, Modifier, Node, Proximity, Relation, Unit};
+use crate::fault::{Fault, Kind};
+use crate::index::{self, ANY, Index};
 
 /// The Bib-1 attribute set.
 pub const BIB1: &str = "1.2.840.10003.3.1";
 
-/// A diagnostic of the Bib-1 set.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Diagnostic {
-    /// Its number.
-    pub condition: i64,
-    /// What it is about.
-    pub addinfo: String,
+/// Tags of the query.
+pub mod tag {
+    /// Attributes and a term.
+    pub const OPERAND: u32 = 102;
+    /// The attributes.
+    pub const ATTRIBUTES: u32 = 44;
+    /// An attribute's type.
+    pub const TYPE: u32 = 120;
+    /// An attribute's value, where it is a number.
+    pub const VALUE: u32 = 121;
+    /// A term of bytes.
+    pub const TERM: u32 = 45;
+    /// A term that is a number.
+    pub const TERM_NUMBER: u32 = 215;
+    /// A term of characters.
+    pub const TERM_TEXT: u32 = 216;
+    /// The name of a result set.
+    pub const SET: u32 = 31;
+    /// An operator.
+    pub const OPERATOR: u32 = 46;
 }
 
-impl Diagnostic {
-    /// A diagnostic.
-    pub fn new(condition: i64, addinfo: impl Into<String>) -> Self {
-        Diagnostic { condition, addinfo: addinfo.into() }
-    }
-}
-
-fn malformed() -> Diagnostic {
-    Diagnostic::new(108, "")
+fn malformed() -> Fault {
+    Kind::SYNTAX.of("a malformed type-1 query")
 }
 
-/// Reads the query of a search request: the value inside its tag.
-pub fn read(query: &Item) -> Result<Node, Diagnostic> {
+/// Reads the query of a search request: the value inside its tag. The search has at most `most` clauses.
+pub fn read(query: &Item, most: usize) -> Result<Node, Fault> {
     let rpn = match query.items().first() {
         Some(item) if item.class == Class::Context && matches!(item.tag, 1 | 101) => item,
-        Some(item) => return Err(Diagnostic::new(107, format!("type-{}", item.tag))),
+        Some(item) => return Err(Kind::QUERY_TYPE.of(format!("type-{}", item.tag))),
         None => return Err(malformed()),
     };
     let [set, structure] = rpn.items() else { return Err(malformed()) };
+    bib1(set)?;
+    let mut left = most;
+    structure_of(structure, &mut left)
+}
+
+/// Reads attributes and a term, as a scan has them (APDU ScanRequest, termListAndStartPoint).
+pub fn read_clause(set: Option<&Item>, operand: &Item) -> Result<Clause, Fault> {
+    set.map_or(Ok(()), bib1)?;
+    clause(operand)
+}
+
+fn bib1(set: &Item) -> Result<(), Fault> {
     match set.oid() {
-        Some(oid) if oid == BIB1 => structure_of(structure),
-        other => Err(Diagnostic::new(121, other.unwrap_or_default())),
+        Some(oid) if oid == BIB1 => Ok(()),
+        other => Err(Kind::SET_OF_NAMES.of(other.unwrap_or_default())),
     }
 }
 
-fn structure_of(item: &Item) -> Result<Node, Diagnostic> {
+fn structure_of(item: &Item, left: &mut usize) -> Result<Node, Fault> {
     match item.tag {
-        0 => operand(item.items().first().ok_or_else(malformed)?),
+        0 => {
+            *left = left.checked_sub(1).ok_or_else(|| Kind::TOO_COMPLEX.of(""))?;
+            operand(item.items().first().ok_or_else(malformed)?)
+        }
         1 => {
-            let [left, right, operator] = item.items() else { return Err(malformed()) };
+            let [one, other, operator] = item.items() else { return Err(malformed()) };
             let operator = operator.items().first().ok_or_else(malformed)?;
             let boolean = match operator.tag {
                 0 => Boolean::And,
                 1 => Boolean::Or,
                 2 => Boolean::Not,
-                _ => return Err(Diagnostic::new(110, "proximity")),
+                3 => Boolean::Prox(proximity(operator)?),
+                other => return Err(Kind::BOOLEAN.of(other.to_string())),
             };
-            let (left, right) = (structure_of(left)?, structure_of(right)?);
-            Ok(Node::Joined { boolean, left: Box::new(left), right: Box::new(right) })
+            let (one, other) = (structure_of(one, left)?, structure_of(other, left)?);
+            Ok(Node::Joined { boolean, left: Box::new(one), right: Box::new(other) })
         }
         _ => Err(malformed()),
     }
 }
 
-fn operand(item: &Item) -> Result<Node, Diagnostic> {
+fn proximity(item: &Item) -> Result<Proximity, Fault> {
+    let number = |tag| item.get(tag).and_then(Item::integer);
+    if item.get(1).and_then(Item::boolean) == Some(true) {
+        return Err(Kind::PROXIMITY.of("exclusion"));
+    }
+    let relation = match number(4) {
+        Some(1) => Relation::Less,
+        Some(2) => Relation::LessOrEqual,
+        Some(3) => Relation::Equal,
+        Some(4) => Relation::GreaterOrEqual,
+        Some(5) => Relation::Greater,
+        Some(6) => Relation::NotEqual,
+        other => return Err(Kind::PROXIMITY.of(format!("relation {}", other.unwrap_or(0)))),
+    };
+    let distance = number(2).and_then(|n| u32::try_from(n).ok()).ok_or_else(malformed)?;
+    let code = item.get(5).and_then(|choice| choice.get(1)).and_then(Item::integer);
+    let unit =
+        code.and_then(Unit::of_code).ok_or_else(|| Kind::PROXIMITY_UNIT.of(code.unwrap_or(0).to_string()))?;
+    let ordered = item.get(3).and_then(Item::boolean).ok_or_else(malformed)?;
+    Ok(Proximity { relation, distance, unit, ordered })
+}
+
+fn operand(item: &Item) -> Result<Node, Fault> {
     match item.tag {
-        102 => {}
-        31 => return Err(Diagnostic::new(18, "result set as a search term")),
-        _ => return Err(malformed()),
-    }
-    let (mut index, mut relation, mut complete, mut words) = (INDEXES[0], Relation::Equal, false, false);
-    for attribute in item.get(44).map(Item::items).unwrap_or_default() {
-        let number = |tag| attribute.get(tag).and_then(Item::integer);
-        let (Some(kind), Some(value)) = (number(120), number(121)) else { return Err(malformed()) };
-        let unsupported = |condition| Diagnostic::new(condition, value.to_string());
-        match kind {
-            1 => {
-                let known = INDEXES.iter().find(|i| i.use_attribute == value);
-                index = *known.ok_or_else(|| unsupported(114))?;
-            }
-            2 => {
-                relation = match value {
-                    1 => Relation::Less,
-                    2 => Relation::LessOrEqual,
-                    3 => Relation::Equal,
-                    4 => Relation::GreaterOrEqual,
-                    5 => Relation::Greater,
-                    _ => return Err(unsupported(117)),
-                }
+        tag::OPERAND => Ok(Node::Clause(clause(item)?)),
+        tag::SET => Ok(Node::Set(item.text().ok_or_else(malformed)?)),
+        // A set restricted by attributes.
+        214 => Err(Kind::FEATURE.of("a result set with attributes")),
+        _ => Err(malformed()),
+    }
+}
+
+/// What the attributes of one term say.
+#[derive(Default)]
+struct Attributes {
+    index: Option<Index>,
+    relation: Option<Relation>,
+    modifiers: Vec<Modifier>,
+    first: bool,
+    words: bool,
+    complete: bool,
+    truncation: Option<i64>,
+    always: bool,
+}
+
+impl Attributes {
+    fn read(item: &Item) -> Result<Attributes, Fault> {
+        let mut all = Attributes::default();
+        for attribute in item.get(tag::ATTRIBUTES).map(Item::items).unwrap_or_default() {
+            let number = |tag| attribute.get(tag).and_then(Item::integer);
+            if let Some(set) = attribute.get(1) {
+                bib1(set)?;
             }
-            3 if (1..=3).contains(&value) => {}
-            3 => return Err(unsupported(119)),
-            4 => match value {
-                1 | 2 | 4 | 5 => {}
-                6 => words = true,
-                _ => return Err(unsupported(118)),
+            let kind = number(tag::TYPE).ok_or_else(malformed)?;
+            let Some(value) = number(tag::VALUE) else {
+                return Err(Kind::ATTRIBUTE_TYPE.of(format!("type {kind} with a complex value")));
+            };
+            all.take(kind, value)?;
+        }
+        Ok(all)
+    }
+
+    fn take(&mut self, kind: i64, value: i64) -> Result<(), Fault> {
+        let unsupported = |kind: Kind| Err(kind.of(value.to_string()));
+        match (kind, value) {
+            (1, _) => match index::by_use(value) {
+                Some(index) => self.index = Some(index),
+                None => return unsupported(Kind::INDEX),
             },
-            5 if value == 100 => {}
-            5 => return Err(unsupported(120)),
-            6 => complete = value == 3,
-            other => return Err(Diagnostic::new(113, other.to_string())),
+            (2, 1) => self.relation = Some(Relation::Less),
+            (2, 2) => self.relation = Some(Relation::LessOrEqual),
+            (2, 3) => {}
+            (2, 4) => self.relation = Some(Relation::GreaterOrEqual),
+            (2, 5) => self.relation = Some(Relation::Greater),
+            (2, 6) => self.relation = Some(Relation::NotEqual),
+            (2, 100) => self.modifiers.push(Modifier::Phonetic),
+            (2, 101) => self.modifiers.push(Modifier::Stem),
+            (2, 102) => self.modifiers.push(Modifier::Relevant),
+            (2, 103) => self.always = true,
+            (2, _) => return unsupported(Kind::RELATION),
+            (3, 1 | 2) => self.first = true,
+            (3, 3) => {}
+            (3, _) => return unsupported(Kind::ANCHOR),
+            // Phrase, word, key, name and string: how the index has it.
+            (4, 1 | 2 | 3 | 101 | 102) => {}
+            (4, 4 | 5 | 100) => self.modifiers.push(Modifier::IsoDate),
+            (4, 6 | 105 | 106) => self.words = true,
+            (4, 104) => self.modifiers.push(Modifier::Uri),
+            (4, 108) => self.modifiers.push(Modifier::String),
+            (4, 107 | 109) => self.modifiers.push(Modifier::Number),
+            (4, _) => return unsupported(Kind::MODIFIER),
+            (5, 1..=3 | 101 | 104) => self.truncation = Some(value),
+            (5, 100) => {}
+            (5, _) => return unsupported(Kind::MASKING),
+            (6, 1 | 2) => {}
+            (6, 3) => self.complete = true,
+            (6, _) => return Err(Kind { bib1: 122, sru: 48 }.of(value.to_string())),
+            // Hints on sorting are not part of the search.
+            (7, _) => return Err(Kind::ATTRIBUTE_TYPE.of("7: use the sort service")),
+            (other, _) => return Err(Kind::ATTRIBUTE_TYPE.of(other.to_string())),
         }
+        Ok(())
     }
-    if relation == Relation::Equal {
-        relation = match (complete, words) {
-            (true, _) => Relation::Exact,
-            (_, true) => Relation::All,
-            _ => Relation::Equal,
+
+    fn term(&self, text: &str) -> String {
+        let literal = term::literal(text);
+        let anchor = if self.first { "^" } else { "" };
+        let masked = match self.truncation {
+            Some(1) => format!("{literal}*"),
+            Some(2) => format!("*{literal}"),
+            Some(3) => format!("*{literal}*"),
+            // `#` is any number here, as attribute 101 has it, and one character as 104 has it.
+            Some(101) => literal.replace('#', "*"),
+            Some(104) => text
+                .chars()
+                .map(|c| match c {
+                    '?' => "*".to_owned(),
+                    '#' => "?".to_owned(),
+                    c => term::literal(&c.to_string()),
+                })
+                .collect(),
+            _ => literal,
         };
+        anchor.to_owned() + &masked
     }
-    let term = item.items().iter().find(|i| matches!(i.tag, 45 | 215 | 216));
-    let term = match term.ok_or_else(|| Diagnostic::new(229, ""))? {
-        number if number.tag == 215 => number.integer().map(|n| n.to_string()),
+}
+
+fn clause(item: &Item) -> Result<Clause, Fault> {
+    let attributes = Attributes::read(item)?;
+    let given = item.items().iter().find(|i| matches!(i.tag, tag::TERM | tag::TERM_NUMBER | tag::TERM_TEXT));
+    let text = match given.ok_or_else(|| Kind::TERM_TYPE.of(""))? {
+        number if number.tag == tag::TERM_NUMBER => number.integer().map(|n| n.to_string()),
         text => text.text(),
     };
-    let term = term.ok_or_else(|| Diagnostic::new(125, ""))?;
-    Ok(Node::Clause { index, relation, term })
+    let text = text.ok_or_else(|| Kind::TERM.of("no text in UTF-8"))?;
+    let relation = attributes.relation.unwrap_or(match (attributes.complete, attributes.words) {
+        (true, _) => Relation::Exact,
+        (_, true) => Relation::All,
+        _ => Relation::Equal,
+    });
+    // Always matches: whatever has this field.
+    let term = if attributes.always { "*".to_owned() } else { attributes.term(&text) };
+    Ok(Clause { index: attributes.index.unwrap_or(ANY), relation, modifiers: attributes.modifiers, term })
 }
 
-/// Writes a type-1 query inside the tag of a search request's query.
-pub fn write(node: &Node, out: &mut Writer) {
-    out.inside(1, |rpn| {
-        rpn.oid(BIB1);
-        write_structure(node, rpn);
+/// Writes a type-1 query inside the tag of a search request's query; a fault where Bib-1 has no words for it.
+pub fn write(node: &Node, out: &mut Writer) -> Result<(), Fault> {
+    // Into a writer of its own: a fault in the middle must leave nothing behind.
+    let mut rpn = Writer::default();
+    write_structure(node, &mut rpn)?;
+    out.inside(1, |inner| {
+        inner.oid(BIB1);
+        inner.append(rpn);
     });
+    Ok(())
 }
 
-fn write_structure(node: &Node, out: &mut Writer) {
+/// Writes attributes and a term inside the tag that a scan has for them.
+pub fn write_clause(clause: &Clause, out: &mut Writer) -> Result<(), Fault> {
+    let (attributes, term) = attributes_of(clause)?;
+    out.inside(tag::OPERAND, |operand| write_operand(&attributes, &term, operand));
+    Ok(())
+}
+
+fn write_operand(attributes: &[(i64, i64)], term: &str, out: &mut Writer) {
+    out.inside(tag::ATTRIBUTES, |list| {
+        for (kind, value) in attributes {
+            list.inside_universal(universal::SEQUENCE, |attribute| {
+                attribute.integer(tag::TYPE, *kind);
+                attribute.integer(tag::VALUE, *value);
+            });
+        }
+    });
+    out.bytes(tag::TERM, term.as_bytes());
+}
+
+fn write_structure(node: &Node, out: &mut Writer) -> Result<(), Fault> {
     match node {
-        Node::Clause { index, relation, term } => out.inside(0, |operand| {
-            operand.inside(102, |clause| {
-                clause.inside(44, |attributes| {
-                    for (kind, value) in attributes_of(index.use_attribute, *relation) {
-                        attributes.inside_universal(universal::SEQUENCE, |attribute| {
-                            attribute.integer(120, kind);
-                            attribute.integer(121, value);
-                        });
-                    }
-                });
-                clause.bytes(45, term.as_bytes());
+        Node::Clause(clause) => {
+            if let Some(wider) = expand(clause) {
+                return write_structure(&wider, out);
+            }
+            let (attributes, term) = attributes_of(clause)?;
+            out.inside(0, |operand| operand.inside(tag::OPERAND, |o| write_operand(&attributes, &term, o)));
+        }
+        Node::Set(name) => out.inside(0, |operand| operand.bytes(tag::SET, name.as_bytes())),
+        Node::Joined { boolean, left, right } => {
+            let mut inner = Writer::default();
+            write_structure(left, &mut inner)?;
+            write_structure(right, &mut inner)?;
+            out.inside(1, |joined| {
+                joined.append(inner);
+                joined.inside(tag::OPERATOR, |operator| write_operator(*boolean, operator));
             });
+        }
+    }
+    Ok(())
+}
+
+fn write_operator(boolean: Boolean, out: &mut Writer) {
+    match boolean {
+        Boolean::And => out.bytes(0, b""),
+        Boolean::Or => out.bytes(1, b""),
+        Boolean::Not => out.bytes(2, b""),
+        Boolean::Prox(near) => out.inside(3, |p| {
+            p.boolean(1, false);
+            p.integer(2, i64::from(near.distance));
+            p.boolean(3, near.ordered);
+            p.integer(
+                4,
+                match near.relation {
+                    Relation::Less => 1,
+                    Relation::Equal => 3,
+                    Relation::GreaterOrEqual => 4,
+                    Relation::Greater => 5,
+                    Relation::NotEqual => 6,
+                    _ => 2,
+                },
+            );
+            p.inside(5, |unit| unit.integer(1, near.unit.code()));
         }),
-        Node::Joined { boolean, left, right } => out.inside(1, |joined| {
-            write_structure(left, joined);
-            write_structure(right, joined);
-            let tag = match boolean {
-                Boolean::And => 0,
-                Boolean::Or => 1,
-                Boolean::Not => 2,
+    }
+}
+
+/// Relations that Bib-1 has no attribute for, as joined searches that mean the same.
+fn expand(clause: &Clause) -> Option<Node> {
+    let words: Vec<&str> = clause.term.split_whitespace().collect();
+    let with =
+        |relation, term: &str| Node::Clause(Clause { relation, term: term.to_owned(), ..clause.clone() });
+    match (clause.relation, words.as_slice()) {
+        (Relation::Any, [first, rest @ ..]) => {
+            let join = |left, word: &&str| Node::Joined {
+                boolean: Boolean::Or,
+                left: Box::new(left),
+                right: Box::new(with(Relation::Equal, word)),
             };
-            joined.inside(46, |operator| operator.bytes(tag, b""));
+            Some(rest.iter().fold(with(Relation::Equal, first), join))
+        }
+        (Relation::Within, [least, most]) => Some(Node::Joined {
+            boolean: Boolean::And,
+            left: Box::new(with(Relation::GreaterOrEqual, least)),
+            right: Box::new(with(Relation::LessOrEqual, most)),
         }),
+        _ => None,
     }
 }
 
-fn attributes_of(use_attribute: i64, relation: Relation) -> Vec<(i64, i64)> {
-    let mut attributes = vec![(1, use_attribute)];
-    attributes.extend(match relation {
-        Relation::Equal => [(2, 3), (4, 1)],
-        Relation::Exact => [(2, 3), (6, 3)],
-        Relation::All => [(2, 3), (4, 6)],
-        Relation::Less => [(2, 1), (4, 1)],
-        Relation::LessOrEqual => [(2, 2), (4, 1)],
-        Relation::GreaterOrEqual => [(2, 4), (4, 1)],
-        Relation::Greater => [(2, 5), (4, 1)],
-    });
-    attributes
+fn attributes_of(clause: &Clause) -> Result<(Vec<(i64, i64)>, String), Fault> {
+    let mut attributes = vec![(1, clause.index.use_attribute)];
+    let parts = term::parts(&clause.term);
+    let (mut relation, mut structure) = match clause.relation {
+        Relation::Equal => (3, 1),
+        Relation::Exact => (3, 1),
+        Relation::All => (3, 6),
+        Relation::Less => (1, 1),
+        Relation::LessOrEqual => (2, 1),
+        Relation::GreaterOrEqual => (4, 1),
+        Relation::Greater => (5, 1),
+        Relation::NotEqual => (6, 1),
+        other => return Err(Kind::RELATION.of(other.name())),
+    };
+    let mut unmasked = false;
+    for modifier in &clause.modifiers {
+        match modifier {
+            Modifier::Stem if relation == 3 => relation = 101,
+            Modifier::Relevant if relation == 3 => relation = 102,
+            Modifier::Phonetic if relation == 3 => relation = 100,
+            Modifier::Word => structure = 2,
+            Modifier::String => structure = 108,
+            Modifier::IsoDate => structure = 5,
+            Modifier::Number => structure = 109,
+            Modifier::Uri => structure = 104,
+            Modifier::Unmasked => unmasked = true,
+            Modifier::Masked => {}
+            // Bib-1 says nothing of these; left out, the host would find something else than was asked for.
+            other => return Err(Kind::MODIFIER.of(other.name())),
+        }
+    }
+    attributes.extend([(2, relation), (4, structure)]);
+    if unmasked {
+        return Ok((attributes, clause.term.clone()));
+    }
+    if parts.last {
+        return Err(Kind::ANCHOR.of("at the end of a field"));
+    }
+    if parts.first {
+        attributes.push((3, 1));
+    }
+    if clause.relation == Relation::Exact {
+        attributes.push((6, 3));
+    }
+    let term = match parts.mask() {
+        Mask::None => parts.plain(),
+        Mask::Inside => {
+            attributes.push((5, 104));
+            parts.z3958()
+        }
+        mask => {
+            attributes.push((
+                5,
+                match mask {
+                    Mask::Right => 1,
+                    Mask::Left => 2,
+                    _ => 3,
+                },
+            ));
+            parts.plain()
+        }
+    };
+    Ok((attributes, term))
 }
 
 #[cfg(test)]
@@ -169,13 +402,66 @@
     use super::*;
     use crate::{ber, cql};
 
-    #[test]
-    fn a_search_means_the_same_in_both_languages() {
-        let text = "title == \"moon\" and (creator all \"a b\" or date <= 2001) not isbn = 7";
-        let node = cql::parse(text, 8).unwrap();
+    fn through(text: &str) -> Result<Node, Fault> {
+        let node = cql::parse(text, 8).unwrap().root;
         let mut writer = Writer::default();
-        writer.inside(21, |w| write(&node, w));
+        let mut inner = Writer::default();
+        write(&node, &mut inner)?;
+        writer.inside(21, |w| w.append(inner));
         let item = ber::read(&mut writer.finish(), 10_000, 16).unwrap().expect("a whole value");
-        assert_eq!(read(&item), Ok(node));
+        read(&item, 16)
+    }
+
+    #[test]
+    fn a_search_means_the_same_in_both_languages() {
+        for text in [
+            "title == \"moon\" and (creator all \"a b\" or date <= 2001) not isbn = 7",
+            "title = moon* or title = *moon or title = *moon* or title = m?o*n",
+            r"title = what\? not title = ^the",
+            "a prox/unit=sentence/distance>3/ordered b",
+            "title =/stem moons and date >=/isoDate 2001-01-01 and title <> sun",
+            "cql.resultSetId = \"A\" and moon",
+        ] {
+            assert_eq!(through(text), Ok(cql::parse(text, 8).unwrap().root), "{text}");
+        }
+    }
+
+    #[test]
+    fn what_bib1_has_no_attribute_for_is_said_otherwise_or_refused() {
+        let same = |a: &str, b: &str| assert_eq!(through(a), Ok(cql::parse(b, 8).unwrap().root), "{a}");
+        same("title any \"a b c\"", "title = a or title = b or title = c");
+        same("date within \"1990 2000\"", "date >= 1990 and date <= 2000");
+        for (text, kind) in [
+            ("title encloses 5", Kind::RELATION),
+            ("title =/fuzzy moon", Kind::MODIFIER),
+            ("title =/respectCase moon", Kind::MODIFIER),
+            ("title = moon^", Kind::ANCHOR),
+        ] {
+            assert_eq!(through(text).map_err(|f| f.kind), Err(kind), "{text}");
+        }
+    }
+
+    #[test]
+    fn attributes_that_are_not_known_are_refused_by_their_own_number() {
+        for (kind, value, condition) in [
+            (1, 9999, 114),
+            (2, 77, 117),
+            (3, 9, 119),
+            (4, 77, 118),
+            (5, 77, 120),
+            (6, 9, 122),
+            (7, 1, 113),
+            (9, 1, 113),
+        ] {
+            let mut writer = Writer::default();
+            writer.inside(21, |w| {
+                w.inside(1, |rpn| {
+                    rpn.oid(BIB1);
+                    rpn.inside(0, |o| o.inside(tag::OPERAND, |o| write_operand(&[(kind, value)], "x", o)));
+                })
+            });
+            let item = ber::read(&mut writer.finish(), 10_000, 16).unwrap().expect("a whole value");
+            assert_eq!(read(&item, 9).map_err(|f| f.kind.bib1), Err(condition), "{kind}={value}");
+        }
     }
 }
--- /dev/null
+++ b/catalogue/src/session/answers.rs
@@ -0,0 +1,238 @@
+//! Operations' ends, in the protocol's words.
+
+use super::{Form, Purpose, Running, Session};
+use crate::fault::{Fault, Kind};
+use crate::operation::{Outcome, Page, Scanned, Short, Why};
+use crate::record::{Record, Schema, Syntax};
+use crate::z3950::records::{self, Divided, Ready, Room};
+use crate::z3950::scan::ScanStatus;
+use crate::z3950::sort::SortStatus;
+use crate::z3950::{self, Service, SetStatus, scan, sort, tag};
+
+/// A present's status (section 3.2.3.1.10).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PresentStatus {
+    Success = 0,
+    /// Not all fit into the message.
+    MessageSize = 2,
+    /// The client took the operation back.
+    ByOrigin = 3,
+    /// Some are missing, by this side's doing.
+    ByTarget = 4,
+    Failure = 5,
+}
+
+/// Ends an operation that never began or came to nothing.
+pub fn failure(service: Service, reference: Option<&[u8]>, fault: &Fault) -> Vec<u8> {
+    match service {
+        Service::Search => search_failed(reference, fault),
+        Service::Present => present_failed(reference, PresentStatus::Failure, Some(fault)),
+        Service::Scan => z3950::unit(tag::SCAN_RESPONSE, reference, |w| {
+            scan::write_response(w, ScanStatus::Failure, &[], 0, Some(fault));
+        }),
+        Service::Sort => z3950::unit(tag::SORT_RESPONSE, reference, |w| {
+            sort::write_response(w, SortStatus::Failure, Some(fault));
+        }),
+        // Done, and failed.
+        _ => z3950::unit(tag::EXTENDED_RESPONSE, reference, |w| {
+            w.integer(3, 3);
+            w.inside(4, |all| {
+                all.inside_universal(crate::ber::universal::SEQUENCE, |d| z3950::write_fault(d, fault));
+            });
+        }),
+    }
+}
+
+fn search_failed(reference: Option<&[u8]>, fault: &Fault) -> Vec<u8> {
+    z3950::unit(tag::SEARCH_RESPONSE, reference, |w| {
+        w.integer(tag::RESULT_COUNT, 0);
+        w.integer(tag::RETURNED, 0);
+        w.integer(tag::NEXT_POSITION, 0);
+        w.boolean(tag::SEARCH_STATUS, false);
+        w.integer(tag::SET_STATUS, SetStatus::None as i64);
+        w.inside(tag::DIAGNOSTIC, |d| z3950::write_fault(d, fault));
+    })
+}
+
+fn present_failed(reference: Option<&[u8]>, status: PresentStatus, fault: Option<&Fault>) -> Vec<u8> {
+    z3950::unit(tag::PRESENT_RESPONSE, reference, |w| {
+        w.integer(tag::RETURNED, 0);
+        w.integer(tag::NEXT_POSITION, 0);
+        w.integer(tag::PRESENT_STATUS, status as i64);
+        if let Some(fault) = fault {
+            w.inside(tag::DIAGNOSTIC, |d| z3950::write_fault(d, fault));
+        }
+    })
+}
+
+/// An operation that the client took back.
+pub fn cancelled(running: &Running) -> Vec<u8> {
+    let reference = running.reference.as_deref();
+    let fault = Kind::TIME.of("taken back");
+    match running.purpose {
+        Purpose::Search { .. } => search_failed(reference, &fault),
+        Purpose::Present { .. } => present_failed(reference, PresentStatus::ByOrigin, None),
+        Purpose::Scan => failure(Service::Scan, reference, &fault),
+        Purpose::Sort { .. } => failure(Service::Sort, reference, &fault),
+    }
+}
+
+fn service(purpose: &Purpose) -> Service {
+    match purpose {
+        Purpose::Search { .. } => Service::Search,
+        Purpose::Present { .. } => Service::Present,
+        Purpose::Scan => Service::Scan,
+        Purpose::Sort { .. } => Service::Sort,
+    }
+}
+
+fn why(short: Short) -> Fault {
+    match short {
+        Short::Refused { .. } => Kind::BUSY.of("ask again later"),
+        Short::Failed(Why::TimeUp) => Kind::TIME.of("no answer in time"),
+        Short::Failed(Why::GivenUp) => Kind::BUSY.of("a slice did not answer"),
+        Short::Reach => Kind::RANGE.of("too far in one step"),
+    }
+}
+
+/// What an operation ends with: segments, if there are any, and the response.
+pub fn answer(running: &Running, outcome: Outcome, database: &str, room: Room, left: usize) -> Vec<Vec<u8>> {
+    let reference = running.reference.as_deref();
+    let failed = |fault: &Fault| vec![failure(service(&running.purpose), reference, fault)];
+    let page = match outcome {
+        Outcome::Refused { .. } => return failed(&Kind::BUSY.of("ask again later")),
+        Outcome::Failed(Why::TimeUp) => return failed(&Kind::TIME.of("no answer in time")),
+        Outcome::Failed(Why::GivenUp) => return failed(&Kind::TIME.of("given up")),
+        Outcome::Fault(fault) => return failed(&fault),
+        Outcome::Scan(scanned) => return vec![scan_done(reference, &scanned)],
+        Outcome::Page(page) => page,
+    };
+    match &running.purpose {
+        Purpose::Search { form, formless, .. } => {
+            searched(reference, &page, *form, formless.as_ref(), database, room, left)
+        }
+        Purpose::Present { form, clipped } => {
+            presented(reference, &page, *form, *clipped, database, room, left)
+        }
+        Purpose::Sort { .. } => vec![sort_done(reference, &page)],
+        Purpose::Scan => Vec::new(),
+    }
+}
+
+fn scan_done(reference: Option<&[u8]>, scanned: &Scanned) -> Vec<u8> {
+    let status = match (scanned.whole, scanned.terms.is_empty()) {
+        (false, _) => ScanStatus::Partial,
+        (true, true) => ScanStatus::EndOfList,
+        (true, false) => ScanStatus::Success,
+    };
+    z3950::unit(tag::SCAN_RESPONSE, reference, |w| {
+        scan::write_response(w, status, &scanned.terms, scanned.position, scanned.notes.first());
+    })
+}
+
+fn sort_done(reference: Option<&[u8]>, page: &Page) -> Vec<u8> {
+    let disorder = page.notes.iter().find(|f| f.kind == Kind::SORT);
+    let status = if page.whole && disorder.is_none() { SortStatus::Success } else { SortStatus::Partial };
+    z3950::unit(tag::SORT_RESPONSE, reference, |w| {
+        sort::write_response(w, status, disorder.or_else(|| page.notes.first()));
+    })
+}
+
+fn ready(record: &Record, form: Form) -> Ready {
+    if let Some(fault) = &record.fault {
+        return Err(fault.clone());
+    }
+    match record.to_bytes(form.syntax, form.schema, form.brief) {
+        Ok(bytes) => Ok(bytes),
+        // A schema that is not known here passes as it is, where that is what XML was asked for.
+        Err(_) if record.schema.is_none() && form.syntax == Syntax::Xml && form.schema == Schema::Dc => {
+            Ok(record.xml.clone().into_bytes())
+        }
+        Err(problem) => Err(Kind::NOT_IN_SCHEMA.of(problem.to_string())),
+    }
+}
+
+fn divided(page: &Page, form: Form, database: &str, room: Room, left: usize) -> Divided {
+    let records = page.records.iter().map(|record| ready(record, form)).collect();
+    records::divide(database, form.syntax, records, room, left)
+}
+
+fn status_of(page: &Page, divided: &Divided, clipped: bool) -> PresentStatus {
+    match divided.delivered {
+        0 if page.wanted > 0 => PresentStatus::Failure,
+        _ if divided.short => PresentStatus::MessageSize,
+        _ if clipped || page.short.is_some() || !page.whole => PresentStatus::ByTarget,
+        _ => PresentStatus::Success,
+    }
+}
+
+fn next_position(page: &Page, delivered: usize) -> i64 {
+    let next = page.start + delivered as u64;
+    if next > page.count.hits { 0 } else { i64::try_from(next).unwrap_or(0) }
+}
+
+fn segments(reference: Option<&[u8]>, divided: &Divided) -> Vec<Vec<u8>> {
+    divided.segments.iter().map(|(count, bytes)| records::segment(reference, *count, bytes)).collect()
+}
+
+fn presented(
+    reference: Option<&[u8]>,
+    page: &Page,
+    form: Form,
+    clipped: bool,
+    database: &str,
+    room: Room,
+    left: usize,
+) -> Vec<Vec<u8>> {
+    let divided = divided(page, form, database, room, left);
+    let status = status_of(page, &divided, clipped);
+    let mut said = segments(reference, &divided);
+    said.push(z3950::unit(tag::PRESENT_RESPONSE, reference, |w| {
+        w.integer(tag::RETURNED, divided.delivered as i64);
+        w.integer(tag::NEXT_POSITION, next_position(page, divided.delivered));
+        w.integer(tag::PRESENT_STATUS, status as i64);
+        if status == PresentStatus::Failure {
+            let fault = page.short.map_or_else(|| Kind::BUSY.of("too much waits to be read"), why);
+            w.inside(tag::DIAGNOSTIC, |d| z3950::write_fault(d, &fault));
+        } else {
+            records::write(w, &divided.last.1);
+        }
+    }));
+    said
+}
+
+fn searched(
+    reference: Option<&[u8]>,
+    page: &Page,
+    form: Form,
+    formless: Option<&Fault>,
+    database: &str,
+    room: Room,
+    left: usize,
+) -> Vec<Vec<u8>> {
+    // A search response has no segments: what does not fit is presented later.
+    let divided = divided(page, form, database, Room { segmentation: 0, ..room }, left);
+    let status = status_of(page, &divided, false);
+    let shown = page.wanted > 0 || formless.is_some();
+    vec![z3950::unit(tag::SEARCH_RESPONSE, reference, |w| {
+        w.integer(tag::RESULT_COUNT, i64::try_from(page.count.hits).unwrap_or(i64::MAX));
+        w.integer(tag::RETURNED, divided.delivered as i64);
+        w.integer(tag::NEXT_POSITION, next_position(page, divided.delivered));
+        // A search in which slices are missing did not succeed; its set is a valid subset.
+        w.boolean(tag::SEARCH_STATUS, page.whole);
+        if let Some(set) = Session::set_status(page.whole) {
+            w.integer(tag::SET_STATUS, set as i64);
+        }
+        if shown {
+            let status = if formless.is_some() { PresentStatus::Failure } else { status };
+            w.integer(tag::PRESENT_STATUS, status as i64);
+        }
+        let partial = page.notes.iter().find(|f| f.kind == Kind::PARTIAL);
+        let short = page.short.map(why);
+        if divided.delivered > 0 {
+            records::write(w, &divided.last.1);
+        } else if let Some(fault) = formless.or(partial).or(short.as_ref()) {
+            w.inside(tag::DIAGNOSTIC, |d| z3950::write_fault(d, fault));
+        }
+    })]
+}
--- /dev/null
+++ b/catalogue/src/session/mod.rs
@@ -0,0 +1,483 @@
+//! A Z39.50 session with a client: data units and rounds' ends come in, data units and rounds go out.
+
+mod answers;
+mod requests;
+
+use crate::ber::Item;
+use crate::fault::{Fault, Kind};
+use crate::operation::{self, Operation, Outcome, Plan, Round, Step};
+use crate::record::{Schema, Syntax};
+use crate::sets::{SetId, SetTable, Time};
+use crate::z3950::init::{self, Abilities, Ability, Identity, OFFERED};
+use crate::z3950::records::Room;
+use crate::z3950::{self, CloseReason, Service, SetStatus, tag};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Challenges that a client may fail.
+const CHALLENGES: u32 = 3;
+
+/// Who may search.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Access {
+    /// Anyone.
+    #[default]
+    Open,
+    /// Those who say at Init who they are.
+    AtInit(Vec<Reader>),
+    /// The same, or those who answer the challenge that comes with their first operation.
+    Challenge(Vec<Reader>),
+}
+
+/// Somebody who may search.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Reader {
+    /// The name.
+    pub name: String,
+    /// The password.
+    pub password: String,
+}
+
+impl std::fmt::Debug for Reader {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        // Passwords must not reach a log by way of a debug print.
+        f.debug_struct("Reader").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl Access {
+    fn admits(&self, identity: &Identity) -> Result<(), Fault> {
+        let (Access::AtInit(readers) | Access::Challenge(readers)) = self else { return Ok(()) };
+        let Identity::User { name, password } = identity else { return Err(Kind::AUTHENTICATION.of("")) };
+        // Every reader is compared in full, so that the time taken tells neither names nor passwords.
+        let same = |a: &str, b: &str| {
+            a.len() == b.len() && a.bytes().zip(b.bytes()).fold(0, |all, (a, b)| all | (a ^ b)) == 0
+        };
+        let known =
+            readers.iter().fold(false, |any, r| any | (same(&r.name, name) & same(&r.password, password)));
+        if known { Ok(()) } else { Err(Kind::PASSWORD.of("")) }
+    }
+}
+
+/// What a session is set up with.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The database's name.
+    pub database: String,
+    /// The slices.
+    pub slices: Vec<u32>,
+    /// Who may search.
+    pub access: Access,
+    /// What bounds an operation.
+    pub bounds: operation::Bounds,
+    /// Clauses of a query.
+    pub clauses: usize,
+    /// Named sets of one session.
+    pub sets: usize,
+    /// Operations at once.
+    pub operations: usize,
+    /// Bytes that wait to be written to one client.
+    pub output: usize,
+    /// Bytes of a set's name or of a reference.
+    pub name_bytes: usize,
+    /// Bytes of a message, at the most.
+    pub message: usize,
+    /// Terms of one scan.
+    pub terms: u32,
+    /// Sort keys.
+    pub sort_keys: usize,
+    /// How long sets are kept.
+    pub ttl: Time,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Write this.
+    Say(Vec<u8>),
+    /// Hand a round to the core.
+    Ask {
+        /// Which operation it is for.
+        operation: u32,
+        /// The round.
+        plan: Plan,
+    },
+    /// Nobody waits for this operation's round any more.
+    Withdraw {
+        /// Which operation.
+        operation: u32,
+    },
+    /// End the connection when everything is written.
+    End,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Init has not come.
+    Fresh,
+    Open,
+    Closing,
+}
+
+/// How records are wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Form {
+    syntax: Syntax,
+    schema: Schema,
+    brief: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Purpose {
+    Search { set: String, form: Form, formless: Option<Fault> },
+    Present { form: Form, clipped: bool },
+    Scan,
+    Sort { set: String },
+}
+
+#[derive(Debug)]
+struct Running {
+    reference: Option<Vec<u8>>,
+    purpose: Purpose,
+    operation: Operation,
+}
+
+/// A session.
+#[derive(Debug)]
+pub struct Session {
+    config: Rc<Config>,
+    /// Whose sets are its own.
+    owner: u64,
+    state: State,
+    abilities: Abilities,
+    room: Room,
+    admitted: bool,
+    failed_challenges: u32,
+    /// Requests that wait for a challenge to be answered.
+    held: Vec<Item>,
+    sets: BTreeMap<String, SetId>,
+    running: BTreeMap<u32, Running>,
+    next: u32,
+}
+
+/// Where a request is taken and answered: what all of a session's doings need.
+pub struct Around<'a> {
+    /// Every result set.
+    pub sets: &'a mut SetTable,
+    /// Bytes that wait to be written to the client.
+    pub unwritten: usize,
+    /// The present moment.
+    pub now: Time,
+    /// What is to be done.
+    pub acts: &'a mut Vec<Act>,
+}
+
+impl Session {
+    /// A session of which nothing has come; its sets are kept under `owner`.
+    pub fn new(config: Rc<Config>, owner: u64) -> Session {
+        Session {
+            config,
+            owner,
+            state: State::Fresh,
+            abilities: Abilities::default(),
+            room: Room { preferred: 1 << 10, exceptional: 1 << 10, segmentation: 0 },
+            admitted: false,
+            failed_challenges: 0,
+            held: Vec::new(),
+            sets: BTreeMap::new(),
+            running: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Whether the next data unit may be taken: operations run side by side only where that was agreed on, and a client
+    /// that does not read its answers gets no further ones.
+    pub fn may_read(&self, unwritten: usize) -> bool {
+        let most = if self.abilities.has(Ability::ConcurrentOperations) { self.config.operations } else { 1 };
+        self.state != State::Closing && self.running.len() < most && unwritten < self.config.output / 2
+    }
+
+    /// Whether operations are under way.
+    pub fn is_busy(&self) -> bool {
+        !self.running.is_empty()
+    }
+
+    /// Whether its end is being written.
+    pub fn is_closing(&self) -> bool {
+        self.state == State::Closing
+    }
+
+    /// The operations under way.
+    pub fn operations(&self) -> impl Iterator<Item = u32> {
+        self.running.keys().copied()
+    }
+
+    /// Ends the session: whatever is under way is withdrawn.
+    pub fn close(&mut self, reason: CloseReason, words: &str, acts: &mut Vec<Act>) {
+        if self.state == State::Closing {
+            return;
+        }
+        for operation in std::mem::take(&mut self.running).into_keys() {
+            acts.push(Act::Withdraw { operation });
+        }
+        self.state = State::Closing;
+        self.held.clear();
+        acts.push(Act::Say(z3950::close(None, reason, words)));
+        acts.push(Act::End);
+    }
+
+    /// A whole data unit has come.
+    pub fn unit(&mut self, unit: &Item, around: &mut Around<'_>) {
+        if self.state == State::Closing {
+            return;
+        }
+        let reference = unit.get(tag::REFERENCE).map(Item::bytes);
+        if reference.as_ref().is_some_and(|r| r.len() > self.config.name_bytes) {
+            return self.close(CloseReason::ProtocolError, "a reference that is too long", around.acts);
+        }
+        let service = z3950::service(unit);
+        match (service, self.state) {
+            (Some(Service::Close), _) => self.close(CloseReason::ResponseToPeer, "", around.acts),
+            (Some(Service::Init), State::Fresh) => self.init(unit, reference.as_deref(), around.acts),
+            (Some(Service::Init), _) | (None, _) | (_, State::Fresh) => {
+                self.close(CloseReason::ProtocolError, "no such service, or out of order", around.acts);
+            }
+            (Some(Service::TriggerResourceControl), _) => self.trigger(unit, reference.as_deref(), around),
+            (Some(Service::AccessControl), _) => self.challenged(unit, around),
+            (Some(service), _) => self.operate(service, unit, reference, around),
+        }
+    }
+
+    fn init(&mut self, unit: &Item, reference: Option<&[u8]>, acts: &mut Vec<Act>) {
+        let [_, two, three] = init::versions(unit);
+        let wanted = unit.get(tag::OPTIONS).map_or_else(Abilities::default, Abilities::read);
+        let mut abilities = wanted.both(Abilities::of(OFFERED));
+        let identity = init::read_identity(unit);
+        let admitted = self.config.access.admits(&identity);
+        let challenge = matches!(self.config.access, Access::Challenge(_));
+        if !challenge {
+            abilities = abilities.without(Ability::AccessControl);
+        }
+        // A wrong password is no better than none, but it is not challenged either: it was wrong.
+        let later = challenge && abilities.has(Ability::AccessControl) && identity == Identity::Anonymous;
+        let fault = admitted.as_ref().err().filter(|_| !later).cloned();
+        // Versions 2 and 3 are spoken; a client that has neither is told so and let go.
+        let known = two || three;
+        let size = |tag| unit.get(tag).and_then(Item::integer).unwrap_or(64 << 10).max(0) as usize;
+        let preferred = size(tag::PREFERRED_SIZE).clamp(1 << 10, self.config.message);
+        let exceptional = size(tag::EXCEPTIONAL_SIZE).clamp(preferred, self.config.message);
+        let segmentation = match () {
+            () if abilities.has(Ability::Level2Segmentation) => 2,
+            () if abilities.has(Ability::Level1Segmentation) => 1,
+            () => 0,
+        };
+        self.room = Room { preferred, exceptional, segmentation };
+        self.abilities = abilities;
+        self.admitted = admitted.is_ok();
+        let taken = known && fault.is_none();
+        acts.push(Act::Say(z3950::unit(tag::INIT_RESPONSE, reference, |w| {
+            init::introduce(w, three, abilities, preferred, exceptional);
+            w.boolean(tag::RESULT, taken);
+            init::name_self(w);
+            if let Some(fault) = &fault {
+                init::write_refusal(w, fault);
+            }
+        })));
+        if taken {
+            self.state = State::Open;
+        } else {
+            self.state = State::Closing;
+            acts.push(Act::End);
+        }
+    }
+
+    /// Takes an operation's request: it is answered at once or begins to run.
+    fn operate(
+        &mut self,
+        service: Service,
+        unit: &Item,
+        reference: Option<Vec<u8>>,
+        around: &mut Around<'_>,
+    ) {
+        let same = |r: &Running| r.reference == reference;
+        if self.running.values().any(same) {
+            return self.close(CloseReason::ProtocolError, "the reference is in use", around.acts);
+        }
+        if !self.admitted && !matches!(service, Service::Delete | Service::ResourceReport | Service::Extended)
+        {
+            return self.challenge(unit, reference.as_deref(), around.acts);
+        }
+        let begun = match service {
+            Service::Search => self.search(unit, around),
+            Service::Present => self.present(unit, around),
+            Service::Scan => self.scan(unit),
+            Service::Sort => self.sort(unit, around),
+            Service::Delete => {
+                let said = self.delete(unit, reference.as_deref(), around.sets);
+                return around.acts.push(Act::Say(said));
+            }
+            Service::ResourceReport => {
+                return around.acts.push(Act::Say(z3950::unit(
+                    tag::RESOURCE_REPORT_RESPONSE,
+                    reference.as_deref(),
+                    // Failure: none is kept.
+                    |w| w.integer(50, 2),
+                )));
+            }
+            _ => Err(Kind::EXTENDED_SERVICE.of("")),
+        };
+        match begun {
+            Ok((purpose, operation, step)) => {
+                self.next = self.next.wrapping_add(1);
+                let number = self.next;
+                self.running.insert(number, Running { reference, purpose, operation });
+                self.follow(number, step, around);
+            }
+            Err(fault) => {
+                let said = answers::failure(service, reference.as_deref(), &fault);
+                around.acts.push(Act::Say(said));
+            }
+        }
+    }
+
+    /// A round of an operation has ended.
+    pub fn answered(&mut self, operation: u32, round: Round, around: &mut Around<'_>) {
+        let Some(running) = self.running.get_mut(&operation) else { return };
+        let step = running.operation.answered(round, around.sets, around.now);
+        self.follow(operation, step, around);
+    }
+
+    fn follow(&mut self, number: u32, step: Step, around: &mut Around<'_>) {
+        match step {
+            Step::Ask(plan) => around.acts.push(Act::Ask { operation: number, plan }),
+            Step::Done(outcome) => {
+                if let Some(running) = self.running.remove(&number) {
+                    self.finish(running, outcome, around);
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self, running: Running, outcome: Outcome, around: &mut Around<'_>) {
+        if let Outcome::Page(page) = &outcome
+            && let Purpose::Search { set, .. } | Purpose::Sort { set } = &running.purpose
+            && let Some(old) = self.sets.insert(set.clone(), page.set)
+        {
+            around.sets.remove(old);
+        }
+        let left = self.config.output.saturating_sub(around.unwritten);
+        for said in answers::answer(&running, outcome, &self.config.database, self.room, left) {
+            around.acts.push(Act::Say(said));
+        }
+    }
+
+    /// TriggerResourceControl (section 3.2.6.4): only taking an operation back means anything here.
+    fn trigger(&mut self, unit: &Item, reference: Option<&[u8]>, around: &mut Around<'_>) {
+        const CANCEL: i64 = 3;
+        if unit.get(tag::REQUESTED_ACTION).and_then(Item::integer) != Some(CANCEL) {
+            return;
+        }
+        let found = self.running.iter().find(|(_, r)| r.reference.as_deref() == reference);
+        let Some(number) = found.map(|(number, _)| *number) else { return };
+        if let Some(running) = self.running.remove(&number) {
+            around.acts.push(Act::Withdraw { operation: number });
+            around.acts.push(Act::Say(answers::cancelled(&running)));
+        }
+    }
+
+    /// Asks who is there before an operation is taken (section 3.2.5.1).
+    fn challenge(&mut self, unit: &Item, reference: Option<&[u8]>, acts: &mut Vec<Act>) {
+        if self.held.len() >= self.config.operations {
+            return self.close(
+                CloseReason::Security,
+                "too many operations before the challenge was answered",
+                acts,
+            );
+        }
+        self.held.push(unit.clone());
+        if self.held.len() == 1 {
+            acts.push(Act::Say(z3950::unit(tag::ACCESS_REQUEST, reference, |w| {
+                w.bytes(tag::SIMPLE_CHALLENGE, b"user/password");
+            })));
+        }
+    }
+
+    fn challenged(&mut self, unit: &Item, around: &mut Around<'_>) {
+        if self.admitted || self.held.is_empty() {
+            return self.close(CloseReason::ProtocolError, "nobody was challenged", around.acts);
+        }
+        let given = unit.get(tag::SIMPLE_RESPONSE).and_then(Item::text).unwrap_or_default();
+        let result = self.config.access.admits(&init::read_open(&given));
+        self.admitted = result.is_ok();
+        for held in std::mem::take(&mut self.held) {
+            let reference = held.get(tag::REFERENCE).map(Item::bytes);
+            let Some(service) = z3950::service(&held) else { continue };
+            match &result {
+                Ok(()) => self.operate(service, &held, reference, around),
+                Err(fault) => {
+                    around.acts.push(Act::Say(answers::failure(service, reference.as_deref(), fault)))
+                }
+            }
+        }
+        if result.is_err() {
+            self.failed_challenges += 1;
+            if self.failed_challenges >= CHALLENGES {
+                self.close(CloseReason::Security, "", around.acts);
+            }
+        }
+    }
+
+    /// Deletes sets (section 3.2.4).
+    fn delete(&mut self, unit: &Item, reference: Option<&[u8]>, table: &mut SetTable) -> Vec<u8> {
+        const ALL: i64 = 1;
+        const SUCCESS: i64 = 0;
+        const UNKNOWN: i64 = 1;
+        const NOT_ALL: i64 = 9;
+        let all = unit.get(32).and_then(Item::integer) == Some(ALL);
+        let list = unit.items().iter().find(|i| i.class == crate::ber::Class::Universal).map(Item::items);
+        let names: Vec<String> = list.unwrap_or_default().iter().filter_map(Item::text).collect();
+        let mut statuses: Vec<(String, i64)> = Vec::new();
+        if all {
+            for id in std::mem::take(&mut self.sets).into_values() {
+                table.remove(id);
+            }
+        }
+        for name in names.into_iter().filter(|_| !all) {
+            let status = match self.sets.remove(&name) {
+                Some(id) => {
+                    table.remove(id);
+                    SUCCESS
+                }
+                None => UNKNOWN,
+            };
+            statuses.push((name, status));
+        }
+        let failed = statuses.iter().filter(|(_, status)| *status != SUCCESS).count();
+        let whole = match (failed, statuses.len()) {
+            (0, _) => SUCCESS,
+            (1, 1) => UNKNOWN,
+            _ => NOT_ALL,
+        };
+        z3950::unit(tag::DELETE_RESPONSE, reference, |w| {
+            w.integer(0, whole);
+            if !statuses.is_empty() {
+                w.inside(1, |list| {
+                    for (name, status) in &statuses {
+                        list.inside_universal(crate::ber::universal::SEQUENCE, |one| {
+                            one.bytes(tag::SET_ID, name.as_bytes());
+                            one.integer(33, *status);
+                        });
+                    }
+                });
+            }
+            if failed > 0 {
+                w.integer(34, failed as i64);
+            }
+        })
+    }
+
+    /// What a set's status says of one that is whole or not.
+    fn set_status(whole: bool) -> Option<SetStatus> {
+        (!whole).then_some(SetStatus::Subset)
+    }
+}
--- /dev/null
+++ b/catalogue/src/sru/request.rs
@@ -0,0 +1,479 @@
+//! Requests: parameters from a URL, a form or a SOAP body, checked by the version that they are in.
+
+use super::{OPERATIONS, Operation, Version};
+use crate::cql::{self, Clause, Node, Query, Relation};
+use crate::fault::{Fault, Kind};
+use crate::index;
+use crate::merge::FacetAsk;
+use crate::record::Schema;
+use crate::sort::{self, SortKey};
+use std::collections::BTreeMap;
+
+/// The parameters that are understood, the versions that have each (1.1, 1.2, 2.0), and what each is for: requests are
+/// checked by it, and it is what `describe openapi` prints.
+pub const PARAMETERS: &[(&str, [bool; 3], &str)] = &[
+    ("operation", [true, true, true], "searchRetrieve, scan or explain"),
+    ("version", [true, true, true], "1.1, 1.2 or 2.0"),
+    ("query", [true, true, true], "The search, in CQL"),
+    ("queryType", [false, false, true], "cql"),
+    ("startRecord", [true, true, true], "Position of the first record, from 1"),
+    ("maximumRecords", [true, true, true], "The most records that are wanted"),
+    ("recordSchema", [true, true, true], "dc, mods or marcxml, by short name or identifier"),
+    ("recordPacking", [true, true, true], "xml or string; in 2.0 packed or unpacked"),
+    ("recordXMLEscaping", [false, false, true], "xml or string"),
+    ("resultSetTTL", [true, true, true], "Seconds that the result set is wanted for"),
+    ("sortKeys", [true, true, true], "path,schema,ascending,caseSensitive,missingValue, by spaces"),
+    ("stylesheet", [true, true, true], "A style sheet for the response"),
+    ("renderedBy", [false, false, true], "client"),
+    ("httpAccept", [false, false, true], "application/sru+xml or text/xml"),
+    ("responseType", [false, false, true], "As httpAccept"),
+    ("responseFormat", [false, false, true], "As httpAccept"),
+    ("facetLimit", [false, false, true], "Values of facets: number:index, by commas"),
+    ("facetSort", [false, false, true], "recordCount"),
+    ("facetStart", [false, false, true], "1"),
+    ("facetCount", [false, false, true], "Whether counts are wanted"),
+    ("scanClause", [true, true, true], "The index and the starting point of a scan, in CQL"),
+    ("responsePosition", [true, true, true], "Where the starting point stands in a scan's list"),
+    ("maximumTerms", [true, true, true], "The most terms that are wanted"),
+    ("extraRequestData", [true, true, true], "Passed over"),
+    ("recordXPath", [true, true, false], "Refused"),
+];
+
+/// What bounds a request.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestBounds {
+    /// Nesting of a query.
+    pub depth: usize,
+    /// Records of one page.
+    pub page: u64,
+    /// Terms of one scan.
+    pub terms: u32,
+    /// Sort keys.
+    pub sort_keys: usize,
+    /// Values of one facet.
+    pub facet_values: u32,
+    /// Facets.
+    pub facets: usize,
+}
+
+/// How a response is written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Form {
+    /// The version.
+    pub version: Version,
+    /// The operation.
+    pub operation: Operation,
+    /// Records as text in place of XML.
+    pub as_text: bool,
+    /// The schema of records.
+    pub schema: Schema,
+    /// A style sheet.
+    pub stylesheet: Option<String>,
+    /// Inside a SOAP envelope.
+    pub soap: bool,
+    /// `application/sru+xml` was asked for by name.
+    pub sru_xml: bool,
+}
+
+/// What is searched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SearchRequest {
+    /// The search and its order.
+    pub query: Query,
+    /// The first position.
+    pub start: u64,
+    /// How many records.
+    pub most: u64,
+    /// How long the set is wanted, in seconds.
+    pub ttl: Option<u64>,
+    /// Facets that are wanted.
+    pub facets: Vec<FacetAsk>,
+}
+
+/// What is scanned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScanRequest {
+    /// The index, and where the list starts.
+    pub clause: Clause,
+    /// Where that stands in the list, from 1.
+    pub position: u32,
+    /// How many terms.
+    pub number: u32,
+}
+
+/// A request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Request {
+    /// A search.
+    Search(SearchRequest),
+    /// A scan.
+    Scan(ScanRequest),
+    /// What is offered.
+    Explain,
+}
+
+/// A request that cannot be served, and how to say so.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refused {
+    /// How the response is written.
+    pub form: Form,
+    /// What is wrong.
+    pub fault: Fault,
+    /// The status of the response.
+    pub status: u16,
+}
+
+/// The parameters of a URL's query or of a form; a name given twice keeps its first value.
+pub fn parameters(query: &str) -> BTreeMap<String, String> {
+    let mut given = BTreeMap::new();
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+        given.entry(unescape(name)).or_insert_with(|| unescape(value));
+    }
+    given
+}
+
+fn unescape(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let hex = |b: u8| char::from(b).to_digit(16);
+        match bytes[at..] {
+            [b'%', high, low, ..] if hex(high).is_some() && hex(low).is_some() => {
+                out.push((hex(high).unwrap_or(0) * 16 + hex(low).unwrap_or(0)) as u8);
+                at += 3;
+            }
+            [b'+', ..] => {
+                out.push(b' ');
+                at += 1;
+            }
+            [byte, ..] => {
+                out.push(byte);
+                at += 1;
+            }
+            [] => break,
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+/// A text as a URL has it.
+pub fn percent(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            out.push(char::from(byte));
+        } else {
+            out.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    out
+}
+
+struct Reader<'a> {
+    given: &'a BTreeMap<String, String>,
+    bounds: &'a RequestBounds,
+    version: Version,
+}
+
+impl Reader<'_> {
+    fn get(&self, name: &str) -> Option<&str> {
+        self.given.get(name).map(String::as_str)
+    }
+
+    fn number(&self, name: &str, least: u64, absent: u64) -> Result<u64, Fault> {
+        match self.get(name) {
+            Some(text) => {
+                text.trim().parse().ok().filter(|n| *n >= least).ok_or_else(|| Kind::VALUE.of(name))
+            }
+            None => Ok(absent),
+        }
+    }
+
+    fn one_of(&self, name: &str, known: &[&str]) -> Result<(), Fault> {
+        match self.get(name) {
+            Some(value) if !known.contains(&value) => {
+                Err(Kind::VALUE.of(format!("{name}: {}", known.join(" or "))))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Every parameter must be one of the version's own, or an extension.
+    fn check_names(&self) -> Result<(), Fault> {
+        for name in self.given.keys() {
+            let known = PARAMETERS.iter().find(|(known, ..)| known == name);
+            match known {
+                _ if name == "recordXPath" => return Err(Kind::XPATH.of("")),
+                Some((_, versions, _)) if versions[self.version as usize] => {}
+                // Extensions may be passed over by a server that does not know them.
+                None if name.starts_with("x-") => {}
+                _ => return Err(Kind::PARAMETER.of(name.as_str())),
+            }
+        }
+        Ok(())
+    }
+
+    fn form(&self, form: &mut Form) -> Result<(), Fault> {
+        if let Some(name) = self.get("recordSchema").filter(|n| !n.is_empty()) {
+            form.schema = Schema::named(name).ok_or_else(|| Kind::SCHEMA.of(name))?;
+        }
+        // Version 2.0 gave the old name another meaning.
+        if self.version == Version::V20 {
+            self.one_of("recordPacking", &["packed", "unpacked", "xml", "string"])?;
+        }
+        form.as_text = match self.get(self.version.packing()) {
+            None | Some("xml") => false,
+            Some("string") => true,
+            Some(other) => return Err(Kind::PACKING.of(other)),
+        };
+        for name in ["httpAccept", "responseType", "responseFormat"] {
+            if let Some(wanted) = self.get(name) {
+                form.sru_xml |= accepts(wanted).ok_or_else(|| Kind::VALUE.of(format!("{name}: {wanted}")))?;
+            }
+        }
+        if let Some(sheet) = self.get("stylesheet").filter(|s| !s.is_empty()) {
+            // It stands in a processing instruction, which its end must not close.
+            if sheet.contains("?>") || sheet.contains(['"', '<', '\n', '\r']) {
+                return Err(Kind::VALUE.of("stylesheet"));
+            }
+            self.one_of("renderedBy", &["client"])?;
+            form.stylesheet = Some(sheet.to_owned());
+        }
+        Ok(())
+    }
+
+    fn sort(&self, query: &Query) -> Result<Vec<SortKey>, Fault> {
+        match self.get("sortKeys").filter(|k| !k.trim().is_empty()) {
+            // Of the two ways to say it the query's own counts (1.2, "sortKeys").
+            Some(keys) if query.sort.is_empty() => sort::read_sort_keys(keys, self.bounds.sort_keys),
+            _ => Ok(query.sort.clone()),
+        }
+    }
+
+    fn search(&self) -> Result<SearchRequest, Fault> {
+        self.one_of("queryType", &["cql"])?;
+        let text = self.get("query").ok_or_else(|| Kind::MISSING.of("query"))?;
+        let query = cql::parse(text, self.bounds.depth)?;
+        let sort = self.sort(&query)?;
+        if sort.len() > self.bounds.sort_keys {
+            return Err(Kind::SORT_KEYS.of(self.bounds.sort_keys.to_string()));
+        }
+        let ttl = self.get("resultSetTTL").map(|_| self.number("resultSetTTL", 0, 0)).transpose()?;
+        Ok(SearchRequest {
+            query: Query { sort, ..query },
+            start: self.number("startRecord", 1, 1)?,
+            most: self.number("maximumRecords", 0, 10)?.min(self.bounds.page),
+            ttl,
+            facets: self.facets()?,
+        })
+    }
+
+    /// `facetLimit` (2.0, "Facet Parameters"): `10:dc.subject,5:dc.date`; a bare number is for every facet, and there
+    /// are none by default.
+    fn facets(&self) -> Result<Vec<FacetAsk>, Fault> {
+        let Some(limits) = self.get("facetLimit") else { return Ok(Vec::new()) };
+        self.one_of("facetSort", &["recordCount"])?;
+        self.one_of("facetStart", &["1"])?;
+        let mut asks = Vec::new();
+        for part in limits.split(',').filter(|p| !p.trim().is_empty()) {
+            let bad = || Kind::VALUE.of(format!("facetLimit: {part}"));
+            let (limit, name) = part.split_once(':').ok_or_else(bad)?;
+            let limit: u32 = limit.trim().parse().map_err(|_| bad())?;
+            let index = index::by_name(name.trim()).ok_or_else(|| Kind::INDEX.of(name.trim()))?;
+            asks.push(FacetAsk { index: index.name.to_owned(), limit: limit.min(self.bounds.facet_values) });
+        }
+        if asks.len() > self.bounds.facets {
+            return Err(Kind::VALUE.of(format!("facetLimit: {} facets at most", self.bounds.facets)));
+        }
+        Ok(asks)
+    }
+
+    fn scan(&self) -> Result<ScanRequest, Fault> {
+        let text = self.get("scanClause").ok_or_else(|| Kind::MISSING.of("scanClause"))?;
+        let query = cql::parse(text, 2)?;
+        let Node::Clause(clause) = query.root else {
+            return Err(Kind::SYNTAX.of("scanClause is one index and one term"));
+        };
+        if !query.sort.is_empty() || !clause.index.scan {
+            return Err(Kind::INDEX.of(clause.index.name));
+        }
+        if !matches!(clause.relation, Relation::Equal | Relation::Exact) {
+            return Err(Kind::RELATION.of(clause.relation.name()));
+        }
+        let number = self.number("maximumTerms", 1, 20)?;
+        let number = u32::try_from(number).unwrap_or(u32::MAX).min(self.bounds.terms);
+        let position = self.number("responsePosition", 0, 1)?;
+        if position > u64::from(number) + 1 {
+            return Err(Kind::SCAN_POSITION.of(position.to_string()));
+        }
+        Ok(ScanRequest { clause, position: position as u32, number })
+    }
+}
+
+/// Whether one of the media types can be given, and whether it is SRU's own.
+fn accepts(list: &str) -> Option<bool> {
+    let types = || list.split(',').map(|t| t.split(';').next().unwrap_or_default().trim());
+    if types().any(|t| t == "application/sru+xml") {
+        return Some(true);
+    }
+    let plain = ["*/*", "text/*", "text/xml", "application/xml", "application/*", "text/html", ""];
+    types().any(|t| plain.contains(&t)).then_some(false)
+}
+
+/// Reads a request. `named` is an operation that its place tells, as SOAP does; `accept` the client's header.
+pub fn read(
+    given: &BTreeMap<String, String>,
+    named: Option<Operation>,
+    accept: Option<&str>,
+    bounds: &RequestBounds,
+) -> Result<(Form, Request), Box<Refused>> {
+    let word = given.get("operation").map(String::as_str);
+    let guess = match (named, word) {
+        (Some(operation), _) => Some(operation),
+        (None, Some(word)) => OPERATIONS.iter().find(|(known, _)| *known == word).map(|(_, o)| *o),
+        (None, None) if given.contains_key("query") => Some(Operation::SearchRetrieve),
+        (None, None) if given.contains_key("scanClause") => Some(Operation::Scan),
+        (None, None) => Some(Operation::Explain),
+    };
+    let asked = given.get("version").map(String::as_str);
+    let version = match asked {
+        Some(name) => Version::named(name),
+        // Before 2.0 an operation had to be named.
+        None if word.is_some() || named.is_some() => Some(Version::V12),
+        None => Some(Version::V20),
+    };
+    let mut form = Form {
+        version: version.unwrap_or(Version::V12),
+        operation: guess.unwrap_or(Operation::SearchRetrieve),
+        as_text: false,
+        schema: Schema::Dc,
+        stylesheet: None,
+        soap: named.is_some(),
+        sru_xml: false,
+    };
+    let refuse = |form: &Form, fault: Fault, status| Box::new(Refused { form: form.clone(), fault, status });
+    let Some(version) = version else {
+        let fault = Kind::VERSION.of(format!("{}; the highest here is 2.0", asked.unwrap_or_default()));
+        return Err(refuse(&form, fault, 200));
+    };
+    let Some(operation) = guess else {
+        return Err(refuse(&form, Kind::OPERATION.of(word.unwrap_or_default()), 200));
+    };
+    let reader = Reader { given, bounds, version };
+    // Only 2.0 lets the header choose; browsers send it to older ones without meaning it.
+    if version == Version::V20 && !given.contains_key("httpAccept") {
+        match accept.map(accepts) {
+            Some(None) => return Err(refuse(&form, Kind::VALUE.of("Accept"), 406)),
+            Some(Some(own)) => form.sru_xml |= own,
+            None => {}
+        }
+    }
+    let read = reader.check_names().and_then(|()| reader.form(&mut form)).and_then(|()| match operation {
+        Operation::SearchRetrieve => reader.search().map(Request::Search),
+        Operation::Scan => reader.scan().map(Request::Scan),
+        Operation::Explain => Ok(Request::Explain),
+    });
+    match read {
+        Ok(request) => Ok((form, request)),
+        Err(fault) => Err(refuse(&form, fault, 200)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BOUNDS: RequestBounds =
+        RequestBounds { depth: 8, page: 50, terms: 100, sort_keys: 4, facet_values: 50, facets: 4 };
+
+    fn say(query: &str) -> String {
+        match read(&parameters(query), None, None, &BOUNDS) {
+            Ok((form, Request::Search(s))) => format!(
+                "{} search {} from {} at most {} ttl {:?} facets {} text {} schema {:?}",
+                form.version.name(),
+                s.query,
+                s.start,
+                s.most,
+                s.ttl,
+                s.facets.len(),
+                form.as_text,
+                form.schema
+            ),
+            Ok((form, Request::Scan(s))) => {
+                format!(
+                    "{} scan {} @{} of {}",
+                    form.version.name(),
+                    Node::Clause(s.clause),
+                    s.position,
+                    s.number
+                )
+            }
+            Ok((form, Request::Explain)) => format!("{} explain", form.version.name()),
+            Err(refused) => {
+                format!("{} {}: {}", refused.form.version.name(), refused.fault.kind.sru, refused.fault)
+            }
+        }
+    }
+
+    #[test]
+    fn each_version_has_its_own_parameters_and_every_fault_its_number() {
+        let cases = [
+            "",
+            "query=moon",
+            "version=1.1&operation=searchRetrieve&query=moon&maximumRecords=900&recordPacking=string",
+            "version=1.2&operation=searchRetrieve&query=moon+sortBy+title&sortKeys=date",
+            "version=1.1&operation=searchRetrieve&query=moon&sortKeys=title,,0&resultSetTTL=30&recordSchema=mods",
+            "query=a&facetLimit=10:dc.subject,5:date&recordXMLEscaping=string&httpAccept=application/sru%2bxml",
+            "version=1.1&operation=searchRetrieve&query=a&facetLimit=10:dc.subject",
+            "version=1.1&operation=searchRetrieve&query=a&queryType=cql",
+            "query=a&queryType=searchTerms",
+            "query=a&recordPacking=unpacked",
+            "version=1.2&operation=searchRetrieve&query=a&recordPacking=packed",
+            "version=1.2&operation=scan&scanClause=title%3Dmoon&maximumTerms=5&responsePosition=6",
+            "version=1.2&operation=scan&scanClause=title%3Dmoon&maximumTerms=5&responsePosition=7",
+            "version=1.2&operation=scan&scanClause=title%3Ca",
+            "version=1.2&operation=scan&scanClause=a+and+b",
+            "version=1.2&operation=scan",
+            "version=1.2&operation=dance",
+            "version=3.0&query=a",
+            "version=1.1&operation=searchRetrieve",
+            "query=a&startRecord=0",
+            "query=a&maximumRecords=-1",
+            "query=a&recordSchema=marc21",
+            "query=a&httpAccept=image/png",
+            "query=a&colour=red",
+            "query=a&x-colour=red",
+            "query=a&stylesheet=%3F%3E",
+            "version=1.1&operation=searchRetrieve&query=a&recordXPath=/a",
+        ];
+        let said: Vec<String> = cases.iter().map(|case| format!("{case}\n  {}", say(case))).collect();
+        insta::assert_snapshot!(said.join("\n"));
+    }
+
+    #[test]
+    fn a_header_that_takes_nothing_here_is_refused_in_the_version_that_has_it() {
+        let given = parameters("query=a");
+        assert_eq!(read(&given, None, Some("image/png"), &BOUNDS).map_err(|r| r.status).err(), Some(406));
+        let (form, _) = read(&given, None, Some("application/sru+xml, */*"), &BOUNDS).unwrap();
+        assert!(form.sru_xml);
+        assert!(
+            read(
+                &parameters("version=1.1&operation=searchRetrieve&query=a"),
+                None,
+                Some("image/png"),
+                &BOUNDS
+            )
+            .is_ok()
+        );
+    }
+
+    #[test]
+    fn text_comes_back_from_a_url_as_it_was() {
+        for text in ["a b", "ü=&+%", "\"x\" and y"] {
+            assert_eq!(parameters(&format!("query={}", percent(text)))["query"], text);
+        }
+        assert_eq!(unescape("%zz%4"), "%zz%4", "what is no escape stays");
+    }
+}
--- /dev/null
+++ b/catalogue/src/sru/soap.rs
@@ -0,0 +1,77 @@
+//! SRU over SOAP 1.1 (the former SRW): requests in an envelope's body, responses in another's.
+
+use super::Operation;
+use crate::escape;
+use crate::record::tree::{self, Element};
+use std::collections::BTreeMap;
+
+/// The envelope's namespace.
+const NAMESPACE: &str = "http://schemas.xmlsoap.org/soap/envelope/";
+
+/// Puts a response into an envelope.
+pub fn wrap(response: &str) -> String {
+    format!(
+        "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<SOAP:Envelope xmlns:SOAP=\"{NAMESPACE}\"><SOAP:Body>\
+         {response}</SOAP:Body></SOAP:Envelope>"
+    )
+}
+
+/// What a client that sent no request is told.
+pub fn fault(code: &str, words: &str) -> String {
+    wrap(&format!(
+        "<SOAP:Fault><faultcode>SOAP:{code}</faultcode><faultstring>{}</faultstring></SOAP:Fault>",
+        escape(words)
+    ))
+}
+
+/// Reads an envelope: the operation, and its parameters by name.
+pub fn read(body: &str) -> Result<(Operation, BTreeMap<String, String>), String> {
+    let root = tree::read(body).map_err(|problem| problem.to_string())?;
+    let namespace = tree::root(body).map(|(_, namespace)| namespace);
+    if root.name != "Envelope" || namespace.as_deref() != Some(NAMESPACE) {
+        return Err("no envelope of SOAP 1.1".to_owned());
+    }
+    // A header that must be understood is not.
+    let must = |e: &Element| e.attribute("mustUnderstand").is_some_and(|v| v == "1" || v == "true");
+    if root.all("Header").flat_map(|h| &h.children).any(must) {
+        return Err("a header that must be understood".to_owned());
+    }
+    let request = root.all("Body").next().and_then(|b| b.children.first()).ok_or("an empty body")?;
+    let operation = match request.name.as_str() {
+        "searchRetrieveRequest" => Operation::SearchRetrieve,
+        "scanRequest" => Operation::Scan,
+        "explainRequest" => Operation::Explain,
+        other => return Err(format!("no request: {other}")),
+    };
+    let mut given = BTreeMap::new();
+    for parameter in &request.children {
+        given.entry(parameter.name.clone()).or_insert_with(|| parameter.text.clone());
+    }
+    Ok((operation, given))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_are_read_from_envelopes_of_this_version_alone() {
+        let envelope = |namespace: &str, inner: &str| {
+            format!("<s:Envelope xmlns:s=\"{namespace}\"><s:Body>{inner}</s:Body></s:Envelope>")
+        };
+        let inner =
+            "<z:searchRetrieveRequest xmlns:z=\"x\"><z:query>a &amp; b</z:query></z:searchRetrieveRequest>";
+        let (operation, given) = read(&envelope(NAMESPACE, inner)).unwrap();
+        assert_eq!((operation, given["query"].as_str()), (Operation::SearchRetrieve, "a & b"));
+        for bad in [
+            envelope("http://www.w3.org/2003/05/soap-envelope", inner),
+            envelope(NAMESPACE, ""),
+            envelope(NAMESPACE, "<dance/>"),
+            inner.to_owned(),
+            "<a".to_owned(),
+            "<a>".repeat(1000),
+        ] {
+            assert!(read(&bad).is_err(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/catalogue/src/sru/xml.rs
@@ -0,0 +1,333 @@
+//! Responses of index hosts, read whatever their version, prefixes and packing.
+
+use crate::fault::{Fault, Kind};
+use crate::merge::{Facet, Term};
+use crate::record::Record;
+use quick_xml::Writer;
+use quick_xml::events::{BytesStart, Event};
+use quick_xml::reader::Reader;
+
+/// What a response says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReadResponse {
+    /// The root's name.
+    pub root: String,
+    /// `version`, where it is told.
+    pub version: Option<String>,
+    /// `numberOfRecords` of the search.
+    pub hits: Option<u64>,
+    /// The count is one that the host vouches for.
+    pub exact: bool,
+    /// The records, in order; a diagnostic in a record's place is one that has a fault.
+    pub records: Vec<Record>,
+    /// The diagnostics of the whole.
+    pub faults: Vec<Fault>,
+    /// A scan's terms.
+    pub terms: Vec<Term>,
+    /// Facets, where the host counts them.
+    pub facets: Option<Vec<Facet>>,
+}
+
+/// Deeper than any response of the protocol, records apart.
+const DEPTH: usize = 64;
+
+#[derive(Default)]
+struct State {
+    response: ReadResponse,
+    path: Vec<String>,
+    /// Namespace declarations of each open element, for records that rely on them.
+    declared: Vec<Vec<(String, String)>>,
+    fault: Option<(String, String)>,
+    term: Option<Term>,
+    facet: Option<Facet>,
+    facet_term: (String, u64),
+}
+
+/// Reads a response.
+pub fn read_response(text: &str) -> Result<ReadResponse, String> {
+    let mut reader = Reader::from_str(text);
+    let mut state = State::default();
+    state.response.exact = true;
+    let mut current = String::new();
+    loop {
+        match reader.read_event().map_err(|e| e.to_string())? {
+            Event::Start(start) => {
+                current.clear();
+                let name = local(&start);
+                if state.path.is_empty() && state.response.root.is_empty() {
+                    state.response.root.clone_from(&name);
+                }
+                state.declared.push(declarations(&start));
+                if name == "recordData" {
+                    let record = record(&mut reader, &start, &state.declared)?;
+                    state.declared.pop();
+                    state.response.records.push(record);
+                    continue;
+                }
+                if state.path.len() >= DEPTH {
+                    return Err("nested too deep".to_owned());
+                }
+                state.open(&name);
+                state.path.push(name);
+            }
+            Event::Empty(start) if local(&start) == "recordData" => {
+                state.response.records.push(Record::new(String::new()));
+            }
+            Event::End(_) => {
+                let Some(name) = state.path.pop() else {
+                    return Err("an end without its beginning".to_owned());
+                };
+                state.declared.pop();
+                state.close(&name, current.trim())?;
+                current.clear();
+            }
+            Event::Text(text) => current.push_str(&text.decode().map_err(|e| e.to_string())?),
+            Event::CData(text) => current.push_str(&text.decode().map_err(|e| e.to_string())?),
+            Event::GeneralRef(reference) => current.push_str(&resolve(&reference)?),
+            Event::Eof => break,
+            _ => {}
+        }
+    }
+    if !state.path.is_empty() || state.response.root.is_empty() {
+        return Err("the response is not whole".to_owned());
+    }
+    Ok(state.response)
+}
+
+impl State {
+    fn open(&mut self, name: &str) {
+        match name {
+            "diagnostic" => self.fault = Some(Default::default()),
+            "term" if self.facet.is_none() => {
+                self.term = Some(Term { text: String::new(), display: None, count: 0 })
+            }
+            "facet" => self.facet = Some(Facet { index: String::new(), values: Vec::new() }),
+            "facetedResults" => {
+                self.response.facets.get_or_insert_default();
+            }
+            _ => {}
+        }
+    }
+
+    fn close(&mut self, name: &str, text: &str) -> Result<(), String> {
+        let parent = self.path.last().map_or("", String::as_str);
+        let number = |text: &str| text.parse::<u64>().map_err(|_| format!("{name} is no number"));
+        match (name, parent) {
+            ("uri", "diagnostic") => {
+                if let Some(fault) = &mut self.fault {
+                    text.clone_into(&mut fault.0);
+                }
+            }
+            ("details", "diagnostic") => {
+                if let Some(fault) = &mut self.fault {
+                    text.clone_into(&mut fault.1);
+                }
+            }
+            ("diagnostic", _) => {
+                if let Some((uri, details)) = self.fault.take() {
+                    self.response.faults.push(fault(&uri, &details));
+                }
+            }
+            ("numberOfRecords", "term") => {
+                if let Some(term) = &mut self.term {
+                    term.count = number(text)?;
+                }
+            }
+            ("value", "term") => {
+                if let Some(term) = &mut self.term {
+                    text.clone_into(&mut term.text);
+                }
+            }
+            ("displayTerm", "term") => {
+                if let Some(term) = &mut self.term {
+                    term.display = Some(text.to_owned());
+                }
+            }
+            ("actualTerm", "term") => text.clone_into(&mut self.facet_term.0),
+            ("count", "term") => self.facet_term.1 = number(text)?,
+            ("term", _) => match &mut self.facet {
+                Some(facet) => facet.values.push(std::mem::take(&mut self.facet_term)),
+                None => self.response.terms.extend(self.term.take()),
+            },
+            ("index", "facet") => {
+                if let Some(facet) = &mut self.facet {
+                    let known = crate::index::by_name(text);
+                    facet.index = known.map_or(text.to_owned(), |i| i.name.to_owned());
+                }
+            }
+            ("facet", _) => {
+                if let (Some(facet), Some(all)) = (self.facet.take(), &mut self.response.facets) {
+                    all.push(facet);
+                }
+            }
+            ("numberOfRecords", _) => self.response.hits = Some(number(text)?),
+            ("version", root) if self.path.len() == 1 && root == self.response.root => {
+                self.response.version = Some(text.to_owned());
+            }
+            ("resultCountPrecision", _) => self.response.exact = text.ends_with("/exact"),
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+/// A diagnostic by its identifier; one of another set is a general fault.
+fn fault(uri: &str, details: &str) -> Fault {
+    let number = uri.strip_prefix("info:srw/diagnostic/1/").and_then(|n| n.parse().ok());
+    match number {
+        Some(number) => Kind::from_sru(number).of(details),
+        None => Kind::GENERAL.of(format!("{uri} {details}")),
+    }
+}
+
+fn local(start: &BytesStart<'_>) -> String {
+    String::from_utf8_lossy(start.local_name().as_ref()).into_owned()
+}
+
+fn declarations(start: &BytesStart<'_>) -> Vec<(String, String)> {
+    let declared = |a: quick_xml::events::attributes::Attribute<'_>| {
+        let key = String::from_utf8_lossy(a.key.as_ref()).into_owned();
+        let prefix = key.strip_prefix("xmlns:")?.to_owned();
+        let value = a.normalized_value(quick_xml::XmlVersion::Implicit1_0).ok()?.into_owned();
+        Some((prefix, value))
+    };
+    start.attributes().flatten().filter_map(declared).collect()
+}
+
+fn resolve(reference: &quick_xml::events::BytesRef<'_>) -> Result<String, String> {
+    if let Some(c) = reference.resolve_char_ref().map_err(|e| e.to_string())? {
+        return Ok(c.to_string());
+    }
+    let name = reference.decode().map_err(|e| e.to_string())?;
+    let known = quick_xml::escape::resolve_predefined_entity(&name);
+    known.map(str::to_owned).ok_or_else(|| format!("the entity {name} is not known"))
+}
+
+/// The record inside `recordData`: XML as it stands, or text that is XML.
+fn record(
+    reader: &mut Reader<&[u8]>,
+    start: &BytesStart<'_>,
+    declared: &[Vec<(String, String)>],
+) -> Result<Record, String> {
+    let end = start.to_end().into_owned();
+    let mut writer = Writer::new(Vec::new());
+    let (mut depth, mut elements) = (0usize, 0usize);
+    let mut text = String::new();
+    loop {
+        let mut event = reader.read_event().map_err(|e| e.to_string())?;
+        match &event {
+            Event::End(e) if depth == 0 && e.name() == end.name() => break,
+            Event::End(_) => depth = depth.checked_sub(1).ok_or("an end without its beginning")?,
+            Event::Eof => return Err("recordData is not closed".to_owned()),
+            Event::Text(t) if depth == 0 => text.push_str(&t.decode().map_err(|e| e.to_string())?),
+            Event::CData(t) if depth == 0 => text.push_str(&t.decode().map_err(|e| e.to_string())?),
+            Event::GeneralRef(r) if depth == 0 => text.push_str(&resolve(r)?),
+            _ => {}
+        }
+        if let Event::Start(e) | Event::Empty(e) = &mut event {
+            elements += 1;
+            // Prefixes that were declared outside go with the record.
+            if depth == 0 {
+                let own: Vec<String> = declarations(e).into_iter().map(|(prefix, _)| prefix).collect();
+                let mut seen = own;
+                for (prefix, uri) in declared.iter().rev().flatten() {
+                    if !seen.contains(prefix) {
+                        e.push_attribute((format!("xmlns:{prefix}").as_str(), uri.as_str()));
+                        seen.push(prefix.clone());
+                    }
+                }
+            }
+        }
+        if matches!(event, Event::Start(_)) {
+            depth += 1;
+        }
+        if elements > 0 {
+            writer.write_event(event).map_err(|e| e.to_string())?;
+        }
+    }
+    if elements == 0 {
+        return Ok(Record::new(text.trim().to_owned()));
+    }
+    let xml = String::from_utf8(writer.into_inner()).map_err(|e| e.to_string())?;
+    let xml = without_idle_declarations(xml.trim(), declared);
+    // A diagnostic in the record's place.
+    if let Some((name, _)) = crate::record::tree::root(&xml)
+        && name == "diagnostic"
+        && let Ok(root) = crate::record::tree::read(&xml)
+    {
+        let of = |name: &str| root.find(name).map(|e| e.text.clone()).unwrap_or_default();
+        return Ok(Record { fault: Some(fault(&of("uri"), &of("details"))), ..Record::new(xml) });
+    }
+    Ok(Record::new(xml))
+}
+
+/// Takes off declarations that came from outside and that the record does not use.
+fn without_idle_declarations(xml: &str, declared: &[Vec<(String, String)>]) -> String {
+    let mut out = xml.to_owned();
+    for (prefix, uri) in declared.iter().flatten() {
+        let used = out.contains(&format!("<{prefix}:")) || out.contains(&format!(" {prefix}:"));
+        if !used {
+            out = out.replacen(&format!(" xmlns:{prefix}=\"{}\"", crate::escape(uri)), "", 1);
+        }
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn responses_of_every_kind_are_read() {
+        let said = read_response(
+            "<?xml version=\"1.0\"?><z:searchRetrieveResponse xmlns:z=\"http://www.loc.gov/zing/srw/\" \
+             xmlns:dc=\"http://purl.org/dc/elements/1.1/\"><z:version>1.1</z:version>\
+             <z:numberOfRecords>7</z:numberOfRecords><z:records><z:record><z:recordData>\
+             <dc:dc><dc:title>A &amp; B</dc:title></dc:dc></z:recordData></z:record>\
+             <z:record><z:recordData>&lt;dc&gt;&lt;title&gt;C&lt;/title&gt;&lt;/dc&gt;</z:recordData></z:record>\
+             <z:record><z:recordData><d:diagnostic xmlns:d=\"x\"><d:uri>info:srw/diagnostic/1/67</d:uri>\
+             </d:diagnostic></z:recordData></z:record></z:records><z:diagnostics><d:diagnostic xmlns:d=\"x\">\
+             <d:uri>info:srw/diagnostic/1/59</d:uri><d:details>half</d:details></d:diagnostic></z:diagnostics>\
+             </z:searchRetrieveResponse>",
+        )
+        .unwrap();
+        assert_eq!((said.hits, said.exact, said.version.as_deref()), (Some(7), true, Some("1.1")));
+        let titles: Vec<Option<String>> = said.records.iter().map(|r| r.value("dc.title")).collect();
+        assert_eq!(titles, [Some("A & B".into()), Some("C".into()), None]);
+        assert!(
+            said.records[0].xml.contains("xmlns:dc=") && !said.records[0].xml.contains("xmlns:z"),
+            "{:?}",
+            said.records[0]
+        );
+        assert_eq!(said.records[2].fault.as_ref().map(|f| f.kind.sru), Some(67));
+        assert_eq!(said.faults, [Kind::PARTIAL.of("half")]);
+
+        let said = read_response(
+            "<scanResponse><terms><term><value>moon</value><numberOfRecords>3</numberOfRecords>\
+             <displayTerm>Moon</displayTerm></term></terms></scanResponse>",
+        )
+        .unwrap();
+        assert_eq!(said.terms, [Term { text: "moon".into(), display: Some("Moon".into()), count: 3 }]);
+
+        let said = read_response(
+            "<searchRetrieveResponse><numberOfRecords>2</numberOfRecords><resultCountPrecision>\
+             info:srw/vocabulary/resultCountPrecision/1/minimum</resultCountPrecision><facetedResults><facets>\
+             <facet><index>subject</index><terms><term><actualTerm>moon</actualTerm><count>2</count></term></terms>\
+             </facet></facets></facetedResults></searchRetrieveResponse>",
+        )
+        .unwrap();
+        let facet = Facet { index: "dc.subject".into(), values: vec![("moon".into(), 2)] };
+        assert_eq!((said.exact, said.facets), (false, Some(vec![facet])));
+    }
+
+    #[test]
+    fn what_is_cut_short_or_no_number_is_no_response() {
+        let whole = "<r><numberOfRecords>7</numberOfRecords><records><record><recordData><a/></recordData></record></records></r>";
+        for cut in 0..whole.len() {
+            assert!(read_response(&whole[..cut]).is_err(), "{}", &whole[..cut]);
+        }
+        assert!(read_response(whole).is_ok());
+        assert!(read_response("<r><numberOfRecords>many</numberOfRecords></r>").is_err());
+        assert!(read_response(&"<a>".repeat(1000)).is_err());
+    }
+}
--- /dev/null
+++ b/catalogue/src/z3950/records.rs
@@ -0,0 +1,262 @@
+//! Records in responses (NamePlusRecord), and their division into segments (section 3.3).
+
+use super::{Fault, tag, write_fault};
+use crate::ber::{Class, Item, Writer, universal};
+use crate::record::{Record, RecordError, Schema, Syntax};
+
+/// One record, ready to be sent: its bytes, or why there are none.
+pub type Ready = Result<Vec<u8>, Fault>;
+
+fn external(w: &mut Writer, syntax: Syntax, bytes: &[u8]) {
+    w.inside_universal(universal::EXTERNAL, |external| {
+        external.oid(syntax.oid());
+        match syntax {
+            // Types of ASN.1 stand as they are, everything else as bytes.
+            Syntax::Grs1 => external.inside(0, |single| single.raw(bytes)),
+            Syntax::Sutrs => external.inside(0, |single| single.universal(universal::GENERAL, bytes)),
+            _ => external.bytes(1, bytes),
+        }
+    });
+}
+
+/// How a record stands in a list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Piece {
+    Whole = 1,
+    First = 3,
+    Middle = 4,
+    Last = 5,
+}
+
+fn entry(database: &str, piece: Piece, syntax: Syntax, record: &Ready) -> Vec<u8> {
+    let mut w = Writer::default();
+    w.inside_universal(universal::SEQUENCE, |named| {
+        named.bytes(0, database.as_bytes());
+        named.inside(1, |choice| match (record, piece) {
+            (Ok(bytes), Piece::Whole) => choice.inside(1, |retrieval| external(retrieval, syntax, bytes)),
+            // A fragment is bytes and no record: notExternallyTagged.
+            (Ok(bytes), piece) => choice.inside(piece as u32, |f| f.bytes(0, bytes)),
+            (Err(fault), _) => choice.inside(2, |surrogate| {
+                surrogate.inside_universal(universal::SEQUENCE, |d| write_fault(d, fault));
+            }),
+        });
+    });
+    w.finish()
+}
+
+/// What a client takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// Bytes of a message's records.
+    pub preferred: usize,
+    /// Bytes of the one record that may be longer.
+    pub exceptional: usize,
+    /// 0 for none, 1 for whole records in several messages, 2 for parts of records too.
+    pub segmentation: u8,
+}
+
+/// Records as they are sent.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Divided {
+    /// The segments before the response: records in each, and their bytes.
+    pub segments: Vec<(usize, Vec<u8>)>,
+    /// The records of the response itself.
+    pub last: (usize, Vec<u8>),
+    /// How many records these are.
+    pub delivered: usize,
+    /// Some would not fit.
+    pub short: bool,
+}
+
+/// Divides records into messages; `most` bytes are sent in all.
+pub fn divide(database: &str, syntax: Syntax, records: Vec<Ready>, room: Room, most: usize) -> Divided {
+    use crate::fault::Kind;
+    let mut out = Divided::default();
+    let (mut open, mut spent): ((usize, Vec<u8>), usize) = ((0, Vec::new()), 0);
+    for mut record in records {
+        let mut bytes = entry(database, Piece::Whole, syntax, &record);
+        if bytes.len() > room.preferred && room.segmentation < 2 {
+            // Alone in its message it may be as long as the exceptional size.
+            if bytes.len() > room.exceptional {
+                record = Err(Kind::RECORD_TOO_LONG.of(bytes.len().to_string()));
+                bytes = entry(database, Piece::Whole, syntax, &record);
+            } else if room.segmentation == 0 && open.0 > 0 {
+                record = Err(Kind::RECORD_OVER_MESSAGE.of(bytes.len().to_string()));
+                bytes = entry(database, Piece::Whole, syntax, &record);
+            }
+        }
+        if spent + bytes.len() > most {
+            out.short = true;
+            break;
+        }
+        spent += bytes.len();
+        let fits = open.1.len() + bytes.len() <= room.preferred;
+        if !fits && room.segmentation == 0 && open.0 > 0 {
+            out.short = true;
+            break;
+        }
+        if !fits && open.0 > 0 {
+            out.segments.push(std::mem::take(&mut open));
+        }
+        if let (Ok(whole), 2) = (&record, room.segmentation)
+            && bytes.len() > room.preferred
+        {
+            // Parts travel one a message; the last of them stays open for what follows.
+            let step = room.preferred.saturating_sub(64 + database.len()).max(256);
+            let pieces: Vec<&[u8]> = whole.chunks(step).collect();
+            let count = pieces.len();
+            for (at, piece) in pieces.into_iter().enumerate() {
+                let kind = match at {
+                    0 if count > 1 => Piece::First,
+                    _ if at + 1 < count => Piece::Middle,
+                    _ if count > 1 => Piece::Last,
+                    _ => Piece::Whole,
+                };
+                let part = entry(database, kind, syntax, &Ok(piece.to_vec()));
+                if at + 1 < count {
+                    out.segments.push((1, part));
+                } else {
+                    open = (1, part);
+                }
+            }
+        } else {
+            open.0 += 1;
+            open.1.extend(bytes);
+        }
+        out.delivered += 1;
+    }
+    out.last = open;
+    out
+}
+
+/// A segment (section 3.2.3.2).
+pub fn segment(reference: Option<&[u8]>, count: usize, bytes: &[u8]) -> Vec<u8> {
+    super::unit(tag::SEGMENT, reference, |w| {
+        w.integer(tag::RETURNED, count as i64);
+        w.inside(0, |list| list.raw(bytes));
+    })
+}
+
+/// The records in a response.
+pub fn write(w: &mut Writer, bytes: &[u8]) {
+    if !bytes.is_empty() {
+        w.inside(tag::RECORDS, |list| list.raw(bytes));
+    }
+}
+
+/// Records of a database in one piece, as a server without limits writes them.
+pub fn write_all(w: &mut Writer, database: &str, syntax: Syntax, records: &[Vec<u8>]) {
+    let all: Vec<u8> =
+        records.iter().flat_map(|r| entry(database, Piece::Whole, syntax, &Ok(r.clone()))).collect();
+    write(w, &all);
+}
+
+/// A record of a response, or the diagnostic in its place.
+pub type Given = Result<Record, Fault>;
+
+/// The records of a response or segment. An error for one that makes no sense at all.
+pub fn read(response: &Item, list_tag: u32) -> Result<Vec<Given>, RecordError> {
+    let Some(list) = response.get(list_tag) else { return Ok(Vec::new()) };
+    list.items().iter().map(read_entry).collect()
+}
+
+fn read_entry(named: &Item) -> Result<Given, RecordError> {
+    let choice = named.get(1).ok_or(RecordError::Malformed("no record"))?;
+    if let Some(surrogate) = choice.get(2) {
+        let fault = surrogate.items().first().ok_or(RecordError::Malformed("no diagnostic"))?;
+        return Ok(Err(super::read_fault(fault)));
+    }
+    let external =
+        choice.get(1).and_then(|r| r.items().first()).ok_or(RecordError::Malformed("no record"))?;
+    let oid = external.items().first().and_then(Item::oid).unwrap_or_default();
+    let syntax = Syntax::of_oid(&oid).ok_or(RecordError::Malformed("an unknown syntax"))?;
+    // Some servers wrap bytes as a single type all the same.
+    let bytes = match (external.get(1), external.get(0)) {
+        (Some(octets), _) => octets.bytes(),
+        (None, Some(single)) => {
+            let inner = single.items().first().ok_or(RecordError::Malformed("an empty record"))?;
+            if syntax == Syntax::Grs1 { encode(inner) } else { inner.bytes() }
+        }
+        _ => return Err(RecordError::Malformed("no record")),
+    };
+    Record::from_bytes(syntax, &bytes).map(Ok)
+}
+
+/// A decoded value's bytes again.
+fn encode(item: &Item) -> Vec<u8> {
+    let mut w = Writer::default();
+    w.item(item);
+    w.finish()
+}
+
+/// The schema that an element set name asks for, and whether records are to be brief (section 3.6.2).
+pub fn element_set(name: &str) -> Option<(Schema, bool)> {
+    match name {
+        "F" | "f" => Some((Schema::Dc, false)),
+        "B" | "b" => Some((Schema::Dc, true)),
+        // With XML it is common to name the schema here.
+        other => Schema::named(other).map(|schema| (schema, false)),
+    }
+}
+
+/// Whether an item is an EXTERNAL: what tells a record from a fragment.
+pub fn is_external(item: &Item) -> bool {
+    item.class == Class::Universal && item.tag == universal::EXTERNAL
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ber;
+
+    fn records(sizes: &[usize]) -> Vec<Ready> {
+        sizes.iter().map(|n| Ok(format!("<dc><title>{}</title></dc>", "x".repeat(*n)).into_bytes())).collect()
+    }
+
+    fn read_back(divided: &Divided) -> Vec<Given> {
+        let mut all = Vec::new();
+        for (count, bytes) in divided.segments.iter().chain([&divided.last]) {
+            let item = ber::read(&mut segment(None, *count, bytes), 1 << 24, 16).unwrap().expect("a segment");
+            assert_eq!(item.get(0).map_or(0, |l| l.items().len()), *count);
+            if let Ok(part) = read(&item, 0) {
+                all.extend(part);
+            }
+        }
+        all
+    }
+
+    #[test]
+    fn without_segmentation_only_what_fits_is_sent_and_at_least_one() {
+        let room = Room { preferred: 1000, exceptional: 3000, segmentation: 0 };
+        let divided = divide("d", Syntax::Xml, records(&[300, 300, 300, 300]), room, 1 << 20);
+        assert_eq!((divided.delivered, divided.short, divided.segments.len()), (2, true, 0));
+        // The first may be exceptional, a longer one is said to be too long in its place.
+        let divided = divide("d", Syntax::Xml, records(&[2000, 300]), room, 1 << 20);
+        assert_eq!((divided.delivered, divided.short), (1, true));
+        let divided = divide("d", Syntax::Xml, records(&[4000, 300]), room, 1 << 20);
+        let given = read_back(&divided);
+        assert_eq!((given.len(), given[0].as_ref().map_err(|f| f.kind.bib1).err()), (2, Some(17)));
+        let divided = divide("d", Syntax::Xml, records(&[10, 2000, 10]), room, 1 << 20);
+        assert_eq!(read_back(&divided)[1].as_ref().map_err(|f| f.kind.bib1).err(), Some(16));
+    }
+
+    #[test]
+    fn level_1_sends_all_whole_records_and_level_2_parts_too() {
+        let room = Room { preferred: 1000, exceptional: 3000, segmentation: 1 };
+        let divided = divide("d", Syntax::Xml, records(&[300, 300, 2000, 300, 300, 300]), room, 1 << 20);
+        assert_eq!((divided.delivered, divided.short, read_back(&divided).len()), (6, false, 6));
+        assert!(divided.segments.iter().all(|(_, bytes)| bytes.len() <= 2200));
+        let room = Room { segmentation: 2, ..room };
+        let divided = divide("d", Syntax::Xml, records(&[300, 9000, 300]), room, 1 << 20);
+        assert_eq!((divided.delivered, divided.short), (3, false));
+        assert!(
+            divided.segments.iter().all(|(_, bytes)| bytes.len() <= 1000),
+            "each within the preferred size"
+        );
+        let parts = divided.segments.iter().chain([&divided.last]).filter(|(n, _)| *n == 1).count();
+        assert!(parts >= 10);
+        // Whatever is asked for, no more than the bound is held for one client.
+        let divided = divide("d", Syntax::Xml, records(&[500; 100]), room, 5000);
+        assert!(divided.short && divided.delivered < 10);
+    }
+}
--- /dev/null
+++ b/catalogue/src/z3950/sort.rs
@@ -0,0 +1,183 @@
+//! The Sort service (section 3.2.7).
+
+use super::SetStatus;
+use crate::ber::{Class, Item, Writer, universal};
+use crate::fault::{Fault, Kind};
+use crate::index;
+use crate::rpn;
+use crate::sort::{Missing, SortKey};
+
+/// A sort's status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SortStatus {
+    /// All are in order.
+    Success = 0,
+    /// Slices are missing.
+    Partial = 1,
+    /// Nothing is sorted.
+    Failure = 2,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SortRequest {
+    /// The sets whose records are sorted.
+    pub input: Vec<String>,
+    /// The set that they make.
+    pub output: String,
+    /// By what.
+    pub keys: Vec<SortKey>,
+}
+
+fn malformed(what: &str) -> Fault {
+    Kind::SYNTAX.of(what)
+}
+
+/// Reads a sort request with at most so many keys.
+pub fn read_request(unit: &Item, most: usize) -> Result<SortRequest, Fault> {
+    let input: Option<Vec<String>> =
+        unit.get(3).map(Item::items).unwrap_or_default().iter().map(Item::text).collect();
+    let output =
+        unit.get(4).and_then(Item::text).ok_or_else(|| malformed("no set for the sorted records"))?;
+    let specs = unit.get(5).map(Item::items).unwrap_or_default();
+    if specs.len() > most {
+        return Err(Kind::SORT_KEYS.of(most.to_string()));
+    }
+    let keys = specs.iter().map(read_key).collect::<Result<Vec<_>, _>>()?;
+    if keys.is_empty() {
+        return Err(malformed("no sort key"));
+    }
+    Ok(SortRequest { input: input.ok_or_else(|| malformed("a set's name"))?, output, keys })
+}
+
+fn read_key(spec: &Item) -> Result<SortKey, Fault> {
+    // SortKeySpec: the element, and behind it the relation, the case and what becomes of missing values. The element's
+    // own tag is the relation's too, so that only their order tells them apart.
+    let [element, rest @ ..] = spec.items() else { return Err(malformed("a sort key without its element")) };
+    // SortElement: generic [1], or for each database [2].
+    let generic =
+        Some(element).filter(|e| e.tag == 1).ok_or_else(|| Kind::SORT_KEY.of("a key for each database"))?;
+    let choice = generic.items().first().ok_or_else(|| malformed("an empty sort element"))?;
+    let mut key = match choice.tag {
+        // A field by its name.
+        0 => SortKey::named(&choice.text().unwrap_or_default())?,
+        2 => {
+            let list = choice
+                .items()
+                .iter()
+                .find(|i| matches!(i.tag, 44) || i.tag == universal::SEQUENCE && i.class == Class::Universal);
+            let list = list.ok_or_else(|| malformed("no sort attributes"))?;
+            let number = |i: &Item, tag| i.get(tag).and_then(Item::integer);
+            let wanted = list.items().iter().find(|a| number(a, rpn::tag::TYPE) == Some(1));
+            let value = wanted
+                .and_then(|a| number(a, rpn::tag::VALUE))
+                .ok_or_else(|| Kind::SORT_KEY.of("no use attribute"))?;
+            let index = index::by_use(value)
+                .filter(|i| i.sort)
+                .ok_or_else(|| Kind::SORT_KEY.of(value.to_string()))?;
+            SortKey::by(&index)
+        }
+        other => return Err(Kind::SORT_KEY.of(format!("element specification {other}"))),
+    };
+    let part = |tag| rest.iter().find(|i| i.class == Class::Context && i.tag == tag);
+    let number = |tag| part(tag).and_then(Item::integer);
+    key.ascending = match number(1) {
+        Some(0) | None => true,
+        Some(1) => false,
+        Some(other) => return Err(Kind { bib1: 214, sru: 82 }.of(format!("relation {other}"))),
+    };
+    key.case = number(2) == Some(0);
+    key.missing = match part(3).and_then(|m| m.items().first()) {
+        None => Missing::High,
+        Some(choice) => match choice.tag {
+            1 => Missing::Fail,
+            2 => Missing::High,
+            3 => Missing::Constant(choice.text().unwrap_or_default()),
+            other => return Err(Kind::SORT_MISSING_ACTION.of(other.to_string())),
+        },
+    };
+    Ok(key)
+}
+
+/// Writes a sort request's parts: one set, sorted in its place. A fault where the service has no words for a key.
+pub fn write_request(w: &mut Writer, set: &str, keys: &[SortKey]) -> Result<(), Fault> {
+    for key in keys {
+        // What the service calls null is neither least nor greatest by any rule that it states.
+        if key.missing == Missing::Low {
+            return Err(Kind::SORT_MISSING_ACTION.of("lowValue"));
+        }
+    }
+    w.inside(3, |sets| sets.universal(universal::GENERAL, set.as_bytes()));
+    w.bytes(4, set.as_bytes());
+    w.inside(5, |specs| {
+        for key in keys {
+            let use_attribute = index::by_name(&key.index).map_or(4, |i| i.use_attribute);
+            specs.inside_universal(universal::SEQUENCE, |spec| {
+                spec.inside(1, |generic| {
+                    generic.inside(2, |attributes| {
+                        attributes.oid(rpn::BIB1);
+                        attributes.inside(rpn::tag::ATTRIBUTES, |list| {
+                            list.inside_universal(universal::SEQUENCE, |a| {
+                                a.integer(rpn::tag::TYPE, 1);
+                                a.integer(rpn::tag::VALUE, use_attribute);
+                            });
+                        });
+                    });
+                });
+                spec.integer(1, i64::from(!key.ascending));
+                spec.integer(2, i64::from(!key.case));
+                spec.inside(3, |missing| match &key.missing {
+                    Missing::Fail => missing.bytes(1, b""),
+                    Missing::Constant(text) => missing.bytes(3, text.as_bytes()),
+                    _ => missing.bytes(2, b""),
+                });
+            });
+        }
+    });
+    Ok(())
+}
+
+/// Writes a sort response's parts.
+pub fn write_response(w: &mut Writer, status: SortStatus, fault: Option<&Fault>) {
+    w.integer(3, status as i64);
+    match status {
+        SortStatus::Success => {}
+        SortStatus::Partial => w.integer(5, SetStatus::Subset as i64),
+        SortStatus::Failure => w.integer(5, SetStatus::None as i64),
+    }
+    if let Some(fault) = fault {
+        w.inside(4, |all| all.inside_universal(universal::SEQUENCE, |d| super::write_fault(d, fault)));
+    }
+}
+
+/// Reads a sort response.
+pub fn read_response(unit: &Item) -> Result<(), Fault> {
+    match unit.get(3).and_then(Item::integer) {
+        Some(0) => Ok(()),
+        _ => {
+            let fault = unit.get(4).and_then(|all| all.items().first());
+            Err(fault.map_or(Kind::SORT.of(""), super::read_fault))
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::ber;
+
+    #[test]
+    fn keys_come_back_as_they_were_written() {
+        let mut keys = vec![SortKey::named("title").unwrap(), SortKey::named("date").unwrap()];
+        keys[0].ascending = false;
+        keys[1].case = true;
+        keys[1].missing = Missing::Constant("1900".into());
+        let bytes = crate::z3950::unit(crate::z3950::tag::SORT_REQUEST, None, |w| {
+            write_request(w, "A", &keys).unwrap();
+        });
+        let item = ber::read(&mut bytes.clone(), 1000, 16).unwrap().expect("a unit");
+        let wanted = SortRequest { input: vec!["A".into()], output: "A".into(), keys };
+        assert_eq!(read_request(&item, 2), Ok(wanted));
+        assert_eq!(read_request(&item, 1).map_err(|f| f.kind), Err(Kind::SORT_KEYS));
+    }
+}
