Add the conformance suite for SRU and Z39.50, and the command line on clap

Whether the front does what the standards ask was known only from its own stories; the command line outgrew its parser.

The other commands are as before; clap takes the place of lexopt.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -1,115 +1,109 @@
 //! The command line.
 
+use crate::conform::{self, Format, Protocol, Target};
 use crate::front::catalogue::setup;
 use crate::limits::Limits;
 use crate::{config, describe, serve};
-use lexopt::prelude::*;
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::ffi::OsString;
 use std::fmt;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit status of a call that cannot be understood.
 const BAD_USAGE: u8 = 2;
 
-const USAGE: &str = "\
-usage: bitternsill COMMAND [OPTIONS]
-
-commands:
-  serve [--config FILE]   serve the platform until SIGTERM; FILE is its configuration
-                          (default: $ROUTER_CONFIG), read again on SIGHUP
-  serve --catalogue FILE  serve SRU and Z39.50 instead, as an operator's file sets it up
-  check FILE              say whether an operator's file can be used, and where not
-                          (a set-up, or an OpenAPI or AsyncAPI description in JSON)
-  describe openapi        print the description of the HTTP surfaces
-  describe asyncapi       print the description of the watch and store streams
-  version                 print the version
-  help                    print this
-
-The log goes to standard error; BITTERNSILL_LOG is error, warn, info (default), debug or trace.
-";
-
-#[derive(Clone, Copy)]
-enum Description {
-    OpenApi,
-    AsyncApi,
+/// A gatherer: it takes queries from clients, sends one part per slice to the index hosts that hold it, and gives each
+/// client one answer before its time is over.
+///
+/// The log goes to standard error; BITTERNSILL_LOG is error, warn, info (default), debug or trace.
+#[derive(Debug, Parser)]
+#[command(name = "bitternsill", version, disable_help_subcommand = false, arg_required_else_help = false)]
+struct Call {
+    #[command(subcommand)]
+    command: Command,
 }
 
+#[derive(Debug, Subcommand)]
 enum Command {
-    Serve { config: Option<PathBuf> },
-    Catalogue { file: PathBuf },
-    Check { file: PathBuf },
-    Describe(Description),
+    /// Serve until SIGTERM.
+    Serve(Serve),
+    /// Say whether an operator's file can be used, and where not.
+    Check {
+        /// A set-up, or an OpenAPI or AsyncAPI description in JSON.
+        file: PathBuf,
+    },
+    /// Print a description of the program's surfaces.
+    Describe {
+        /// Which one.
+        what: Description,
+    },
+    /// Play the conformance suite against a server: exits with 0 if no case fails.
+    Conform {
+        /// What the server speaks.
+        protocol: Protocol,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The database that is searched.
+        #[arg(long, default_value = "comics")]
+        database: String,
+        /// A term that finds at least six records.
+        #[arg(long, default_value = "moon")]
+        term: String,
+        /// Milliseconds that the server may take over one answer.
+        #[arg(long, default_value_t = 10_000, value_parser = clap::value_parser!(u64).range(1..=600_000))]
+        patience: u64,
+        /// How results are printed.
+        #[arg(long, default_value = "text")]
+        format: Format,
+    },
+    /// Print the version.
     Version,
-    Help,
 }
 
-fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
-    let mut parser = lexopt::Parser::from_iter(args);
-    let mut name: Option<String> = None;
-    let mut what: Option<OsString> = None;
-    let mut config = None;
-    let mut catalogue: Option<PathBuf> = None;
-    let mut version = false;
-    let mut help = false;
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Short('h') | Long("help") => help = true,
-            Short('V') | Long("version") => version = true,
-            Long("config") if name.as_deref() == Some("serve") => config = Some(parser.value()?.into()),
-            Long("catalogue") if name.as_deref() == Some("serve") => catalogue = Some(parser.value()?.into()),
-            Value(word) if name.is_none() => name = Some(word.string()?),
-            Value(word) if matches!(name.as_deref(), Some("describe" | "check")) && what.is_none() => {
-                what = Some(word);
-            }
-            other => return Err(other.unexpected()),
-        }
-    }
-    match name.as_deref() {
-        _ if help => Ok(Command::Help),
-        None if version => Ok(Command::Version),
-        Some("serve") if config.is_some() && catalogue.is_some() => {
-            Err("`--config` and `--catalogue` do not go together".into())
-        }
-        Some("serve") => Ok(match catalogue {
-            Some(file) => Command::Catalogue { file },
-            None => Command::Serve { config },
-        }),
-        Some("check") => {
-            what.map(|file| Command::Check { file: file.into() }).ok_or_else(|| "which file?".into())
-        }
-        Some("describe") => match what.as_ref().and_then(|w| w.to_str()) {
-            Some("openapi") => Ok(Command::Describe(Description::OpenApi)),
-            Some("asyncapi") => Ok(Command::Describe(Description::AsyncApi)),
-            Some(other) => Err(format!("no description `{other}`").into()),
-            None => Err("which description?".into()),
-        },
-        Some("version") => Ok(Command::Version),
-        Some("help") => Ok(Command::Help),
-        Some(other) => Err(format!("no command `{other}`").into()),
-        None => Err("a command is missing".into()),
-    }
+#[derive(Debug, Args)]
+struct Serve {
+    /// The platform's configuration, read again on SIGHUP [default: $ROUTER_CONFIG].
+    #[arg(long, value_name = "FILE", conflicts_with = "catalogue")]
+    config: Option<PathBuf>,
+    /// Serve SRU and Z39.50 instead, as this operator's file sets it up.
+    #[arg(long, value_name = "FILE")]
+    catalogue: Option<PathBuf>,
+}
+
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Description {
+    /// The HTTP surfaces.
+    #[value(name = "openapi")]
+    OpenApi,
+    /// The watch and store streams.
+    #[value(name = "asyncapi")]
+    AsyncApi,
 }
 
 /// Runs the program.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let command = match parse(args) {
-        Ok(command) => command,
-        Err(problem) => {
-            eprintln!("bitternsill: {problem}\n\n{USAGE}");
+    let call = match Call::try_parse_from(args) {
+        Ok(call) => call,
+        Err(problem) if problem.use_stderr() => {
+            let text = problem.to_string();
+            let text = text.strip_prefix("error: ").unwrap_or(&text);
+            eprintln!("bitternsill: {}", text.trim_end());
             return ExitCode::from(BAD_USAGE);
         }
+        Err(help) => return print(format_args!("{}", help.to_string().trim_end())),
     };
-    match command {
+    match call.command {
         Command::Version => print(format_args!("bitternsill {}", env!("CARGO_PKG_VERSION"))),
-        Command::Describe(Description::OpenApi) => {
+        Command::Describe { what: Description::OpenApi } => {
             print(format_args!("{:#}", describe::openapi::describe(&Limits::default())))
         }
-        Command::Describe(Description::AsyncApi) => {
+        Command::Describe { what: Description::AsyncApi } => {
             print(format_args!("{:#}", describe::asyncapi::describe()))
         }
-        Command::Help => print(format_args!("{}", USAGE.trim_end())),
         Command::Check { file } => {
             let problems = check(&file);
             if !problems.is_empty() {
@@ -120,14 +114,24 @@
             }
             print(format_args!("{}: fits", file.display()))
         }
-        Command::Serve { config } => {
-            start_log();
-            served(config::load(config).map_err(Into::into).and_then(serve::platform))
+        Command::Conform { protocol, address, database, term, patience, format } => {
+            let patience = Duration::from_millis(patience);
+            let judged = conform::play(protocol, &Target { address, database, term, patience });
+            match conform::report(&judged, format, &mut io::stdout()) {
+                Ok(true) => ExitCode::SUCCESS,
+                Ok(false) => ExitCode::FAILURE,
+                Err(problem) if problem.kind() == io::ErrorKind::BrokenPipe => ExitCode::SUCCESS,
+                Err(_) => ExitCode::FAILURE,
+            }
         }
-        Command::Catalogue { file } => {
+        Command::Serve(Serve { catalogue: Some(file), .. }) => {
             start_log();
             served(setup::load(&file).map_err(Into::into).and_then(serve::catalogue))
         }
+        Command::Serve(Serve { config, .. }) => {
+            start_log();
+            served(config::load(config).map_err(Into::into).and_then(serve::platform))
+        }
     }
 }
 
--- a/bitternsill/src/lib.rs
+++ b/bitternsill/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod config;
+pub mod conform;
 pub mod core;
 pub mod describe;
 pub mod front;
--- a/catalogue/src/record/tree.rs
+++ b/catalogue/src/record/tree.rs
@@ -29,7 +29,7 @@
     }
 
     /// The elements in it of this name.
-    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Element> {
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a Element> + use<'a, 'n> {
         self.children.iter().filter(move |child| child.name == name)
     }
 
