--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -65,7 +65,9 @@
         std::fs::write(&path, content.to_string()).unwrap();
         let child = Command::new("sh")
             .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" serve \"$@\"")])
-            .args([env!("CARGO_BIN_EXE_bitternsill"), option])
+            // A measurement may play an earlier build.
+            .arg(std::env::var("BITTERNSILL_PROGRAM").unwrap_or(env!("CARGO_BIN_EXE_bitternsill").into()))
+            .arg(option)
             .arg(&path)
             .env("BITTERNSILL_LOG", std::env::var("BITTERNSILL_LOG").unwrap_or("warn".into()))
             .stdin(Stdio::null())
--- a/bitternsill/tests/common/standins.rs
+++ b/bitternsill/tests/common/standins.rs
@@ -27,6 +27,10 @@
     pub dead: AtomicBool,
     /// How long it waits before it answers, in milliseconds.
     pub delay: AtomicUsize,
+    /// Every so many-th search takes so many milliseconds more.
+    pub hiccup: Mutex<(usize, u64)>,
+    /// It stands still until then.
+    pub frozen: Mutex<Option<Instant>>,
     /// It forgets its sets at once.
     pub forgets: AtomicBool,
     /// What its sessions offer.
@@ -55,6 +59,8 @@
             holds: AtomicBool::default(),
             dead: AtomicBool::default(),
             delay: AtomicUsize::default(),
+            hiccup: Mutex::default(),
+            frozen: Mutex::default(),
             forgets: AtomicBool::default(),
             abilities: Mutex::new(vec![
                 Ability::Search,
@@ -130,6 +136,20 @@
         titles[from.min(to)..to].iter().map(term).collect()
     }
 
+    /// How slow a host is; not a way to wait for something.
+    fn take_time(&self) {
+        let frozen = *self.frozen.lock().unwrap();
+        if let Some(left) = frozen.and_then(|until| until.checked_duration_since(Instant::now())) {
+            thread::sleep(left);
+        }
+        let (every, more) = *self.hiccup.lock().unwrap();
+        let hiccup = if every > 0 && count(&self.searches) % every == every - 1 { more } else { 0 };
+        let wait = count(&self.delay) as u64 + hiccup;
+        if wait > 0 {
+            thread::sleep(Duration::from_millis(wait));
+        }
+    }
+
     /// Serves Z39.50 on a new address.
     pub fn z3950(self: &Arc<Self>) -> SocketAddr {
         let script = self.clone();
@@ -141,8 +161,7 @@
                 if script.dead.load(Ordering::SeqCst) {
                     break;
                 }
-                // How slow a host is, not a way to wait for something.
-                thread::sleep(Duration::from_millis(count(&script.delay) as u64));
+                script.take_time();
                 let Some(reply) = script.z3950_reply(&unit, &mut sets) else { continue };
                 if socket.write_all(&reply).is_err() {
                     break;
@@ -249,6 +268,9 @@
             let mut socket = socket;
             let mut line = String::new();
             while reader.read_line(&mut line).unwrap_or(0) > 0 {
+                if line.starts_with("GET /") {
+                    script.take_time();
+                }
                 if let Some(target) = line.strip_prefix("GET /")
                     && let Some(body) = script.sru_reply(target.split(' ').next().unwrap())
                 {
@@ -350,7 +372,14 @@
 
 /// The settings of three slices, each on so many hosts.
 pub fn catalogue_settings(replicas: u32) -> Value {
+    sliced_settings(3, replicas)
+}
+
+/// The settings of so many slices, each on so many of as many hosts.
+pub fn sliced_settings(slices: u32, replicas: u32) -> Value {
     let mut settings = settings();
+    settings["extra"]["sets"] = json!(slices);
+    settings["extra"]["ranges"] = json!(slices);
     settings["extra"]["in_a_row"] = json!(replicas);
     settings["extra"]["class_fetch"] = json!([0, 0, 0]);
     settings["request_classes"][0]["target"] = json!(1_200_000_000u64);
@@ -382,7 +411,8 @@
         for (key, value) in more.as_object().unwrap() {
             setup[key] = value.clone();
         }
-        let program = Program::start("--catalogue", &setup);
+        let descriptors = setup["sockets"].as_u64().unwrap_or(1024) as u32;
+        let program = Program::start_with("--catalogue", &setup, descriptors);
         let catalogue = Catalogue { program, sru, z3950, discovery, scripts, hosts };
         eventually("listening", || {
             TcpStream::connect(sru).is_ok()
@@ -458,6 +488,7 @@
         more: impl FnOnce(&mut Writer),
     ) -> (Reader, Item) {
         let mut reader = Reader { socket: TcpStream::connect(address).unwrap(), input: Vec::new() };
+        reader.socket.set_nodelay(true).unwrap();
         reader.socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
         let welcome = reader.ask(z3950::unit(tag::INIT_REQUEST, Some(b"ref"), |w| {
             init::introduce(w, true, Abilities::of(abilities), size, size);
--- a/catalogue/src/operation.rs
+++ b/catalogue/src/operation.rs
@@ -352,13 +352,20 @@
                 }
             } else {
                 let before: u64 = set.slices[..at].iter().map(|s| s.hits).sum();
+                let mut last = None;
                 for (offset, record) in (0u64..).zip(one.records) {
                     let slot = (before + offset + 1).checked_sub(search.start).map(|s| s as usize);
                     if let Some(row) = slot.and_then(|s| rows.get_mut(s)) {
-                        set.delivered(at, offset, &record);
+                        last = Some(offset);
                         *row = Some(record);
                     }
                 }
+                // Only the last one counts, and telling it from others takes reading it.
+                if let Some(offset) = last
+                    && let Some(Some(record)) = rows.get((before + offset + 1 - search.start) as usize)
+                {
+                    set.delivered(at, offset, record);
+                }
             }
         }
         let id = sets.insert(set, search.owner, search.ttl, now);
