Keep what is learned in a folder: picture, ageing, file format, writer, commands

After a restart the gatherer has forgotten which hosts were slow and how long parts take.

learning/ holds the picture, its ageing with reasons, the file of two versions and the steps of a write, without I/O. The program keeps a persistent map, hands it to a writer thread over a bounded lock-free queue, and loads the newest sound generation with the first list. bitternsill learned show|verify|convert|age|diff. Off unless an operator's file says so.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -2,6 +2,8 @@
 
 use crate::conform::{self, Format, Protocol, Target};
 use crate::front::catalogue::setup;
+use crate::learned::LearningSetup;
+use crate::learned::cli::{self as learned, Learned};
 use crate::limits::Limits;
 use crate::{config, describe, serve};
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -60,6 +62,9 @@
         #[arg(long, default_value = "text")]
         format: Format,
     },
+    /// Look at a file of what was learned, or change its form.
+    #[command(subcommand)]
+    Learned(Learned),
     /// Print the version.
     Version,
 }
@@ -69,6 +74,9 @@
     /// The platform's configuration, read again on SIGHUP [default: $ROUTER_CONFIG].
     #[arg(long, value_name = "FILE", conflicts_with = "catalogue")]
     config: Option<PathBuf>,
+    /// What this installation has beside the platform's: an operator's file [default: none].
+    #[arg(long, value_name = "FILE", conflicts_with = "catalogue")]
+    operator: Option<PathBuf>,
     /// Serve SRU and Z39.50 instead, as this operator's file sets it up.
     #[arg(long, value_name = "FILE")]
     catalogue: Option<PathBuf>,
@@ -128,10 +136,14 @@
             start_log();
             served(setup::load(&file).map_err(Into::into).and_then(serve::catalogue))
         }
-        Command::Serve(Serve { config, .. }) => {
+        Command::Serve(Serve { config, operator, .. }) => {
             start_log();
-            served(config::load(config).map_err(Into::into).and_then(serve::platform))
+            served(operator_file(operator).and_then(|learning| {
+                let config = config::load(config)?;
+                serve::platform(config, learning)
+            }))
         }
+        Command::Learned(call) => learned::run(call, |text| print(format_args!("{text}"))),
     }
 }
 
@@ -143,14 +155,25 @@
     }
 }
 
+fn operator_file(path: Option<PathBuf>) -> Result<Option<LearningSetup>, serve::ServeError> {
+    let Some(path) = path else { return Ok(None) };
+    Ok(setup::read_operator(&setup::load_json(&path)?)?)
+}
+
 /// What is wrong with an operator's file.
 fn check(file: &Path) -> Vec<String> {
     let json = match setup::load_json(file) {
         Ok(json) => json,
         Err(problem) => return vec![problem.to_string()],
     };
-    describe::fit::check(&json, &Limits::default())
-        .unwrap_or_else(|| setup::read(&json).err().iter().map(ToString::to_string).collect())
+    describe::fit::check(&json, &Limits::default()).unwrap_or_else(|| {
+        // A set-up says where to listen; what goes beside the platform's configuration does not.
+        let problem = match json.get("listen") {
+            None if json.get("learning").is_some() => setup::read_operator(&json).err(),
+            _ => setup::read(&json).err(),
+        };
+        problem.iter().map(ToString::to_string).collect()
+    })
 }
 
 fn served(result: Result<(), serve::ServeError>) -> ExitCode {
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -9,13 +9,14 @@
 
 use crate::limits::{Limits, MS};
 use bramblestair::interface::{
-    Action, Entry, Event, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings, Time,
+    Action, Entry, Event, Learned, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings, Time,
 };
 use bramblestair::{Aggregator, interface::Effect};
 use ports::{Answer, Ask, AttemptId, Caller, Clients, Directory, Hosts, Outgoing, Reason, Refusal, Value};
 use settings::Deployment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Adds a part to the call that goes to its host.
 fn add_to_call(calls: &mut Vec<(ServerId, Vec<Outgoing>)>, host: ServerId, part: Outgoing) {
@@ -183,6 +184,16 @@
         self.events.push(Event::List { kind, entries: entries.into() });
     }
 
+    /// What the module has learned: of at most so many of the hosts judged since they were last told of, and of classes.
+    pub fn learned(&mut self, most: usize) -> Learned {
+        self.aggregator.learned(most)
+    }
+
+    /// What an earlier run had learned, as far as it still counts; after the list that it is about.
+    pub fn recall(&mut self, learned: Learned) {
+        self.events.push(Event::Recall(Arc::new(learned)));
+    }
+
     /// A discovery call failed, or the watch ended.
     pub fn list_failed(&mut self) {
         self.events.push(Event::ListFailed);
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -3,6 +3,7 @@
 use super::Classes;
 use crate::core::settings::{self, Deployment};
 use crate::front::platform::discovery::{Names, read_list};
+use crate::learned::LearningSetup;
 use crate::limits::MS;
 use bramblestair::interface::{Settings, Time};
 use catalogue::session::{Access, Reader};
@@ -116,6 +117,7 @@
     index_hosts: IndexHosts,
     settings: Json,
     store: Option<Store>,
+    learning: Option<LearningSetup>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -231,6 +233,8 @@
     pub sets: SetSizes,
     /// This member of the store, and where all of them are.
     pub store: Option<StoreSetup>,
+    /// Where what is learned is kept.
+    pub learning: Option<LearningSetup>,
     /// The module's settings and the program's share of them.
     pub settings: (Settings, Deployment),
 }
@@ -246,6 +250,21 @@
     serde_json::from_slice(&text).map_err(SetupError::Json)
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Operator {
+    learning: Option<LearningSetup>,
+}
+
+/// Reads an operator's file for the platform's front: what is kept beside its configuration.
+pub fn read_operator(json: &Json) -> Result<Option<LearningSetup>, SetupError> {
+    let file: Operator = serde_path_to_error::deserialize(json).map_err(|problem| {
+        let path = problem.path().to_string();
+        bad(json, if path == "." { "file" } else { &path }, problem.inner().to_string())
+    })?;
+    Ok(file.learning)
+}
+
 /// What stands at a path, shortened.
 fn at(json: &Json, path: &str) -> String {
     let found = path.split('.').try_fold(json, |json, key| match json {
@@ -373,6 +392,7 @@
             bytes: file.result_sets.memory_mb.map(|mb| (mb.0 as usize) << 20),
         },
         store,
+        learning: file.learning,
         settings,
     })
 }
@@ -417,6 +437,9 @@
             ("settings", json!({})),
             ("store", json!({"member": 4, "file": "x", "members": {"1": "127.0.0.1:1"}})),
             ("store", json!({"member": 1, "file": "x", "members": {"1": "nowhere"}})),
+            ("learning", json!({"folder": 7})),
+            ("learning", json!({"folder": "x", "period_ms": 5})),
+            ("learning", json!({"folder": "x", "often": true})),
             ("colour", json!("red")),
         ];
         let mut said = Vec::new();
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Opens connections in the protocol that an index host speaks.
 pub trait Connector {
@@ -58,6 +59,9 @@
 }
 
 struct Host {
+    uid: Arc<str>,
+    /// When it last started, by the list.
+    born: Time,
     endpoint: Option<SocketAddr>,
     standing: Standing,
     leaving_since: Option<Time>,
@@ -98,6 +102,22 @@
         Json::Array(self.ids.iter().filter_map(host).collect())
     }
 
+    /// The hosts that have not left: their names, numbers and starts.
+    pub fn listed(&self) -> impl Iterator<Item = (&str, ServerId, Time)> {
+        let present = self.hosts.iter().filter(|(_, h)| h.standing != Standing::Gone);
+        present.map(|(id, host)| (&*host.uid, *id, host.born))
+    }
+
+    /// The number of a host that is known.
+    pub fn id_of(&self, uid: &str) -> Option<ServerId> {
+        self.ids.get(uid).copied()
+    }
+
+    /// The name and the start of a host.
+    pub fn name_of(&self, id: ServerId) -> Option<(&Arc<str>, Time)> {
+        self.hosts.get(&id).map(|host| (&host.uid, host.born))
+    }
+
     /// Takes the lines of a list and gives the module's entries.
     pub fn update(
         &mut self,
@@ -116,6 +136,8 @@
             listed.push(id);
             member.entry.server = id;
             let new = Host {
+                uid: Arc::from(member.uid.as_str()),
+                born: 0,
                 endpoint: None,
                 standing: Standing::Gone,
                 leaving_since: None,
@@ -124,6 +146,7 @@
                 mute: 0,
             };
             let host = self.hosts.entry(id).or_insert(new);
+            host.born = member.entry.born;
             if member.endpoint.is_some() && host.endpoint != member.endpoint {
                 host.endpoint = member.endpoint;
                 // Connections to a former address end by themselves; new calls must not use them.
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::core::Core;
 use crate::core::ports::{Answer, AttemptId, Caller, Clients, Directory, Hosts, Outgoing};
+use crate::learned::Keeper;
 use crate::limits::Limits;
 use crate::net::{Net, Token, World};
 use crate::store::links::Shelf;
@@ -84,6 +85,8 @@
     pub listeners: Vec<Token>,
     /// The store, off the request path; absent once its file has failed.
     pub shelf: Option<Shelf>,
+    /// What is learned, where it is kept.
+    pub keeper: Option<Keeper>,
 }
 
 impl Gatherer {
@@ -123,6 +126,10 @@
     pub fn record_members(&mut self, net: &mut Net<Self>) {
         let known = self.hosts.known().to_string();
         self.record("members", &known, net);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.listed(&self.hosts);
+            keeper.recall(&mut self.core, &self.hosts, net.now());
+        }
     }
 
     fn advance(&mut self, net: &mut Net<Self>, now: Time) {
@@ -161,7 +168,7 @@
             Phase::Finishing(_) if self.core.open_queries() == 0 => Some(now),
             Phase::Finishing(until) => Some(until),
         };
-        [self.core.due(), phase].into_iter().flatten().min()
+        [self.core.due(), phase, self.keeper.as_ref().map(Keeper::due)].into_iter().flatten().min()
     }
 
     fn turn(&mut self, net: &mut Net<Self>, now: Time) {
@@ -176,6 +183,9 @@
                 self.core.probed(host, Outcome::ConnectFailed, now);
             }
         }
+        if let Some(keeper) = &mut self.keeper {
+            keeper.turn(&mut self.core, &self.hosts, now);
+        }
         self.advance(net, now);
     }
 
--- /dev/null
+++ b/bitternsill/src/learned/cli.rs
@@ -0,0 +1,255 @@
+//! `bitternsill learned`: looks at a file of what was learned, and changes its form.
+
+use super::folder;
+use clap::{Subcommand, ValueEnum};
+use learning::age::{self, Rules};
+use learning::file;
+use learning::picture::{ClassMemory, HostMemory, Picture, Wall};
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// How results are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// Lines for people.
+    Text,
+    /// One object.
+    Json,
+}
+
+/// What is done with a file.
+#[derive(Debug, Subcommand)]
+pub enum Learned {
+    /// Print what it holds.
+    Show {
+        /// The file.
+        file: PathBuf,
+        /// How it is printed.
+        #[arg(long, default_value = "text")]
+        format: Format,
+    },
+    /// Say whether it is sound: exits with 1 if not.
+    Verify {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Write it anew in a version of the format.
+    Convert {
+        /// The file.
+        file: PathBuf,
+        /// Where the other one goes; it must not be there.
+        to: PathBuf,
+        /// The version: 1 or 2.
+        #[arg(long, default_value_t = file::VERSION, value_parser = clap::value_parser!(u16).range(1..=2))]
+        version: u16,
+    },
+    /// Print what would still count of it after a time, and why the rest would not.
+    Age {
+        /// The file.
+        file: PathBuf,
+        /// How long after it was taken, in seconds [default: now].
+        #[arg(long)]
+        after: Option<u64>,
+        /// How it is printed.
+        #[arg(long, default_value = "text")]
+        format: Format,
+    },
+    /// Print what differs between two files.
+    Diff {
+        /// The one.
+        file: PathBuf,
+        /// The other.
+        other: PathBuf,
+        /// How it is printed.
+        #[arg(long, default_value = "text")]
+        format: Format,
+    },
+}
+
+fn load(path: &Path) -> Result<(Picture, u16), String> {
+    folder::read(path).map_err(|problem| format!("{}: {problem}", path.display()))
+}
+
+fn now() -> Wall {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as Wall)
+}
+
+fn class_json(class: &ClassMemory) -> Json {
+    json!({
+        "class": class.name, "median_ms": class.median / 1e6, "p95_ms": class.p95 / 1e6, "least_ms": class.least / 1e6,
+        "attempts_median_ms": class.tries.0 / 1e6, "attempts_p95_ms": class.tries.1 / 1e6, "answers": class.weight,
+    })
+}
+
+fn host_json(uid: &str, host: &HostMemory) -> Json {
+    json!({
+        "host": uid, "started_ms": host.born, "slowness": host.slowness, "delay": host.delay,
+        "limit": if host.limit < 1e6 { json!(host.limit) } else { Json::Null },
+        "errors": host.errors, "answers": host.weight, "judged_ms": host.judged,
+    })
+}
+
+fn host_line(uid: &str, host: &HostMemory) -> String {
+    let slowness: Vec<String> = host.slowness.iter().map(|s| format!("{s:.2}")).collect();
+    let limit = if host.limit < 1e6 { format!("{:.1}", host.limit) } else { "-".to_owned() };
+    format!(
+        "{uid}  slowness {}  limit {limit}  errors {:.2}  answers {:.1}",
+        slowness.join(" "),
+        host.errors,
+        host.weight
+    )
+}
+
+fn show(picture: &Picture, version: u16, format: Format) -> String {
+    if format == Format::Json {
+        let hosts: Vec<Json> = picture.hosts.iter().map(|(uid, host)| host_json(uid, host)).collect();
+        let all = json!({
+            "version": version, "taken_ms": picture.taken,
+            "fleet": {"classes": picture.fleet.classes, "cells": picture.fleet.cells, "reach": picture.fleet.reach},
+            "classes": picture.classes.iter().map(class_json).collect::<Vec<_>>(), "hosts": hosts,
+        });
+        return format!("{all:#}");
+    }
+    let age = now()
+        .checked_sub(picture.taken)
+        .map_or("from the future".to_owned(), |ms| format!("{} s old", ms / 1000));
+    let mut lines = vec![format!(
+        "version {version}, {age}, {} classes, {} hosts, {} cells with each shard on {}",
+        picture.classes.len(),
+        picture.hosts.len(),
+        picture.fleet.cells,
+        picture.fleet.reach
+    )];
+    for class in &picture.classes {
+        lines.push(format!(
+            "{}  median {:.1} ms  p95 {:.1} ms  answers {:.0}",
+            class.name,
+            class.median / 1e6,
+            class.p95 / 1e6,
+            class.weight
+        ));
+    }
+    lines.extend(picture.hosts.iter().map(|(uid, host)| host_line(uid, host)));
+    lines.join("\n")
+}
+
+fn aged(picture: &Picture, at: Wall, format: Format) -> Result<String, String> {
+    // Held against its own list: what a gatherer would take whose hosts are all still there.
+    let listed: BTreeMap<String, Wall> =
+        picture.hosts.iter().map(|(uid, h)| (uid.to_string(), h.born)).collect();
+    let fresh: Vec<ClassMemory> =
+        picture.classes.iter().map(|c| ClassMemory { weight: 0.0, ..c.clone() }).collect();
+    let aged = age::age(picture, &picture.fleet, &fresh, &listed, at, &Rules::default())
+        .map_err(|e| e.to_string())?;
+    if format == Format::Json {
+        let hosts: Vec<Json> = aged.hosts.iter().map(|(uid, host)| host_json(uid, host)).collect();
+        let dropped: Vec<Json> =
+            aged.dropped.iter().map(|(uid, why)| json!({"host": uid, "why": why})).collect();
+        let classes: Vec<Json> =
+            aged.classes.iter().map(|c| json!({"class": c.name, "answers": c.weight})).collect();
+        return Ok(format!(
+            "{:#}",
+            json!({"age_ms": aged.age, "classes": classes, "hosts": hosts, "dropped": dropped})
+        ));
+    }
+    let mut lines = vec![format!(
+        "{} s old: {} hosts count, {} do not",
+        aged.age / 1000,
+        aged.hosts.len(),
+        aged.dropped.len()
+    )];
+    lines.extend(aged.classes.iter().map(|c| format!("{}  counts as {:.1} answers", c.name, c.weight)));
+    lines.extend(aged.hosts.iter().map(|(uid, host)| host_line(uid, host)));
+    lines.extend(aged.dropped.iter().map(|(uid, why)| format!("{uid}  dropped: {why}")));
+    Ok(lines.join("\n"))
+}
+
+fn diff(one: &Picture, other: &Picture, format: Format) -> (bool, String) {
+    let mut entries: Vec<(String, &str)> = Vec::new();
+    if one.fleet != other.fleet {
+        entries.push(("fleet".to_owned(), "differs"));
+    }
+    for (a, b) in one.classes.iter().zip(&other.classes) {
+        if a != b {
+            entries.push((format!("class {}", a.name), "differs"));
+        }
+    }
+    for (uid, host) in &one.hosts {
+        match other.hosts.get(uid) {
+            None => entries.push((format!("host {uid}"), "only in the first")),
+            Some(theirs) if theirs != host => entries.push((format!("host {uid}"), "differs")),
+            Some(_) => {}
+        }
+    }
+    let new = other.hosts.keys().filter(|uid| !one.hosts.contains_key(*uid));
+    entries.extend(new.map(|uid| (format!("host {uid}"), "only in the second")));
+    let text = match format {
+        Format::Json => {
+            let list: Vec<Json> =
+                entries.iter().map(|(what, how)| json!({"what": what, "how": how})).collect();
+            format!("{:#}", json!({"same": list.is_empty(), "differences": list}))
+        }
+        Format::Text if entries.is_empty() => "no difference".to_owned(),
+        Format::Text => {
+            entries.iter().map(|(what, how)| format!("{what}: {how}")).collect::<Vec<_>>().join("\n")
+        }
+    };
+    (entries.is_empty(), text)
+}
+
+fn convert(file: &Path, to: &Path, version: u16) -> Result<String, String> {
+    let (picture, from) = load(file)?;
+    let bytes = if version == 1 { file::encode_v1(&picture) } else { file::encode(&picture) };
+    let bytes = bytes.map_err(|problem| problem.to_string())?;
+    let mut out = std::fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .open(to)
+        .map_err(|problem| format!("{}: {problem}", to.display()))?;
+    out.write_all(&bytes)
+        .and_then(|()| out.sync_all())
+        .map_err(|problem| format!("{}: {problem}", to.display()))?;
+    Ok(format!("{}: version {from} written as {version}, {} bytes", to.display(), bytes.len()))
+}
+
+/// Carries a call out; the text, and whether it is good news.
+fn answer(call: Learned) -> Result<(bool, String), String> {
+    match call {
+        Learned::Show { file, format } => {
+            load(&file).map(|(picture, version)| (true, show(&picture, version, format)))
+        }
+        Learned::Verify { file } => {
+            let (picture, version) = load(&file)?;
+            Ok((true, format!("{}: sound, version {version}, {} hosts", file.display(), picture.hosts.len())))
+        }
+        Learned::Convert { file, to, version } => convert(&file, &to, version).map(|text| (true, text)),
+        Learned::Age { file, after, format } => {
+            let (picture, _) = load(&file)?;
+            let at = after.map_or_else(now, |s| picture.taken.saturating_add(s.saturating_mul(1000)));
+            aged(&picture, at, format).map(|text| (true, text))
+        }
+        Learned::Diff { file, other, format } => {
+            let ((one, _), (other, _)) = (load(&file)?, load(&other)?);
+            Ok(diff(&one, &other, format))
+        }
+    }
+}
+
+/// Runs a call; exits with 1 where a file is not sound or two differ.
+pub fn run(call: Learned, print: impl Fn(&str) -> ExitCode) -> ExitCode {
+    match answer(call) {
+        Ok((true, text)) => print(&text),
+        Ok((false, text)) => {
+            print(&text);
+            ExitCode::FAILURE
+        }
+        Err(problem) => {
+            eprintln!("bitternsill: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/bitternsill/src/lib.rs
+++ b/bitternsill/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod describe;
 pub mod front;
+pub mod learned;
 pub mod limits;
 pub mod net;
 pub mod serve;
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -160,6 +160,8 @@
     pub farewell: Time,
     /// After SIGTERM: when whatever is left is failed and the program ends.
     pub last_call: Time,
+    /// How long the end waits for the last picture of what was learned to be written.
+    pub last_picture: Time,
     /// How long a start waits for discovery before it reports ready with the list it was given.
     pub first_list: Time,
 }
@@ -242,6 +244,7 @@
             keep_serving: 900 * MS,
             farewell: 500 * MS,
             last_call: 3_300 * MS,
+            last_picture: 90 * MS,
             first_list: 1_500 * MS,
         }
     }
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::front::server::HttpConnection;
 use crate::front::signals::{End, ReadAgain, Reload, Reread};
 use crate::front::{Gatherer, Phase};
+use crate::learned::{Keeper, LearningSetup};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
 use crate::store::file::Journal;
@@ -26,6 +27,7 @@
 use crate::store::{Bounds, Membership, Pace, Store};
 use bramblestair::interface::{ListKind, Settings, Time};
 use catalogue::session;
+use learning::picture::Fleet;
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -46,6 +48,7 @@
     listeners: Vec<(SocketAddr, Accept)>,
     reread: ReadAgain,
     store: Option<StoreSetup>,
+    learning: Option<LearningSetup>,
     /// What the store keeps of the front's set-up.
     setup: Json,
 }
@@ -66,8 +69,8 @@
     }
 }
 
-/// Serves the platform until SIGTERM.
-pub fn platform(config: Config) -> Result<(), ServeError> {
+/// Serves the platform until SIGTERM; `learning` is where what is learned is kept, which the platform has no place for.
+pub fn platform(config: Config, learning: Option<LearningSetup>) -> Result<(), ServeError> {
     let settings = settings::read(&config.settings).map_err(ConfigError::Settings)?;
     let limits = Rc::new(limits(&settings, config.sockets).with_memory(config.memory_mb));
     let accept: Accept = Box::new(|stream, world| HttpConnection::accept(Box::new(Platform), stream, world));
@@ -85,6 +88,7 @@
             Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null })
         }),
         store: None,
+        learning,
         setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
 }
@@ -158,6 +162,7 @@
             Ok(Reread { discovery: fresh.discovery, members: fresh.members })
         }),
         store: setup.store,
+        learning: setup.learning,
         setup: kept,
     })
 }
@@ -197,6 +202,8 @@
     let clock = Clock::start();
     let now = clock.now();
     let mut names = Names { zones: deployment.zones.clone(), kinds: deployment.kinds.clone() };
+    let fleet = Fleet { classes: deployment.classes.clone(), cells: settings.cells, reach: settings.reach };
+    let keeper = plan.learning.as_ref().and_then(|setup| Keeper::open(setup, fleet, now));
     let gatherer = Gatherer {
         core: Core::new(settings, deployment, limits.clone(), plan.seed),
         hosts: HostTable::new(plan.connector, limits.clone()),
@@ -207,6 +214,7 @@
         ready_by: plan.discovery.map(|_| now + limits.first_list),
         listeners: Vec::new(),
         shelf: None,
+        keeper,
     };
     let (end, reload) = (End::install()?, Reload::install(plan.reread, names.clone())?);
     let mut reactor = Reactor::new(gatherer, clock)?;
@@ -239,6 +247,11 @@
         gatherer.directory = Some(net.open(Box::new(Discovery::new(address, names, version))));
     }
     reactor.run()?;
+    let (net, gatherer) = reactor.parts();
+    if let Some(keeper) = gatherer.keeper.take() {
+        let patience = std::time::Duration::from_nanos(limits.last_picture);
+        keeper.finish(&mut gatherer.core, &gatherer.hosts, net.now(), patience);
+    }
     tracing::info!("ended");
     Ok(())
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 /// A server whose smoothed delay is over this share of the aim has its limit lowered, to this share of it.
 const SLOW_SHARE: f64 = 0.2;
 const LIMIT_CUT: f64 = 0.75;
+/// Judged answers that are counted of a server, as what was learned of it rests on no older ones.
+const JUDGED: f64 = 16.0;
 /// Weight of one sample in a server's slowness (1 = like its peers), and the sample that a failure counts as.
 const SAMPLE: f64 = 0.25;
 const FAILURE: f64 = 8.0;
@@ -92,6 +94,7 @@
     answered: Time,
     errors: f64, // Smoothed share of errors among its answers, and when the last one came
     erred: Time,
+    judged: f64, // How many answers have been judged, up to a bound
 }
 
 #[derive(Debug)]
@@ -179,6 +182,8 @@
     usual: Vec<VecDeque<Time>>,
     /// Queries with parts that found no room, unlike those that wait for a scout or a probe.
     lacking: BTreeSet<u64>,
+    /// Servers judged since what was learned was last asked for; none where nobody asks.
+    touched: Option<BTreeSet<ServerId>>,
     now: Time,
 }
 
@@ -277,10 +282,52 @@
                 }
             }
             Event::Probed { server, outcome, took, load } => self.probed(server, outcome, took, &load),
+            Event::Recall(ref learned) => self.recall(learned),
             Event::Wake => {}
         }
     }
 
+    /// What was learned: of at most so many of the servers judged since they were last told of (at the first call of
+    /// none: from then on they are noted), and of every class.
+    pub fn learned(&mut self, most: usize) -> Learned {
+        let server = |id| {
+            let s: &Server = self.servers.get(&id)?;
+            let slowness = s.slowness.iter().map(|s| s.0).collect();
+            let (delay, limit, errors, answers) = (s.delay, s.limit, s.errors, s.judged);
+            Some((id, ServerMemory { slowness, delay, limit, errors, answers }))
+        };
+        let mut touched = self.touched.take().unwrap_or_default();
+        let servers = (0..most).map_while(|_| touched.pop_first()).filter_map(server).collect();
+        self.touched = Some(touched);
+        let pace =
+            |p: &Pace| PaceMemory { median: p.median, p95: p.p95, least: p.least, answers: p.recent.len() };
+        let [parts, tries] = [&self.pace, &self.tries].map(|all| all.iter().map(pace).collect());
+        Learned { servers, parts, tries }
+    }
+
+    /// Takes what an earlier life had learned. It only warns: no server is held to be better than a new one. Held to be
+    /// judged an aim ago, so that the first answers that say otherwise count double.
+    fn recall(&mut self, learned: &Learned) {
+        let at = self.now.saturating_sub(self.aim);
+        for (id, memory) in &learned.servers {
+            let Some(server) = self.servers.get_mut(id).filter(|s| s.judged == 0.0) else { continue };
+            for (own, slowness) in server.slowness.iter_mut().zip(&memory.slowness) {
+                *own = (slowness.clamp(1.0, FAILURE), at);
+            }
+            server.limit = memory.limit.clamp(LEAST_LIMIT, server.limit);
+            server.delay = memory.delay.clamp(0.0, 1.0);
+            (server.errors, server.erred) = (memory.errors.clamp(0.0, 1.0), at);
+        }
+        for (own, told) in [(&mut self.pace, &learned.parts), (&mut self.tries, &learned.tries)] {
+            for (own, told) in
+                own.iter_mut().zip(told).filter(|(own, told)| own.recent.is_empty() && told.answers > 0)
+            {
+                (own.median, own.p95, own.least) =
+                    (told.median.max(1.0), told.p95.max(1.0), told.least.max(1.0));
+            }
+        }
+    }
+
     fn list(&mut self, kind: ListKind, entries: &[Entry]) {
         if kind != ListKind::Partial {
             let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
@@ -300,7 +347,7 @@
             if e.born > 0 && server.cold_from.is_none_or(|from| e.born > from) {
                 server.limit = START_LIMIT / 2.0;
                 server.slowness.fill((1.0, 0));
-                server.errors = 0.0;
+                (server.errors, server.judged) = (0.0, 0.0);
                 server.cold_from = Some(e.born);
                 server.sent.retain(|at| *at >= e.born);
                 server.turn = self.rng.f64();
@@ -506,6 +553,10 @@
         let ratio = (took as f64 / self.pace[sent.class].median).min(FAILURE);
         let Some(server) = self.servers.get_mut(&sent.server) else { return };
         server.answered = if matches!(outcome, Outcome::Ok | Outcome::Error) { now } else { server.answered };
+        if let Some(touched) = &mut self.touched {
+            touched.insert(sent.server);
+            server.judged = (server.judged + 1.0).min(JUDGED);
+        }
         match outcome {
             Outcome::Ok => server.errors -= SAMPLE * server.errors,
             Outcome::Error | Outcome::Full => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -261,9 +261,50 @@
     pub busy: Option<f64>,
 }
 
+/// What an aggregator has learned of a server, for another life of it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServerMemory {
+    /// How slow it is for each class; 1 is like its peers.
+    pub slowness: Vec<f64>,
+    /// Its smoothed delay, as a share of the least aim.
+    pub delay: f64,
+    /// Calls that it may have out.
+    pub limit: f64,
+    /// Its smoothed share of errors.
+    pub errors: f64,
+    /// How many judged answers that rests on, up to a bound.
+    pub answers: f64,
+}
+
+/// What an aggregator has learned of a class's times.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PaceMemory {
+    /// The median.
+    pub median: f64,
+    /// The 95th percentile.
+    pub p95: f64,
+    /// The least median.
+    pub least: f64,
+    /// How many answers it rests on; 0 for what every aggregator begins with.
+    pub answers: usize,
+}
+
+/// What an aggregator has learned.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Learned {
+    /// Servers.
+    pub servers: Vec<(ServerId, ServerMemory)>,
+    /// Each class's times of parts.
+    pub parts: Vec<PaceMemory>,
+    /// Each class's times of answered attempts.
+    pub tries: Vec<PaceMemory>,
+}
+
 /// Something that happened, as one aggregator sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
+    /// What an earlier life of this aggregator had learned, as far as it still counts; after the list it is about.
+    Recall(Arc<Learned>),
     /// News of the server list.
     List {
         /// How it relates to the list held.
