--- /dev/null
+++ b/bitternsill/benches/learned.rs
@@ -0,0 +1,374 @@
+//! Measurements of what is learned and kept.
+//!
+//! cargo bench -p bitternsill --bench learned -- restart|scale
+#![allow(missing_docs)]
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use bitternsill::learned::folder::Folder;
+use bramblestair::Aggregator;
+use bramblestair::interface::{
+    Action, Class, Entry, Event, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings,
+};
+use common::*;
+use crossbeam_queue::ArrayQueue;
+use learning::file;
+use learning::picture::{Fleet, HostMemory, Picture};
+use learning::steps;
+use serde_json::{Value, json};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const HOSTS: usize = 10;
+const AIM_MS: u64 = 150;
+const RATE: u64 = 60;
+const WARM: u64 = 6;
+const AFTER: u64 = 10;
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Hosts in a ring. Two of ten are slow; one is cold for five seconds after each start of the gatherer.
+struct FleetOfHosts {
+    addresses: Vec<std::net::SocketAddr>,
+    parts: Arc<AtomicUsize>,
+    cold_until: Arc<AtomicU64>,
+    cold: usize,
+}
+
+fn fleet(seed: u64) -> FleetOfHosts {
+    let (parts, cold_until) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicU64::new(0)));
+    // Neighbours are not slow together, so that each slice has a sound holder.
+    let first = (seed * 3) as usize % HOSTS;
+    let (slow, cold) = ([first, (first + 5) % HOSTS], (first + 2) % HOSTS);
+    let host = |n: usize| {
+        let (parts, cold_until) = (parts.clone(), cold_until.clone());
+        FrameHost::start(move |_| {
+            parts.fetch_add(1, Ordering::Relaxed);
+            let delay = match () {
+                () if slow.contains(&n) => 70,
+                () if n == cold && now_ms() < cold_until.load(Ordering::Relaxed) => 40,
+                () => 8,
+            };
+            thread::sleep(Duration::from_millis(delay));
+            Say::Good(1, "x".to_owned())
+        })
+        .address
+    };
+    FleetOfHosts { addresses: (0..HOSTS).map(host).collect(), parts, cold_until, cold }
+}
+
+fn fleet_settings() -> Value {
+    let mut settings = settings();
+    settings["extra"]["sets"] = json!(HOSTS);
+    settings["extra"]["ranges"] = json!(HOSTS);
+    for class in settings["request_classes"].as_array_mut().unwrap() {
+        class["target"] = json!(AIM_MS * 1_000_000);
+        class["deadline"] = json!(2_000_000_000u64);
+    }
+    settings["limits"]["max_open"] = json!(600);
+    settings
+}
+
+/// What came in the first 2, 5 and 10 seconds: queries later than their aim or not served, and parts beyond the first.
+type Seen = [(usize, usize); 3];
+
+fn play(hosts: &FleetOfHosts, folder: Option<&Path>, seconds: u64, seed: u64) -> Seen {
+    let start = now_ms();
+    hosts.cold_until.store(start + 5_000, Ordering::Relaxed);
+    let mut targets: Vec<Value> =
+        hosts.addresses.iter().enumerate().map(|(n, a)| target(n, *a, "active")).collect();
+    targets[hosts.cold]["boot_ms"] = json!(start);
+    let mut more = Vec::new();
+    if let Some(folder) = folder {
+        let file = folder.with_extension("json");
+        std::fs::write(&file, json!({"learning": {"folder": folder, "period_ms": 200}}).to_string()).unwrap();
+        more = vec!["--operator".to_owned(), file.display().to_string()];
+    }
+    let platform = Arc::new(Platform::start_in(
+        "true",
+        fleet_settings(),
+        Vec::new(),
+        Discovery::start(targets),
+        256,
+        &more,
+    ));
+    let (next, begin) = (Arc::new(AtomicU64::new(0)), Instant::now());
+    let asked = hosts.parts.load(Ordering::Relaxed);
+    let late: Arc<Mutex<Vec<Duration>>> = Arc::default();
+    let marks: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let threads: Vec<_> = (0..24)
+        .map(|_| {
+            let (platform, next, late) = (platform.clone(), next.clone(), late.clone());
+            thread::spawn(move || {
+                loop {
+                    // Open loop: arrivals are fixed beforehand, however long answers take.
+                    let n = next.fetch_add(1, Ordering::Relaxed);
+                    let due = Duration::from_micros(n * 1_000_000 / RATE);
+                    if due >= Duration::from_secs(seconds) {
+                        return;
+                    }
+                    if let Some(wait) = due.checked_sub(begin.elapsed()) {
+                        thread::sleep(wait);
+                    }
+                    let shard = ((n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ seed) >> 33) as u32 % HOSTS as u32;
+                    let shards = [shard, (shard + 1) % HOSTS as u32];
+                    let answer = platform.ask(&format!("{:016x}", n + 1), "page", &shards);
+                    let took = begin.elapsed() - due;
+                    if took > Duration::from_millis(AIM_MS) || !answer.starts_with("HTTP/1.1 200") {
+                        late.lock().unwrap().push(due);
+                    }
+                }
+            })
+        })
+        .collect();
+    for at in [2, 5, 10] {
+        let until = Duration::from_secs(at.min(seconds));
+        thread::sleep(until.saturating_sub(begin.elapsed()));
+        let parts = hosts.parts.load(Ordering::Relaxed) - asked;
+        let first = 2 * (RATE * at.min(seconds)) as usize;
+        marks.lock().unwrap().push(parts.saturating_sub(first));
+    }
+    threads.into_iter().for_each(|t| t.join().unwrap());
+    platform.program.signal("TERM");
+    let mut platform = Arc::into_inner(platform).expect("all threads have ended");
+    platform.program.child.wait().unwrap();
+    let (late, marks) = (late.lock().unwrap(), marks.lock().unwrap());
+    let count = |at: u64| late.iter().filter(|due| **due < Duration::from_secs(at)).count();
+    [(count(2), marks[0]), (count(5), marks[1]), (count(10), marks[2])]
+}
+
+fn new_folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("learned-bench-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir(&path).unwrap();
+    path
+}
+
+/// A folder with one picture, changed.
+fn changed(from: &Path, name: &str, change: impl FnOnce(&mut Picture)) -> PathBuf {
+    let (mut picture, ..) = Folder::open(from).unwrap().load().picture.expect("a picture");
+    change(&mut picture);
+    let to = new_folder(name);
+    std::fs::write(to.join(steps::name(1)), file::encode(&picture).unwrap()).unwrap();
+    to
+}
+
+fn one(seed: u64) -> [Seen; 4] {
+    let hosts = fleet(seed);
+    let kept = new_folder(&format!("{seed}-kept"));
+    play(&hosts, Some(&kept), WARM, seed);
+    let old = changed(&kept, &format!("{seed}-old"), |p| {
+        let days = 3 * 86_400_000;
+        p.taken -= days;
+        let older = |(uid, host): (&Arc<str>, &HostMemory)| {
+            (uid.clone(), HostMemory { judged: host.judged - days, ..host.clone() })
+        };
+        p.hosts = p.hosts.iter().map(older).collect();
+    });
+    let wrong = changed(&kept, &format!("{seed}-wrong"), |p| {
+        // Every host is remembered as its next neighbour but two was.
+        let memories: Vec<HostMemory> = p.hosts.values().cloned().collect();
+        let count = memories.len();
+        let other = |(n, (uid, host)): (usize, (&Arc<str>, &HostMemory))| {
+            (uid.clone(), HostMemory { born: host.born, ..memories[(n + 3) % count].clone() })
+        };
+        p.hosts = p.hosts.iter().enumerate().map(other).collect();
+    });
+    let copy = changed(&kept, &format!("{seed}-copy"), |_| {});
+    [None, Some(&copy), Some(&old), Some(&wrong)]
+        .map(|folder| play(&hosts, folder.map(PathBuf::as_path), AFTER, seed))
+}
+
+/// A mean with its 95 % interval (Student's t with nine degrees of freedom for ten seeds).
+fn interval(values: &[f64]) -> String {
+    let n = values.len() as f64;
+    let mean = values.iter().sum::<f64>() / n;
+    let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0);
+    format!("{mean:6.1} ± {:4.1}", 2.262 * (variance / n).sqrt())
+}
+
+/// Late queries and copies after a restart, over ten seeds.
+fn restart() {
+    let results: Arc<Mutex<Vec<[Seen; 4]>>> = Arc::default();
+    for batch in 0..2 {
+        let threads: Vec<_> = (0..5)
+            .map(|n| {
+                let results = results.clone();
+                thread::spawn(move || {
+                    let seen = one(5 * batch + n + 1);
+                    results.lock().unwrap().push(seen);
+                })
+            })
+            .collect();
+        threads.into_iter().for_each(|t| t.join().unwrap());
+    }
+    let results = results.lock().unwrap();
+    println!("{} seeds, {RATE} queries a second of two parts, {HOSTS} hosts, aim {AIM_MS} ms", results.len());
+    println!(
+        "memory          late in 2 s    in 5 s         in 10 s        further parts in 2 s  in 5 s         in 10 s"
+    );
+    for (n, name) in ["none", "of before", "three days old", "shuffled"].into_iter().enumerate() {
+        let of = |at: usize, late: bool| {
+            let values: Vec<f64> =
+                results.iter().map(|r| if late { r[n][at].0 as f64 } else { r[n][at].1 as f64 }).collect();
+            interval(&values)
+        };
+        println!(
+            "{name:14}  {}  {}  {}  {}         {}  {}",
+            of(0, true),
+            of(1, true),
+            of(2, true),
+            of(0, false),
+            of(1, false),
+            of(2, false)
+        );
+    }
+}
+
+fn micros(times: &mut [Duration]) -> (f64, f64) {
+    times.sort_unstable();
+    let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize].as_secs_f64() * 1e6;
+    (at(0.5), at(0.99))
+}
+
+/// 10,000 hosts by 8 classes: the file, and what the turn spends.
+fn scale() {
+    const MANY: u32 = 10_000;
+    const CLASSES: usize = 8;
+    let class = Class { aim: 1_000_000_000, ..Class::default() };
+    let settings = Settings { classes: vec![class; CLASSES], cells: 100, reach: 2, ..Settings::default() };
+    let entry = |n: u32| Entry { server: ServerId(n), cell: n % 100, ..Entry::default() };
+    let list = Event::List { kind: ListKind::Complete, entries: (0..MANY).map(entry).collect() };
+    println!("turns with learning  p50 us  p99 us  of which learning p50  p99   handing over p50  p99");
+    for keeps in [false, true, false, true] {
+        let mut aggregator = Aggregator::new(settings.clone(), 7);
+        let mut actions: Vec<Action> = Vec::new();
+        let mut now = 1_700_000_000_000_000_000;
+        aggregator.turn(now, std::slice::from_ref(&list), &mut actions);
+        if keeps {
+            aggregator.learned(0);
+        }
+        let fleet = Fleet { classes: vec!["c".into(); CLASSES], cells: 100, reach: 2 };
+        let mut picture = Picture::new(fleet);
+        let queue: ArrayQueue<Picture> = ArrayQueue::new(2);
+        let (mut turns, mut learns, mut hands) = (Vec::new(), Vec::new(), Vec::new());
+        let mut out: Vec<(PartId, u32)> = Vec::new();
+        let mut next = 1u64;
+        for turn in 0..1200u32 {
+            now += 5_000_000;
+            let mut events = Vec::new();
+            for (part, attempt) in out.drain(..) {
+                events.push(Event::Ended {
+                    part,
+                    attempt,
+                    server: ServerId(0),
+                    outcome: Outcome::Ok,
+                    took: 5_000_000,
+                    load: LoadReport::default(),
+                });
+            }
+            for _ in 0..4 {
+                let number = next;
+                events.push(Event::Query {
+                    id: QueryId(number),
+                    number,
+                    class: (number % CLASSES as u64) as usize,
+                    tenant: 0,
+                    parts: 2,
+                    patience: 2_000_000_000,
+                    repeat: false,
+                });
+                for part in 1..=2 {
+                    let shard = (number * 37 + part) as u32 % 100;
+                    events.push(Event::Part { id: PartId(number + part), number, shard, weight: 0.5 });
+                }
+                next += 3;
+            }
+            actions.clear();
+            let start = Instant::now();
+            aggregator.turn(now, &events, &mut actions);
+            // The program looks every 20 ms, and hands over every period.
+            if keeps && turn % 4 == 0 {
+                let begin = Instant::now();
+                for (id, memory) in aggregator.learned(64).servers {
+                    let host = HostMemory {
+                        born: 0,
+                        slowness: memory.slowness.iter().map(|s| *s as f32).collect(),
+                        delay: memory.delay as f32,
+                        limit: memory.limit as f32,
+                        errors: memory.errors as f32,
+                        weight: memory.answers as f32,
+                        judged: now / 1_000_000,
+                    };
+                    picture.hosts.insert(Arc::from(format!("host-{}", id.0)), host);
+                }
+                learns.push(begin.elapsed());
+                if turn % 40 == 0 {
+                    let begin = Instant::now();
+                    let _ = queue.push(picture.clone());
+                    hands.push(begin.elapsed());
+                }
+            }
+            turns.push(start.elapsed());
+            // The writer takes it.
+            queue.pop();
+            for action in &actions {
+                if let Action::Send { part, .. } = action {
+                    out.push((*part, 0));
+                }
+            }
+        }
+        let (p50, p99) = micros(&mut turns);
+        let (l50, l99) = if learns.is_empty() { (0.0, 0.0) } else { micros(&mut learns) };
+        let (h50, h99) = if hands.is_empty() { (0.0, 0.0) } else { micros(&mut hands) };
+        println!("{keeps:19}  {p50:6.0}  {p99:6.0}  {l50:21.1}  {l99:4.1}  {h50:16.2}  {h99:4.2}");
+    }
+    let fleet = Fleet { classes: vec!["c".into(); CLASSES], cells: 100, reach: 2 };
+    let host = |n: u32| HostMemory {
+        born: 0,
+        slowness: (0..CLASSES).map(|c| 1.0 + (n as f32 * 0.37 + c as f32) % 7.0).collect(),
+        delay: 0.1,
+        limit: 3.0,
+        errors: 0.01,
+        weight: 16.0,
+        judged: now_ms(),
+    };
+    let hosts = (0..MANY).map(|n| (Arc::from(format!("host-{n:05}")), host(n))).collect();
+    let picture = Picture { taken: now_ms(), hosts, ..Picture::new(fleet) };
+    let path = new_folder("scale");
+    let folder = Folder::open(&path).unwrap();
+    println!("hosts  classes  bytes    encode ms  write and sync ms  load ms");
+    for _ in 0..3 {
+        let start = Instant::now();
+        let bytes = file::encode(&picture).unwrap();
+        let encoded = start.elapsed();
+        let start = Instant::now();
+        folder.write(&bytes, |_| {}).unwrap();
+        let written = start.elapsed();
+        let start = Instant::now();
+        assert_eq!(folder.load().picture.map(|(p, ..)| p.hosts.len()), Some(MANY as usize));
+        println!(
+            "{MANY}  {CLASSES:7}  {}  {:9.1}  {:17.1}  {:7.1}",
+            bytes.len(),
+            encoded.as_secs_f64() * 1e3,
+            written.as_secs_f64() * 1e3,
+            start.elapsed().as_secs_f64() * 1e3
+        );
+    }
+    let _ = std::fs::remove_dir_all(&path);
+}
+
+fn main() {
+    // Cargo adds a flag of its own.
+    match std::env::args().skip(1).find(|a| !a.starts_with("--")).as_deref() {
+        Some("restart") => restart(),
+        Some("scale") => scale(),
+        _ => eprintln!("which measurement? restart or scale"),
+    }
+}
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -267,6 +267,10 @@
 
 /// What stands at a path, shortened.
 fn at(json: &Json, path: &str) -> String {
+    // What is wrong with a password is told without it.
+    if path.starts_with("readers.passwords") {
+        return String::new();
+    }
     let found = path.split('.').try_fold(json, |json, key| match json {
         Json::Array(items) => items.get(key.trim_matches(['[', ']']).parse::<usize>().ok()?),
         json => json.get(key),
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -60,15 +60,21 @@
 
     /// The same with so many descriptors.
     pub fn start_with(option: &str, content: &Value, descriptors: u32) -> Program {
+        Self::start_in(&format!("ulimit -n {descriptors}"), option, content, &[])
+    }
+
+    /// The same after some words of shell, and with further arguments.
+    pub fn start_in(shell: &str, option: &str, content: &Value, more: &[String]) -> Program {
         let name = format!("bitternsill-{}-{}", std::process::id(), SERIAL.fetch_add(1, Ordering::Relaxed));
         let path: PathBuf = std::env::temp_dir().join(name);
         std::fs::write(&path, content.to_string()).unwrap();
         let child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" serve \"$@\"")])
+            .args(["-c", &format!("{shell}; exec \"$0\" serve \"$@\"")])
             // A measurement may play an earlier build.
             .arg(std::env::var("BITTERNSILL_PROGRAM").unwrap_or(env!("CARGO_BIN_EXE_bitternsill").into()))
             .arg(option)
             .arg(&path)
+            .args(more)
             .env("BITTERNSILL_LOG", std::env::var("BITTERNSILL_LOG").unwrap_or("warn".into()))
             .stdin(Stdio::null())
             .spawn()
@@ -314,6 +320,18 @@
         discovery: Discovery,
         told: u32,
         there: u32,
+    ) -> Platform {
+        Self::start_in(&format!("ulimit -n {there}"), settings, hosts, discovery, told, &[])
+    }
+
+    /// Starts after some words of shell, and with further arguments.
+    pub fn start_in(
+        shell: &str,
+        settings: Value,
+        hosts: Vec<FrameHost>,
+        discovery: Discovery,
+        told: u32,
+        more: &[String],
     ) -> Platform {
         let address = free_address();
         let config = json!({
@@ -321,7 +339,7 @@
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": told},
             "known": null, "settings": settings
         });
-        let program = Program::start_with("--config", &config, there);
+        let program = Program::start_in(shell, "--config", &config, more);
         let platform = Platform { program, address, discovery, hosts, config };
         eventually("ready", || {
             TcpStream::connect(address).is_ok()
--- /dev/null
+++ b/bitternsill/tests/learned.rs
@@ -0,0 +1,419 @@
+//! Stories on what is learned and kept: restarts, kills at each step and at any moment, spoilt folders, slow and full
+//! disks, wrong memories.
+
+mod common;
+
+use bitternsill::learned::folder::{Folder, FolderError};
+use common::*;
+use learning::file;
+use learning::picture::{ClassMemory, Fleet, HostMemory, Picture};
+use learning::steps;
+use serde_json::{Value, json};
+use std::os::unix::fs::symlink;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A folder that goes with its test.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new() -> Temporary {
+        let name = format!("learned-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir(&path).unwrap();
+        Temporary(path)
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+fn picture(number: u64) -> Picture {
+    let fleet = Fleet { classes: vec!["search".into()], cells: 3, reach: 2 };
+    Picture { taken: number, ..Picture::new(fleet) }
+}
+
+/// Opens a folder. The lock of a process that was killed may take a moment to go, and other stories' children hold
+/// every descriptor of this process for a moment when they start.
+fn open(folder: &Path) -> Folder {
+    let start = Instant::now();
+    loop {
+        match Folder::open(folder) {
+            Ok(folder) => return folder,
+            Err(FolderError::Locked) if start.elapsed() < Duration::from_secs(5) => std::thread::yield_now(),
+            Err(problem) => panic!("{problem}"),
+        }
+    }
+}
+
+fn newest(folder: &Path) -> Option<Picture> {
+    open(folder).load().picture.map(|(picture, ..)| picture)
+}
+
+/// Not a story: the process that is killed in the middle of a write, started by the one below.
+#[test]
+fn child_that_writes_and_dies() {
+    let Ok(folder) = std::env::var("LEARNED_CHILD") else { return };
+    let die_at: usize = std::env::var("LEARNED_DIE_AT").unwrap().parse().unwrap();
+    let folder = open(Path::new(&folder));
+    let next = folder.load().picture.map_or(1, |(picture, ..)| picture.taken + 1);
+    let mut seen = 0;
+    folder
+        .write(&file::encode(&picture(next)).unwrap(), |_| {
+            if seen == die_at {
+                // As kill -9: nothing is flushed, unwound or unlocked by the process.
+                std::process::abort();
+            }
+            seen += 1;
+        })
+        .unwrap();
+}
+
+/// Hard case 1. Killed before each system call of a write, and in the middle of one, over folders with 0 to 4
+/// generations: what is read is the last whole picture, or the new one, and never anything else.
+#[test]
+fn a_write_that_is_killed_at_any_step_leaves_the_last_picture_or_the_new_one() {
+    for written in 0..5u64 {
+        let mut die_at = 0;
+        loop {
+            let folder = Temporary::new();
+            for number in 1..=written {
+                let open = open(&folder.0);
+                open.write(&file::encode(&picture(number)).unwrap(), |_| {}).unwrap();
+            }
+            let status = Command::new(std::env::current_exe().unwrap())
+                .args(["--exact", "child_that_writes_and_dies", "--test-threads", "1"])
+                .env("LEARNED_CHILD", &folder.0)
+                .env("LEARNED_DIE_AT", die_at.to_string())
+                .stdout(std::process::Stdio::null())
+                .stderr(std::process::Stdio::null())
+                .status()
+                .unwrap();
+            let found = newest(&folder.0).map_or(0, |p| p.taken);
+            assert!(
+                found == written || found == written + 1,
+                "{written} written, killed at {die_at}: {found}"
+            );
+            // The next process writes on, over whatever was left beside.
+            let open = open(&folder.0);
+            open.write(&file::encode(&picture(99)).unwrap(), |_| {}).unwrap();
+            assert_eq!(open.load().picture.map(|(p, ..)| p.taken), Some(99));
+            assert!(open.generations().unwrap().len() <= steps::KEPT + 1);
+            if status.success() {
+                assert!(die_at >= 6 && found == written + 1);
+                break;
+            }
+            die_at += 1;
+        }
+    }
+}
+
+/// Three cells in a ring; the hosts answer after so many milliseconds, and count what comes to them.
+fn hosts(delays: [u64; 3]) -> (Vec<FrameHost>, Vec<Arc<AtomicUsize>>) {
+    let counts: Vec<Arc<AtomicUsize>> = (0..3).map(|_| Arc::default()).collect();
+    let host = |(delay, count): (u64, &Arc<AtomicUsize>)| {
+        let count = count.clone();
+        FrameHost::start(move |_| {
+            count.fetch_add(1, Ordering::SeqCst);
+            // How slow a host is, not a way to wait for something.
+            std::thread::sleep(Duration::from_millis(delay));
+            Say::Good(1, "x".to_owned())
+        })
+    };
+    (delays.into_iter().zip(&counts).map(host).collect(), counts)
+}
+
+fn start(shell: &str, hosts: Vec<FrameHost>, folder: &Path) -> Platform {
+    let file = folder.with_extension("json");
+    std::fs::write(&file, json!({"learning": {"folder": folder, "period_ms": 100}}).to_string()).unwrap();
+    let targets = hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+    let more = ["--operator".to_owned(), file.display().to_string()];
+    Platform::start_in(shell, settings(), hosts, Discovery::start(targets), 256, &more)
+}
+
+/// Asks for slice 0, which the first two hosts hold, one query after the other.
+fn ask(platform: &Platform, first: usize, count: usize) {
+    for n in first..first + count {
+        let answer = platform.ask(&format!("{n:016x}"), "page", &[0]);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+}
+
+fn end(mut platform: Platform) -> Duration {
+    let start = Instant::now();
+    platform.program.signal("TERM");
+    let status = platform.program.child.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+    start.elapsed()
+}
+
+fn show(folder: &Path) -> Value {
+    let names: Vec<u64> = open(folder).generations().unwrap();
+    let file = folder.join(steps::name(*names.iter().max().expect("a generation")));
+    let output = Command::new(env!("CARGO_BIN_EXE_bitternsill"))
+        .args(["learned", "show", "--format", "json"])
+        .arg(file)
+        .output()
+        .unwrap();
+    serde_json::from_slice(&output.stdout).expect("JSON")
+}
+
+/// A slow host is known after a restart: nothing is sent to it first.
+#[test]
+fn a_restart_does_not_forget_which_host_is_slow() {
+    let folder = Temporary::new();
+    let (slow, _) = hosts([120, 1, 1]);
+    let platform = start("true", slow, &folder.0);
+    // Over two seconds, as the module lets a host that was slow a moment ago rest before it is tried again.
+    for n in 0..130 {
+        ask(&platform, n, 1);
+        std::thread::sleep(Duration::from_millis(15));
+    }
+    end(platform);
+    let kept = show(&folder.0);
+    let slowness = |uid: &str| {
+        let all = kept["hosts"].as_array().unwrap();
+        all.iter().find(|h| h["host"] == uid).and_then(|h| h["slowness"][1].as_f64())
+    };
+    assert!(slowness("s-0") > Some(2.0) && slowness("s-1") < Some(2.0), "{kept:#}");
+    assert_eq!(kept["classes"][1]["class"], "page");
+    let (slow, counts) = hosts([120, 1, 1]);
+    let platform = start("true", slow, &folder.0);
+    ask(&platform, 100, 15);
+    let first = counts[0].load(Ordering::SeqCst);
+    assert_eq!(first, 0, "parts sent to the slow host");
+    end(platform);
+    // Without the folder's memory some of the first queries find it out.
+    let forgotten = Temporary::new();
+    let (slow, counts) = hosts([120, 1, 1]);
+    let platform = start("true", slow, &forgotten.0);
+    ask(&platform, 200, 15);
+    assert!(counts[0].load(Ordering::SeqCst) > 0);
+}
+
+fn memory(slowness: f32, judged: u64) -> HostMemory {
+    HostMemory {
+        born: 0,
+        slowness: vec![slowness; 3],
+        delay: 0.0,
+        limit: 3.0,
+        errors: 0.0,
+        weight: 16.0,
+        judged,
+    }
+}
+
+/// A picture of the stories' fleet.
+fn remembered(taken: u64, slowness: [f32; 3]) -> Picture {
+    let classes = ["search", "page", "shelf"];
+    let class = |name: &&str| ClassMemory {
+        name: (*name).to_owned(),
+        median: 2e6,
+        p95: 5e6,
+        least: 2e6,
+        tries: (2e6, 5e6),
+        weight: 96.0,
+    };
+    let fleet = Fleet { classes: classes.map(str::to_owned).to_vec(), cells: 3, reach: 2 };
+    let hosts = (0..3).map(|n| (Arc::from(format!("s-{n}").as_str()), memory(slowness[n], taken))).collect();
+    Picture { fleet, taken, classes: classes.iter().map(class).collect(), hosts }
+}
+
+/// Hard case 3. A memory that says the contrary of what answers say, fresh or three days old: within twenty queries the
+/// answers have won.
+#[test]
+fn answers_win_against_a_wrong_memory() {
+    for age in [0, 3 * 86_400_000] {
+        let folder = Temporary::new();
+        let wrong = remembered(now_ms() - age, [1.0, 8.0, 1.0]);
+        let open = open(&folder.0);
+        open.write(&file::encode(&wrong).unwrap(), |_| {}).unwrap();
+        drop(open);
+        let (slow, counts) = hosts([60, 1, 1]);
+        let platform = start("true", slow, &folder.0);
+        ask(&platform, 0, 20);
+        let before = counts[1].load(Ordering::SeqCst);
+        let wasted = counts[0].load(Ordering::SeqCst);
+        ask(&platform, 100, 20);
+        let right = counts[1].load(Ordering::SeqCst) - before;
+        let wrong = counts[0].load(Ordering::SeqCst) - wasted;
+        assert!(
+            right >= 18 && wrong <= 4,
+            "{age} ms old: {right} to the quick host, {wrong} to the slow one"
+        );
+    }
+}
+
+/// Hard case 1. Killed at any moment under load: what is read is sound, and never older than two periods.
+#[test]
+fn a_program_that_is_killed_at_any_moment_leaves_a_picture_of_its_last_two_periods() {
+    let folder = Temporary::new();
+    let mut seed = 7u64;
+    for round in 0..12 {
+        let (quick, _) = hosts([1, 1, 1]);
+        let mut platform = start("true", quick, &folder.0);
+        ask(&platform, 100 * round, 1);
+        // Long enough for a first picture, and then any time within two periods.
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let until = Instant::now() + Duration::from_millis(230 + (seed >> 33) % 200);
+        let mut n = 100 * round + 1;
+        while Instant::now() < until {
+            ask(&platform, n, 1);
+            n += 1;
+        }
+        platform.program.child.kill().unwrap();
+        let killed = now_ms();
+        platform.program.child.wait().unwrap();
+        let kept = newest(&folder.0).expect("a sound picture");
+        let old = killed.saturating_sub(kept.taken);
+        // Two periods of 100 ms, and what a busy machine takes over one write.
+        assert!(old <= 200 + 150, "round {round}: {old} ms old");
+    }
+}
+
+/// Hard case 2. A folder that is missing, is none, is in use or cannot be written: queries are served all the same.
+#[test]
+fn a_folder_that_cannot_be_used_keeps_nobody_from_being_served() {
+    let folder = Temporary::new();
+    let file = folder.0.join("file");
+    std::fs::write(&file, "x").unwrap();
+    let missing = folder.0.join("missing");
+    assert!(matches!(Folder::open(&missing), Err(FolderError::Missing)));
+    assert!(matches!(Folder::open(&file), Err(FolderError::NotAFolder)));
+    // Nothing can be created there by anybody.
+    assert!(matches!(Folder::open(Path::new("/proc/self")), Err(FolderError::Lock(_))));
+    let held = open(&folder.0);
+    assert!(matches!(Folder::open(&folder.0), Err(FolderError::Locked)));
+    for path in [&missing, &file, &folder.0] {
+        let (quick, _) = hosts([1, 1, 1]);
+        let platform = start("true", quick, path);
+        ask(&platform, 0, 3);
+        end(platform);
+    }
+    drop(held);
+    assert_eq!(open(&folder.0).generations().unwrap(), [0u64; 0]);
+}
+
+/// Hard case 2. Links, zeros, truncations and other fleets' files among the generations: each is passed over with its
+/// reason, and the newest sound one is taken. What a link points to is never written.
+#[test]
+fn unsound_generations_are_passed_over() {
+    let folder = Temporary::new();
+    let at = |generation: u64| folder.0.join(steps::name(generation));
+    let sound = file::encode(&picture(7)).unwrap();
+    std::fs::write(at(1), &sound).unwrap();
+    std::fs::write(at(2), &sound[..sound.len() - 3]).unwrap();
+    // As large as a disk may give, without a byte of it on the disk.
+    std::fs::File::create(at(3)).unwrap().set_len(100 << 20).unwrap();
+    symlink(at(1), at(4)).unwrap();
+    std::fs::create_dir(at(5)).unwrap();
+    std::fs::write(at(6), b"").unwrap();
+    let open = open(&folder.0);
+    let found = open.load();
+    assert_eq!(found.picture.map(|(p, _, generation)| (p.taken, generation)), Some((7, 1)));
+    let reasons: Vec<u64> = found.unsound.iter().map(|(generation, _)| *generation).collect();
+    assert_eq!(reasons, [6, 5, 4, 3, 2]);
+    let victim = folder.0.join("victim");
+    std::fs::write(&victim, "precious").unwrap();
+    symlink(&victim, folder.0.join(steps::BESIDE)).unwrap();
+    assert!(open.write(&sound, |_| {}).is_err());
+    assert_eq!(std::fs::read_to_string(&victim).unwrap(), "precious");
+}
+
+/// Hard case 2. A disk on which nothing more fits, and one that never answers: queries are served as before, and the
+/// program ends in its time.
+#[test]
+fn a_full_or_stuck_disk_holds_up_no_query_and_no_end() {
+    // A file may have no byte more than none: each write fails as on a full disk.
+    let full = Temporary::new();
+    let (quick, _) = hosts([1, 1, 1]);
+    let platform = start("trap '' XFSZ; ulimit -f 0", quick, &full.0);
+    ask(&platform, 0, 50);
+    end(platform);
+    assert_eq!(newest(&full.0), None);
+    // A pipe that nobody reads from: whoever opens it to write waits for ever.
+    let stuck = Temporary::new();
+    assert!(Command::new("mkfifo").arg(stuck.0.join(steps::BESIDE)).status().unwrap().success());
+    let (quick, _) = hosts([1, 1, 1]);
+    let platform = start("true", quick, &stuck.0);
+    let begin = Instant::now();
+    while begin.elapsed() < Duration::from_millis(600) {
+        let asked = Instant::now();
+        ask(&platform, 1000 + begin.elapsed().as_micros() as usize, 1);
+        assert!(asked.elapsed() < Duration::from_millis(400), "a query waited for the disk");
+    }
+    assert!(end(platform) < Duration::from_millis(4_500), "the end waited for the disk");
+}
+
+/// Hard case 4. A deploy that replaces the gatherer and the hosts at once: new hosts are not held to be what the old ones
+/// were, by their names or by their starts.
+#[test]
+fn hosts_that_were_replaced_with_the_gatherer_begin_anew() {
+    let folder = Temporary::new();
+    let open = open(&folder.0);
+    let taken = now_ms();
+    open.write(&file::encode(&remembered(taken, [8.0, 1.0, 1.0])).unwrap(), |_| {}).unwrap();
+    drop(open);
+    // The first host has started since; its slowness is not its own any more, and it is tried.
+    let (quick, counts) = hosts([1, 1, 1]);
+    let file = folder.0.with_extension("json");
+    std::fs::write(&file, json!({"learning": {"folder": folder.0}}).to_string()).unwrap();
+    let mut targets: Vec<Value> =
+        quick.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+    targets[0]["boot_ms"] = json!(taken - 60_000);
+    targets[2]["uid"] = json!("s-new");
+    let more = ["--operator".to_owned(), file.display().to_string()];
+    let platform = Platform::start_in("true", settings(), quick, Discovery::start(targets), 256, &more);
+    ask(&platform, 0, 20);
+    assert!(counts[0].load(Ordering::SeqCst) > 3, "it is used like any other");
+}
+
+/// The commands, on sound files and on others.
+#[test]
+fn files_can_be_shown_checked_converted_aged_and_compared() {
+    let folder = Temporary::new();
+    let at = |name: &str| folder.0.join(name);
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_bitternsill"))
+            .arg("learned")
+            .args(args)
+            .current_dir(&folder.0)
+            .output()
+            .unwrap();
+        let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+        (output.status.code(), text(output.stdout) + &text(output.stderr))
+    };
+    std::fs::write(at("new"), file::encode(&remembered(now_ms(), [8.0, 1.0, 1.0])).unwrap()).unwrap();
+    std::fs::write(at("spoilt"), &std::fs::read(at("new")).unwrap()[..90]).unwrap();
+    let (code, text) = run(&["show", "new"]);
+    assert!(code == Some(0) && text.contains("version 2") && text.contains("s-0  slowness 8.00"), "{text}");
+    let (code, text) = run(&["verify", "spoilt"]);
+    assert!(code == Some(1) && text.starts_with("bitternsill: spoilt: 90 bytes where "), "{text}");
+    assert_eq!(run(&["convert", "new", "old", "--version", "1"]).0, Some(0));
+    assert!(run(&["verify", "old"]).1.contains("sound, version 1, 3 hosts"));
+    let (code, text) = run(&["convert", "new", "old"]);
+    assert!(code == Some(1) && text.contains("old"), "what is there is not written over: {text}");
+    let (code, text) = run(&["diff", "new", "old"]);
+    assert!(code == Some(1) && text.contains("class search: differs"), "{text}");
+    assert_eq!(run(&["diff", "new", "new"]), (Some(0), "no difference\n".to_owned()));
+    let aged = run(&["age", "new", "--after", "60"]).1;
+    assert!(
+        aged.contains("s-0  slowness 4.50") && aged.contains("s-1  dropped: nothing out of the ordinary"),
+        "{aged}"
+    );
+    let late: Value =
+        serde_json::from_str(&run(&["age", "new", "--after", "259200", "--format", "json"]).1).unwrap();
+    assert_eq!(late["hosts"].as_array().map(Vec::len), Some(0));
+}
--- a/learning/src/age.rs
+++ b/learning/src/age.rs
@@ -12,8 +12,10 @@
     pub host_half_life: Wall,
     /// What is learned of a class counts half after this.
     pub class_half_life: Wall,
-    /// So many answers count in full; fewer count for their share.
-    pub full_weight: f64,
+    /// So many answers of a class count in full; fewer count for their share.
+    pub class_weight: f64,
+    /// The same of a host. A host that is left out because it is slow is judged by few answers, and these say enough.
+    pub host_weight: f64,
     /// What counts for less than this counts for nothing.
     pub floor: f64,
     /// A host this much slower than its peers is held to be slow.
@@ -31,7 +33,8 @@
         Rules {
             host_half_life: 60_000,
             class_half_life: 3_600_000,
-            full_weight: 8.0,
+            class_weight: 8.0,
+            host_weight: 2.0,
             floor: 0.05,
             slow: 2.0,
             common: 0.5,
@@ -141,7 +144,7 @@
 }
 
 fn aged_class(old: &ClassMemory, fresh: &ClassMemory, age: Wall, rules: &Rules) -> ClassMemory {
-    let counts = left(age, rules.class_half_life) * (old.weight / rules.full_weight).clamp(0.0, 1.0);
+    let counts = left(age, rules.class_half_life) * (old.weight / rules.class_weight).clamp(0.0, 1.0);
     let sound =
         [old.median, old.p95, old.least, old.tries.0, old.tries.1].iter().all(|v| v.is_finite() && *v > 0.0);
     if counts < rules.floor || !sound {
@@ -174,7 +177,7 @@
     // Judged in the future: the clock has jumped in the middle, and nobody knows when that was.
     let age = now.checked_sub(host.judged).ok_or(Reason::CountsForNothing)?;
     let counts =
-        left(age, rules.host_half_life) * (f64::from(host.weight) / rules.full_weight).clamp(0.0, 1.0);
+        left(age, rules.host_half_life) * (f64::from(host.weight) / rules.host_weight).clamp(0.0, 1.0);
     let sound = host
         .slowness
         .iter()
