--- a/bitternsill/benches/learned.rs
+++ b/bitternsill/benches/learned.rs
@@ -6,7 +6,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use bitternsill::learned::folder::Folder;
+use bitternsill::learned::folder::{Folder, FolderError};
 use bramblestair::Aggregator;
 use bramblestair::interface::{
     Action, Class, Entry, Event, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings,
@@ -24,9 +24,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const HOSTS: usize = 10;
-const AIM_MS: u64 = 150;
+const AIM_MS: u64 = 1500;
 const RATE: u64 = 60;
-const WARM: u64 = 6;
+const WARM: u64 = 8;
 const AFTER: u64 = 10;
 
 fn now_ms() -> u64 {
@@ -51,8 +51,8 @@
         FrameHost::start(move |_| {
             parts.fetch_add(1, Ordering::Relaxed);
             let delay = match () {
-                () if slow.contains(&n) => 70,
-                () if n == cold && now_ms() < cold_until.load(Ordering::Relaxed) => 40,
+                () if slow.contains(&n) => 1600,
+                () if n == cold && now_ms() < cold_until.load(Ordering::Relaxed) => 30,
                 () => 8,
             };
             thread::sleep(Duration::from_millis(delay));
@@ -69,7 +69,7 @@
     settings["extra"]["ranges"] = json!(HOSTS);
     for class in settings["request_classes"].as_array_mut().unwrap() {
         class["target"] = json!(AIM_MS * 1_000_000);
-        class["deadline"] = json!(2_000_000_000u64);
+        class["deadline"] = json!(4_000_000_000u64);
     }
     settings["limits"]["max_open"] = json!(600);
     settings
@@ -102,7 +102,7 @@
     let asked = hosts.parts.load(Ordering::Relaxed);
     let late: Arc<Mutex<Vec<Duration>>> = Arc::default();
     let marks: Arc<Mutex<Vec<usize>>> = Arc::default();
-    let threads: Vec<_> = (0..24)
+    let threads: Vec<_> = (0..200)
         .map(|_| {
             let (platform, next, late) = (platform.clone(), next.clone(), late.clone());
             thread::spawn(move || {
@@ -152,7 +152,15 @@
 
 /// A folder with one picture, changed.
 fn changed(from: &Path, name: &str, change: impl FnOnce(&mut Picture)) -> PathBuf {
-    let (mut picture, ..) = Folder::open(from).unwrap().load().picture.expect("a picture");
+    // Programs of other seeds that start at this moment hold every descriptor of this process for an instant.
+    let folder = loop {
+        match Folder::open(from) {
+            Ok(folder) => break folder,
+            Err(FolderError::Locked) => thread::yield_now(),
+            Err(problem) => panic!("{problem}"),
+        }
+    };
+    let (mut picture, ..) = folder.load().picture.expect("a picture");
     change(&mut picture);
     let to = new_folder(name);
     std::fs::write(to.join(steps::name(1)), file::encode(&picture).unwrap()).unwrap();
--- /dev/null
+++ b/catalogue/src/operation/filling.rs
@@ -0,0 +1,184 @@
+//! What a page lacks, who is asked for it, and what becomes of what they give.
+
+use super::{Bounds, Plan, Search, Short};
+use crate::fault::{Fault, Kind};
+use crate::merge::{self, FacetAsk, MergedFacet, Pull, Row};
+use crate::record::{Record, Schema};
+use crate::sets::{Changed, Place, ResultSet, SetId};
+use crate::work::{Found, PageWork, Range, Work};
+
+/// A page's state.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Filling {
+    pub(super) set: SetId,
+    pub(super) start: u64,
+    pub(super) wanted: u64,
+    pub(super) schema: Schema,
+    pub(super) rows: Vec<Option<Record>>,
+    /// What is asked for in the round under way.
+    pub(super) asked: Vec<Place>,
+    /// Whether that extends the known order of a sorted set.
+    pub(super) extends: bool,
+    pub(super) lost: Vec<u32>,
+    pub(super) short: Option<Short>,
+    pub(super) replaced: bool,
+    pub(super) notes: Vec<Fault>,
+    pub(super) facets: Vec<MergedFacet>,
+    /// The search to begin again with, where the set has changed.
+    pub(super) again: Option<Search>,
+}
+
+/// Why what a slice gave ends the page.
+pub(super) enum Trouble {
+    Changed(Changed),
+    Fault(Fault),
+}
+
+/// What is asked first. An unsorted set's first page mostly lies in its first slice, so the others are asked for
+/// their share only.
+pub(super) fn first_round(search: &Search, bounds: &Bounds) -> Plan {
+    let slices = search.slices.len().max(1) as u64;
+    let want = search.want.most().min(bounds.page);
+    let per_part = u64::from(bounds.per_part);
+    let count = |first: bool| match (search.sort.is_empty(), search.start) {
+        _ if want == 0 => 0,
+        (true, 1) if first => want.min(per_part),
+        (true, 1) => want.div_ceil(slices).min(per_part),
+        // Where a later position stands is known only when the counts are.
+        (true, _) => 0,
+        (false, start) => chunk(start - 1 + want, slices, per_part),
+    };
+    let range = |(at, slice): (usize, &u32)| Range { slice: *slice, offset: 0, count: count(at == 0) as u32 };
+    let facet = |ask: &FacetAsk| FacetAsk { index: ask.index.clone(), limit: merge::facet_ask(ask.limit) };
+    let work = PageWork {
+        query: search.query.to_string(),
+        sort: search.sort.clone(),
+        schema: search.schema,
+        fresh: true,
+        ranges: search.slices.iter().enumerate().map(range).filter(|r| r.count > 0).collect(),
+        facets: search.facets.iter().map(facet).collect(),
+    };
+    Plan { work: Work::Page(work), slices: search.slices.clone() }
+}
+
+/// How many records each slice is asked for so that so many more can be merged.
+fn chunk(need: u64, slices: u64, per_part: u64) -> u64 {
+    (need.div_ceil(slices) + 2).min(per_part)
+}
+
+/// In a sorted set: merges what is here up to the page's end, and says what is wanted for more.
+pub(super) fn extend(
+    page: &mut Filling,
+    set: &mut ResultSet,
+    bounds: &Bounds,
+) -> Result<Option<Vec<Range>>, Fault> {
+    let end = page.start - 1 + page.rows.len() as u64;
+    let Some(merged) = &mut set.merged else { return Ok(None) };
+    if end > bounds.reach {
+        return Err(Kind::SORT_TOO_MANY.of(format!("sorted sets are read up to position {}", bounds.reach)));
+    }
+    let slices = merged.sources.iter().filter(|s| s.hits > 0).count().max(1) as u64;
+    while (merged.order.len() as u64) < end {
+        match merge::pull(&set.sort, &mut merged.sources) {
+            Pull::End => break,
+            Pull::Row(at, row, disorder) => {
+                let position = merged.order.len() as u64 + 1;
+                merged.order.push(at as u16);
+                if disorder {
+                    merged.disorder.get_or_insert(set.slices[at].slice);
+                }
+                if let Some(slot) = position.checked_sub(page.start) {
+                    page.rows[slot as usize] = Some(row.record);
+                }
+            }
+            Pull::Dry(dry) => {
+                let need = end - merged.order.len() as u64;
+                let count = chunk(need, slices, u64::from(bounds.per_part));
+                let place = |at: usize| Place {
+                    at,
+                    slice: set.slices[at].slice,
+                    offset: merged.sources[at].next_offset(),
+                    count: count.min(merged.sources[at].behind()),
+                };
+                page.asked = dry.into_iter().map(place).collect();
+                page.extends = true;
+                let range = |p: &Place| Range { slice: p.slice, offset: p.offset, count: p.count as u32 };
+                return Ok(Some(page.asked.iter().map(range).collect()));
+            }
+        }
+    }
+    Ok(None)
+}
+
+/// Asks for the rows that are not here, where it is known where they stand.
+pub(super) fn missing_rows(page: &mut Filling, set: &ResultSet, bounds: &Bounds) -> Option<Vec<Range>> {
+    page.extends = false;
+    page.asked.clear();
+    // Rows that are here stand before those that are not within a slice, or behind them: one range covers the gap.
+    for (position, place) in set.locate(page.start, page.rows.len() as u64) {
+        if page.rows[(position - page.start) as usize].is_some() {
+            continue;
+        }
+        match page.asked.iter_mut().find(|p| p.at == place.0) {
+            Some(ask) if place.1 < ask.offset + u64::from(bounds.per_part) => {
+                ask.count = place.1 + 1 - ask.offset
+            }
+            Some(_) => {}
+            None => page.asked.push(Place {
+                at: place.0,
+                slice: set.slices[place.0].slice,
+                offset: place.1,
+                count: 1,
+            }),
+        }
+    }
+    let ranges: Vec<Range> = page.asked.iter().map(|p| set.ask(p)).collect();
+    (!ranges.is_empty()).then_some(ranges)
+}
+
+/// Takes what a slice gave.
+pub(super) fn take(
+    page: &mut Filling,
+    set: &mut ResultSet,
+    place: &Place,
+    mut found: Found,
+) -> Result<(), Trouble> {
+    if page.extends {
+        let slice = &set.slices[place.at];
+        let changed = Trouble::Changed(Changed { slice: slice.slice });
+        if slice.exact && found.exact && slice.hits != found.hits || found.records.is_empty() {
+            return Err(changed);
+        }
+        let Some(merged) = &mut set.merged else { return Ok(()) };
+        let source = &mut merged.sources[place.at];
+        // Another operation on the set may have fetched the same meanwhile.
+        let have = source.next_offset().saturating_sub(place.offset) as usize;
+        let last = source.ahead.back().map(|row| row.record.fingerprint());
+        for (at, record) in found.records.into_iter().enumerate().skip(have) {
+            if at == have && last == Some(record.fingerprint()) {
+                return Err(changed);
+            }
+            let row = Row::new(record, &set.sort).ok_or_else(|| Trouble::Fault(Kind::SORT_MISSING.of("")))?;
+            source.ahead.push_back(row);
+        }
+        return Ok(());
+    }
+    set.check(place, &mut found).map_err(Trouble::Changed)?;
+    let located = set.locate(page.start, page.rows.len() as u64);
+    let mut last = None;
+    for (position, (at, offset)) in located {
+        let row = &mut page.rows[(position - page.start) as usize];
+        if at == place.at
+            && row.is_none()
+            && let Some(index) = offset.checked_sub(place.offset)
+            && let Some(record) = found.records.get(index as usize)
+        {
+            last = Some((offset, record.clone()));
+            *row = Some(record.clone());
+        }
+    }
+    if let Some((offset, record)) = last {
+        set.delivered(place.at, offset, &record);
+    }
+    Ok(())
+}
--- a/learning/src/age.rs
+++ b/learning/src/age.rs
@@ -192,6 +192,9 @@
     // Memory warns and never recommends: what was better than ordinary is ordinary.
     let worse =
         |value: f32, ordinary: f32| draw(f64::from(value.max(ordinary)), f64::from(ordinary), counts) as f32;
+    // A limit follows load: it says something of the host itself only where the host was slow or failing.
+    let bad = host.slowness.iter().any(|s| *s > rules.slow) || f64::from(host.errors) > rules.floor;
+    let limit = if bad { host.limit.clamp(1.0, rules.start_limit) } else { rules.start_limit };
     let aged = HostMemory {
         born,
         slowness: host.slowness.iter().map(|s| worse(*s, 1.0)).collect(),
