--- a/learning/src/age.rs
+++ b/learning/src/age.rs
@@ -199,8 +199,7 @@
         born,
         slowness: host.slowness.iter().map(|s| worse(*s, 1.0)).collect(),
         delay: worse(host.delay, 0.0),
-        limit: draw(f64::from(host.limit.clamp(1.0, rules.start_limit)), f64::from(rules.start_limit), counts)
-            as f32,
+        limit: draw(f64::from(limit), f64::from(rules.start_limit), counts) as f32,
         errors: worse(host.errors.min(1.0), 0.0),
         weight: (f64::from(host.weight) * counts) as f32,
         judged: host.judged,
--- a/learning/tests/age.rs
+++ b/learning/tests/age.rs
@@ -74,7 +74,8 @@
         ("short", short),
         ("hardly", host(4.0, 1.0, 0.0, 0.05)),
         ("quick", host(0.2, 9.0, 0.0, 16.0)),
-        ("a", ordinary()),
+        // Its limit was low because of load, which has moved on.
+        ("a", host(1.0, 1.0, 0.0, 16.0)),
         ("b", ordinary()),
         ("c", ordinary()),
         ("d", ordinary()),
@@ -90,6 +91,7 @@
     for uid in ["ahead", "odd", "short", "hardly"] {
         assert_eq!(why(&aged, uid), Some(Reason::CountsForNothing), "{uid}");
     }
+    assert_eq!(why(&aged, "a"), Some(Reason::Ordinary));
     // Memory never recommends: one that was quicker than its peers is like them.
     assert_eq!(why(&aged, "quick"), Some(Reason::Ordinary));
 }
