--- a/bitternsill/tests/learned.rs
+++ b/bitternsill/tests/learned.rs
@@ -261,7 +261,9 @@
 fn a_program_that_is_killed_at_any_moment_leaves_a_picture_of_its_last_two_periods() {
     let folder = Temporary::new();
     let mut seed = 7u64;
-    for round in 0..12 {
+    // More by hand: LEARNED_ROUNDS=300 cargo test -p bitternsill --test learned killed_at_any_moment
+    let rounds = std::env::var("LEARNED_ROUNDS").ok().and_then(|n| n.parse().ok()).unwrap_or(12);
+    for round in 0..rounds {
         let (quick, _) = hosts([1, 1, 1]);
         let mut platform = start("true", quick, &folder.0);
         ask(&platform, 100 * round, 1);
