--- a/src/choice.rs
+++ b/src/choice.rs
@@ -382,12 +382,14 @@
         server.busy += (took / (PROBE_WAIT * self.settings.tick).max(1)) as f64;
     }
 
-    /// Where evidence is thin and answers slow, probes two holders of each shard; the query waits some ticks.
+    /// Where evidence is thin and answers slow, probes two holders of each shard; the query waits some ticks. A probe
+    /// dearer than the work that a bad choice loses is not worth its answer: of many aggregators all have thin evidence.
     fn probe(&mut self, out: &mut Vec<Action>) {
-        let aims = &self.settings.classes;
-        let tight = |q: &Query| self.pace[q.class].p95 > START_SHARE * aims[q.class].aim as f64;
+        let s = &self.settings;
+        let tight = |q: &Query| self.pace[q.class].p95 > START_SHARE * s.classes[q.class].aim as f64;
         let new = self.queries.iter().filter(|q| q.1.wait_until == 0 && tight(q.1));
-        let new: Vec<u64> = new.map(|q| *q.0).filter(|_| self.settings.probes && self.thin).collect();
+        let probing = s.probes && s.probe_price <= s.waste_price && self.thin;
+        let new: Vec<u64> = new.map(|q| *q.0).filter(|_| probing).collect();
         for number in new {
             let query = self.queries.get_mut(&number).expect("listed above");
             query.wait_until = self.now + PROBE_WAIT * self.settings.tick;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,6 +107,10 @@
     pub cancels: bool,
     /// Whether servers may be probed.
     pub probes: bool,
+    /// Points taken off for each probe, by part.
+    pub probe_price: f64,
+    /// Points taken off for work that brought no answer, as a share of all work.
+    pub waste_price: f64,
     /// Whether a part may have two attempts out.
     pub second_copies: bool,
     /// Whether clients say of a repeat that it is one.
@@ -236,6 +240,8 @@
             max_open: u32::MAX,
             cancels: true,
             probes: false,
+            probe_price: 0.0,
+            waste_price: 0.0,
             second_copies: true,
             repeats_marked: false,
             max_hold_off: 0,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -218,6 +218,7 @@
         serde_json::from_str(text).map_err(|e| format!("INIT: field `boot_info` is not JSON: {e}"))?;
     let root = Group { path: "boot_info".to_owned(), value: &value };
     let (limits, rules, extra) = (root.sub("limits"), root.sub("guarantees"), root.sub("extra"));
+    let prices = root.sub("prices");
     let floors = extra.sub("floor_by_class").items();
     let needs = extra.sub("class_need").items();
     let shorts = extra.sub("short_worth").items();
@@ -273,6 +274,8 @@
         max_open: limits.real_or("max_open", f64::from(u32::MAX))? as u32,
         cancels: limits.flag("cancel"),
         probes: limits.flag("probes"),
+        probe_price: prices.real_or("probe", 0.0)?,
+        waste_price: prices.real_or("waste", 0.0)?,
         second_copies: limits.flag("second_copies"),
         repeats_marked: root.sub("clients").flag("marks_retry"),
         max_hold_off: if limits.flag("retry_after") { limits.time_or("max_retry_after", 0)? } else { 0 },
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -614,6 +614,20 @@
     assert!(sent, "it goes out as it would unprobed");
 }
 
+/// Found with 100 aggregators: each has thin evidence for ever, and together they probed the servers full.
+#[test]
+fn a_probe_that_costs_more_than_lost_work_is_not_sent() {
+    for (probe_price, waste_price, probed) in [(0.01, 0.03, 2), (0.08, 0.03, 0)] {
+        let prices = Settings { probe_price, waste_price, ..ring(60, 2) };
+        let mut rig = Rig::new(Settings { probes: true, tick: 5 * MS, ..prices });
+        rig.warm_up(350 * MS, &[0, 20]);
+        rig.ask(MS, &[40]);
+        let probes = rig.actions.iter().filter(|a| matches!(a, Action::Probe(_))).count();
+        assert_eq!(probes, probed, "at a price of {probe_price}");
+        assert_eq!(rig.sends().is_empty(), probed > 0, "nothing waits for a probe that was not sent");
+    }
+}
+
 /// Clients with little time: a first try is started by a share of its own time, not of its class's aim.
 #[test]
 fn a_first_try_with_little_time_is_started() {
