--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,8 +54,9 @@
 /// time that broke one is closed before it is used.
 const QUICK: f64 = 0.125;
 const STALE: f64 = 0.75;
-/// Share of a cold server's stated budget that is used.
+/// Share of a cold server's stated budget that is used, and how many shares of under one part may be saved up.
 const COLD_USED: f64 = 0.7;
+const COLD_SAVED: f64 = 2.0;
 /// Work held back may fill this share of the least aim, at the rate answers come; more is refused.
 const HELD_SHARE: f64 = 0.25;
 /// After a server's death queries send a scout for this many of the least aim.
@@ -173,6 +174,8 @@
     doubt_until: Time,
     oldest: BTreeMap<ServerId, (Time, usize)>,
     usual_load: f64,
+    borne: (f64, Time), // Answers of each warm server, smoothed over a ramp, and when the last came
+    warm: usize,
     tokens: f64,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -521,6 +524,11 @@
             self.pace[sent.class].add(sent.at + took - part.first_sent.unwrap_or(sent.at));
             let (weight, live) = (part.weight, part.live.clone());
             self.answers.push_back(self.now);
+            if self.servers.get(&sent.server).is_some_and(|s| self.is_warm(s)) {
+                let ((rate, at), ramp) = (self.borne, (self.settings.ramp as f64).max(1.0));
+                let faded = rate * (-((now - at) as f64) / ramp).exp();
+                self.borne = (faded + 1.0 / ramp / self.warm.max(1) as f64, now);
+            }
             for twin in live {
                 self.cancel(id, twin, out);
             }
@@ -628,6 +636,7 @@
         }
         let silent = self.oldest.iter().filter(|(id, (at, class))| self.silent(**id, *at, *class)).count();
         self.common = silent as f64 > COMMON * self.ready as f64;
+        self.warm = self.servers.values().filter(|s| s.ready && self.is_warm(s)).count();
         for class in 0..self.peers.len() {
             let ready = self.servers.values().filter(|s| s.ready);
             let mut peers: Vec<f64> = ready.map(|s| self.slowness(s, class)).collect();
@@ -786,25 +795,36 @@
             && self.cold_room(server)
     }
 
-    /// A cold server's told budget over the told time, on one core as none is told, shared by aggregators.
+    fn is_warm(&self, server: &Server) -> bool {
+        server.cold_from.is_none_or(|from| from + self.settings.ramp <= self.now)
+    }
+
+    /// A cold server's told budget over the told time: of what a warm server bears from this aggregator, which holds
+    /// for each of many alike, or if more of one core, as none is told, shared by aggregators.
     fn cold_room(&self, server: &Server) -> bool {
         let s = &self.settings;
-        let Some(from) = server.cold_from else { return true };
-        let age = self.now.saturating_sub(from) as f64 / (s.ramp as f64).max(1.0);
-        if age >= 1.0 {
-            return true;
-        }
+        let Some(from) = server.cold_from.filter(|_| !self.is_warm(server)) else { return true };
+        let age = self.now.saturating_sub(from) as f64 / s.ramp as f64;
         let capacity = s.start_capacity + (1.0 - s.start_capacity) * age;
         let work = self.pace.iter().map(|p| p.least).fold(1.0, f64::max) + s.call_work as f64;
-        let all = COLD_USED * s.tip_multiple * capacity * s.fall as f64;
-        let parts = all / f64::from(s.aggregators) / work;
-        let window = s.fall as f64 / parts.min(1.0);
+        let warm = (1.0 / f64::from(s.aggregators) / work).max(self.borne());
+        let parts = COLD_USED * s.tip_multiple * capacity * s.fall as f64 * warm;
+        let most = if parts < 1.0 { COLD_SAVED } else { parts };
+        let window = s.fall as f64 * most / parts;
         // With a share under one part aggregators take turns, or all would send theirs at the start.
-        if parts < 1.0 && server.sent.is_empty() && age * (s.ramp as f64) < server.turn * window {
+        if parts < 1.0 && server.sent.is_empty() && age * (s.ramp as f64) < server.turn * window / most {
             return false;
         }
         let recent = server.sent.iter().filter(|at| (self.now - **at) as f64 <= window).count();
-        recent as f64 + 1.0 <= parts.max(1.0)
+        recent as f64 + 1.0 <= most
+    }
+
+    /// Parts that a warm server lately answers for this aggregator in a nanosecond, on average.
+    fn borne(&self) -> f64 {
+        let ((rate, at), s) = (self.borne, &self.settings);
+        // Soon after the start the average holds little yet; one query must not pass for a steady load.
+        let told = at.saturating_sub(self.started.unwrap_or(at)).max(s.fall) as f64;
+        rate / (1.0 - (-told / s.ramp as f64).exp())
     }
 
     /// The server with the fewest calls out; then the one expected to be quickest, ties at random.
