--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -67,7 +67,7 @@
                     let shards: Vec<u32> = (first..first + SHARDS).map(|s| s % SERVERS).collect();
                     events.extend(self.rigs[at].query(0, 2000 * MS, &shards).1);
                 }
-                if !events.is_empty() || self.now.is_multiple_of(50 * MS) {
+                if !events.is_empty() || self.now % (50 * MS) == 0 {
                     events.push(Event::Wake);
                     self.turn(at, events);
                 }
