--- a/src/choice.rs
+++ b/src/choice.rs
@@ -174,8 +174,8 @@
     doubt_until: Time,
     oldest: BTreeMap<ServerId, (Time, usize)>,
     usual_load: f64,
+    misses: u32,        // Calls for the list that failed since one came
     borne: (f64, Time), // Answers of each warm server, smoothed over a ramp, and when the last came
-    warm: usize,
     tokens: f64,
     taken: VecDeque<Time>,
     extras: VecDeque<Time>,
@@ -264,8 +264,12 @@
         match *event {
             Event::List { kind, ref entries } => self.list(kind, entries),
             Event::ListFailed => {
-                let wait = self.settings.ask_within / 16 + self.rng.u64(..1 + self.settings.ask_within / 16);
-                self.timers.insert((self.now.saturating_add(wait), Timer::Watch));
+                // All fail together and would call again together: the more there are, the more they spread.
+                let doubled = self.misses.min(self.settings.aggregators.ilog2());
+                let wait = (self.settings.ask_within >> 4 << doubled).min(self.settings.ask_within);
+                let at = self.now.saturating_add(wait).saturating_add(self.rng.u64(..1 + wait));
+                self.misses += 1;
+                self.timers.insert((at, Timer::Watch));
             }
             Event::Query { .. } => self.admit(event),
             Event::Part { id, number, shard, weight } => {
@@ -290,14 +294,13 @@
         }
     }
 
-    /// What was learned: of at most so many of the servers judged since they were last told of (at the first call of
-    /// none: from then on they are noted), and of every class.
+    /// What was learned: of so many servers judged since last told of (noted from the first call on), and of classes.
     pub fn learned(&mut self, most: usize) -> Learned {
         let server = |id| {
             let s: &Server = self.servers.get(&id)?;
             let slowness = s.slowness.iter().map(|s| s.0).collect();
-            let (delay, limit, errors, answers) = (s.delay, s.limit, s.errors, s.judged);
-            Some((id, ServerMemory { slowness, delay, limit, errors, answers }))
+            let (delay, limit, errors) = (s.delay, s.limit, s.errors);
+            Some((id, ServerMemory { slowness, delay, limit, errors, answers: s.judged }))
         };
         let mut touched = self.touched.take().unwrap_or_default();
         let servers = (0..most).map_while(|_| touched.pop_first()).filter_map(server).collect();
@@ -332,6 +335,7 @@
     }
 
     fn list(&mut self, kind: ListKind, entries: &[Entry]) {
+        self.misses = 0;
         if kind != ListKind::Partial {
             let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (id, server) in &mut self.servers {
@@ -502,8 +506,8 @@
         // A query may itself kill its servers: while deaths go on each proves itself by one part first.
         let known = self.servers.get(&sent.server).is_some_and(|s| s.ready);
         let again = self.parts.get(&id).is_some_and(|p| p.again == Some(sent.server));
-        let gone = if again { Outcome::ConnectFailed } else { Outcome::Reset };
-        let died = known && !stale && (outcome == gone || outcome == Outcome::Reset);
+        let died =
+            known && !stale && (outcome == Outcome::Reset || again && outcome == Outcome::ConnectFailed);
         if died && self.now > self.death_at + self.aim / 2 {
             // Deaths at one moment are a crash; deaths that go on have a cause among what is sent.
             if self.now < self.death_at + DOUBT * self.aim {
@@ -526,8 +530,8 @@
             self.answers.push_back(self.now);
             if self.servers.get(&sent.server).is_some_and(|s| self.is_warm(s)) {
                 let ((rate, at), ramp) = (self.borne, (self.settings.ramp as f64).max(1.0));
-                let faded = rate * (-((now - at) as f64) / ramp).exp();
-                self.borne = (faded + 1.0 / ramp / self.warm.max(1) as f64, now);
+                let warm = self.servers.values().filter(|s| s.ready && self.is_warm(s)).count().max(1) as f64;
+                self.borne = (rate * (-((now - at) as f64) / ramp).exp() + 1.0 / ramp / warm, now);
             }
             for twin in live {
                 self.cancel(id, twin, out);
@@ -636,7 +640,6 @@
         }
         let silent = self.oldest.iter().filter(|(id, (at, class))| self.silent(**id, *at, *class)).count();
         self.common = silent as f64 > COMMON * self.ready as f64;
-        self.warm = self.servers.values().filter(|s| s.ready && self.is_warm(s)).count();
         for class in 0..self.peers.len() {
             let ready = self.servers.values().filter(|s| s.ready);
             let mut peers: Vec<f64> = ready.map(|s| self.slowness(s, class)).collect();
@@ -811,12 +814,11 @@
         let parts = COLD_USED * s.tip_multiple * capacity * s.fall as f64 * warm;
         let most = if parts < 1.0 { COLD_SAVED } else { parts };
         let window = s.fall as f64 * most / parts;
-        // With a share under one part aggregators take turns, or all would send theirs at the start.
-        if parts < 1.0 && server.sent.is_empty() && age * (s.ramp as f64) < server.turn * window / most {
-            return false;
-        }
         let recent = server.sent.iter().filter(|at| (self.now - **at) as f64 <= window).count();
-        recent as f64 + 1.0 <= most
+        // With a share under one part aggregators take turns, or all would send theirs at the start.
+        let early =
+            parts < 1.0 && server.sent.is_empty() && age * (s.ramp as f64) < server.turn * window / most;
+        !early && recent as f64 + 1.0 <= most
     }
 
     /// Parts that a warm server lately answers for this aggregator in a nanosecond, on average.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -111,3 +111,41 @@
         assert!((0.5..=1.2).contains(&used), "seed {seed}: {used:.2} of what a warm server is sent");
     }
 }
+
+/// Found on herd+vast: once its watches were lost discovery was called a hundred times a second for the rest of the day,
+/// answered none, and ninety aggregators went on with the list from before the release.
+#[test]
+fn calls_for_the_list_that_fail_for_all_grow_few_and_spread_out() {
+    for (aggregators, bounds) in [(100, 40..=130), (3, 5..=16)] {
+        let settings = Settings { list_on_request: true, ask_within: 10_000 * MS, aggregators, ..ring(4, 2) };
+        // By aggregator: when its next call fails. A call that is not answered takes a second to.
+        let mut rigs: Vec<(Rig, Option<Time>)> = (0..u64::from(aggregators))
+            .map(|seed| (Rig::seeded(settings.clone(), seed), Some(1000 * MS)))
+            .collect();
+        let start = rigs[0].0.now;
+        let mut calls = vec![0; 60];
+        for step in 1..600 {
+            let now = start + step * 100 * MS;
+            for (rig, fails) in &mut rigs {
+                let failed = fails.take_if(|at| start + *at <= now).map(|_| Event::ListFailed);
+                rig.turn(now - rig.now, &failed.into_iter().chain([Event::Wake]).collect::<Vec<_>>());
+                if rig.actions.contains(&Action::Watch(true)) {
+                    calls[step as usize / 10] += 1;
+                    *fails = Some(now - start + 1000 * MS);
+                }
+            }
+        }
+        let settled: u32 = calls[20..40].iter().sum();
+        assert!(calls[20..].iter().max() <= Some(&(aggregators / 4).max(3)), "{aggregators}: {calls:?}");
+        assert!(
+            bounds.contains(&(settled / 2)),
+            "{settled} calls of {aggregators} in 20 s, not within twice {bounds:?}"
+        );
+        // Once the list has come the next failure is the first.
+        let (rig, _) = &mut rigs[0];
+        let (kind, entries) = (ListKind::Partial, Vec::new().into());
+        rig.turn(MS, &[Event::List { kind, entries }, Event::ListFailed]);
+        rig.turn(1300 * MS, &[Event::Wake]);
+        assert!(rig.actions.contains(&Action::Watch(true)), "called again within an eighth of the told time");
+    }
+}
