Story: discovery that turns calls down or resets them is called ever less

Need: the issue's discovery that answers 503 or resets, on the program itself. Change: a story over loopback with a scripted discovery; queries go on with the last list.

--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -532,6 +532,39 @@
     assert!(read_response(&mut socket).contains("value of q.0"));
 }
 
+/// Found with 100 gatherers: discovery that turns calls down was called without rest, and answered nobody any more.
+#[test]
+fn discovery_that_turns_calls_down_or_resets_them_is_called_ever_less_while_queries_go_on() {
+    let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let (log, hosts) = (calls.clone(), three());
+    let overbooked = accept(move |mut socket| {
+        let mut calls = log.lock().unwrap();
+        calls.push(Instant::now());
+        // Every other call is dropped without a word.
+        if calls.len() % 2 == 1 {
+            let _ = socket.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    let targets: Vec<_> = hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+    let address = free_address();
+    let mut settings = settings();
+    settings["group_size"] = 100.into();
+    let config = serde_json::json!({
+        "name": "n0", "listen": address.to_string(), "discovery": overbooked.to_string(), "seed": "1",
+        "known": {"rev": 3, "all": true, "targets": targets}, "settings": settings
+    });
+    let _program = Program::start("--config", &config);
+    eventually("it listens", || TcpStream::connect(address).is_ok());
+    // The settings tell 2 s for asking: first waits of an eighth to a quarter of a second, then twice, four times as long.
+    eventually("four calls", || calls.lock().unwrap().len() >= 4);
+    let mut socket = TcpStream::connect(address).unwrap();
+    socket.write_all(query("q", "page", &[0], "").as_bytes()).unwrap();
+    assert!(read_response(&mut socket).contains("value of q.0"), "the last list stays in force");
+    let calls = calls.lock().unwrap();
+    let waits: Vec<Duration> = calls.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(waits[2] >= Duration::from_millis(500), "the third wait is four times the first: {waits:?}");
+}
+
 #[test]
 fn crowds_that_say_half_a_request_or_ask_once_and_stay_keep_nobody_waiting() {
     let platform = Platform::start(settings(), three());
