--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -20,13 +20,15 @@
     rigs: Vec<Rig>,
     rng: fastrand::Rng,
     now: Time,
-    due: BTreeSet<(Time, usize, PartId, u32, ServerId)>,
+    due: BTreeSet<(Time, usize, PartId, u32, ServerId, Time)>,
     legs: BTreeMap<(usize, PartId), u32>,
     /// When each server was sent something.
     sent: BTreeMap<ServerId, Vec<Time>>,
     /// Servers that take parts and never answer, and those that refuse every connection.
     silent: BTreeSet<ServerId>,
     refusing: BTreeSet<ServerId>,
+    /// Servers that take longer than the others.
+    slow: BTreeMap<ServerId, Time>,
     /// By aggregator and query: when its client gives up, and the share of its parts that is in.
     open: BTreeMap<(usize, u64), (Time, u32)>,
     query_of: BTreeMap<(usize, PartId), u64>,
@@ -49,6 +51,7 @@
             sent: BTreeMap::new(),
             silent: BTreeSet::new(),
             refusing: BTreeSet::new(),
+            slow: BTreeMap::new(),
             open: BTreeMap::new(),
             query_of: BTreeMap::new(),
             whole: 0,
@@ -70,8 +73,9 @@
             let leg = self.legs.entry((at, part)).and_modify(|leg| *leg += 1).or_insert(0);
             self.sent.entry(server).or_default().push(self.now);
             if !self.silent.contains(&server) {
-                let took = if self.refusing.contains(&server) { MS } else { TOOK };
-                self.due.insert((self.now + took, at, part, *leg, server));
+                let usual = self.slow.get(&server).copied().unwrap_or(TOOK);
+                let took = if self.refusing.contains(&server) { MS } else { usual };
+                self.due.insert((self.now + took, at, part, *leg, server, took));
             }
         }
         for action in self.rigs[at].actions.clone() {
@@ -98,13 +102,12 @@
         while self.now < until {
             self.now += 10 * MS;
             let mut events: BTreeMap<usize, Vec<Event>> = BTreeMap::new();
-            while let Some(&(due, at, part, leg, server)) = self.due.first()
+            while let Some(&(due, at, part, leg, server, took)) = self.due.first()
                 && due <= self.now
             {
                 self.due.pop_first();
                 let refused = self.refusing.contains(&server);
-                let (outcome, took) =
-                    if refused { (Outcome::ConnectFailed, MS) } else { (Outcome::Ok, TOOK) };
+                let outcome = if refused { Outcome::ConnectFailed } else { Outcome::Ok };
                 if !refused
                     && let Some(query) = self.query_of.remove(&(at, part))
                     && let Some((_, done)) = self.open.get_mut(&(at, query))
@@ -238,6 +241,58 @@
     assert!(fleet.refused * 100 < asked, "{} of {asked} refused", fleet.refused);
 }
 
+/// A hundred that restart together, each with what it had learned itself: the slow are spared from the first second on, no
+/// sound one is flocked to, and a memory that is wrong of every server brings no storm either.
+#[test]
+fn gatherers_that_restart_together_with_what_they_learned_do_not_flock() {
+    let slow: BTreeMap<ServerId, Time> = [104, 111, 117].map(|id| (ServerId(id), 400 * MS)).into();
+    for seed in 0..3 {
+        let mut before = Fleet::new(&settings(), seed);
+        before.slow = slow.clone();
+        before.rigs.iter_mut().for_each(|rig| drop(rig.aggregator.learned(0)));
+        before.run(8000 * MS);
+        let learned: Vec<Learned> =
+            before.rigs.iter_mut().map(|rig| rig.aggregator.learned(SERVERS as usize)).collect();
+        // By what is remembered: the parts that slow servers get in the first second, and the most that another gets.
+        let restart = |shift: Option<u32>| {
+            let mut fleet = Fleet::new(&settings(), 100 + seed);
+            fleet.slow = slow.clone();
+            for (at, memory) in learned.iter().enumerate().filter(|_| shift.is_some()) {
+                let mut memory = memory.clone();
+                for (server, _) in &mut memory.servers {
+                    server.0 = 100 + (server.0 - 100 + shift.unwrap_or(0)) % SERVERS;
+                }
+                fleet.turn(at, vec![Event::Recall(std::sync::Arc::new(memory))]);
+            }
+            fleet.run(1000 * MS);
+            let count = |id: &ServerId| fleet.sent.get(id).map_or(0, Vec::len);
+            let spared: usize = slow.keys().map(count).sum();
+            let ids = (0..SERVERS).map(|c| ServerId(100 + c)).filter(|id| !slow.contains_key(id));
+            let most = ids.map(|id| count(&id)).max().unwrap_or(0);
+            fleet.run(3000 * MS);
+            (spared, most, fleet.whole, fleet.whole + fleet.partial + fleet.refused)
+        };
+        let (none, own, wrong) = (restart(None), restart(Some(0)), restart(Some(5)));
+        eprintln!("seed {seed}: none {none:?}, own {own:?}, wrong {wrong:?}");
+        assert!(
+            own.0 * 3 < none.0 * 2,
+            "seed {seed}: slow servers get {} parts, {} without memory",
+            own.0,
+            none.0
+        );
+        for told in [own, wrong] {
+            assert!(
+                told.1 < 2 * none.1,
+                "seed {seed}: {} parts to one server, {} without memory",
+                told.1,
+                none.1
+            );
+            let share = |t: (usize, usize, u32, u32)| f64::from(t.2) / f64::from(t.3);
+            assert!(share(told) > share(none) - 0.03, "seed {seed}: {told:?} against {none:?}");
+        }
+    }
+}
+
 /// Found on herd+vast: once its watches were lost discovery was called a hundred times a second for the rest of the day,
 /// answered none, and ninety aggregators went on with the list from before the release.
 #[test]
