Use a cold host at once where no budget is told for it, as before

Found on rereading the diff: where the settings tell a ramp but no time for the budget (guarantees.fall), the new share of it was no number, and a server that had just started got nothing for its whole ramp. Change: choice.rs, cold_room(): no told budget, no bound; a tier told as of no aggregators counts as one. Measured: the new test fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -265,7 +265,7 @@
             Event::List { kind, ref entries } => self.list(kind, entries),
             Event::ListFailed => {
                 // All fail together and would call again together: the more there are, the more they spread.
-                let doubled = self.misses.min(self.settings.aggregators.ilog2());
+                let doubled = self.misses.min(self.settings.aggregators.max(1).ilog2());
                 let wait = (self.settings.ask_within >> 4 << doubled).min(self.settings.ask_within);
                 let at = self.now.saturating_add(wait).saturating_add(self.rng.u64(..1 + wait));
                 self.misses += 1;
@@ -504,10 +504,9 @@
             self.judge(&sent, outcome, took);
         }
         // A query may itself kill its servers: while deaths go on each proves itself by one part first.
-        let known = self.servers.get(&sent.server).is_some_and(|s| s.ready);
+        let known = !stale && self.servers.get(&sent.server).is_some_and(|s| s.ready);
         let again = self.parts.get(&id).is_some_and(|p| p.again == Some(sent.server));
-        let died =
-            known && !stale && (outcome == Outcome::Reset || again && outcome == Outcome::ConnectFailed);
+        let died = known && (outcome == Outcome::Reset || again && outcome == Outcome::ConnectFailed);
         if died && self.now > self.death_at + self.aim / 2 {
             // Deaths at one moment are a crash; deaths that go on have a cause among what is sent.
             if self.now < self.death_at + DOUBT * self.aim {
@@ -806,7 +805,9 @@
     /// for each of many alike, or if more of one core, as none is told, shared by aggregators.
     fn cold_room(&self, server: &Server) -> bool {
         let s = &self.settings;
-        let Some(from) = server.cold_from.filter(|_| !self.is_warm(server)) else { return true };
+        let Some(from) = server.cold_from.filter(|_| s.fall > 0 && !self.is_warm(server)) else {
+            return true;
+        };
         let age = self.now.saturating_sub(from) as f64 / s.ramp as f64;
         let capacity = s.start_capacity + (1.0 - s.start_capacity) * age;
         let work = self.pace.iter().map(|p| p.least).fold(1.0, f64::max) + s.call_work as f64;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -367,6 +367,17 @@
     assert!((1..=2).contains(&sent), "{sent} parts in its first second");
 }
 
+/// Found on reading: with a ramp but no budget told, the share of a budget was no number, and a new server got nothing.
+#[test]
+fn a_cold_server_for_which_no_budget_is_told_is_used_at_once() {
+    let mut rig = Rig::new(Settings { ramp: 10_000 * MS, ..ring(1, 1) });
+    rig.warm_up(100 * MS, &[0]);
+    let born = Entry { born: rig.now, ..entry(100, 0) };
+    rig.turn(0, &[Event::List { kind: ListKind::Partial, entries: [born].into() }]);
+    rig.ask(MS, &[0]);
+    assert_eq!(rig.sends().len(), 1);
+}
+
 /// Found on overloaded days: copies made while parts wait for room push those parts back.
 #[test]
 fn no_copy_is_made_while_parts_wait() {
