--- /dev/null
+++ b/bitternsill/src/admin/cli.rs
@@ -0,0 +1,132 @@
+//! `bitternsill admin`: an operator's call from the command line.
+
+use super::calls::{Operation, ROUTES};
+use crate::front::http::{Progress, Reader};
+use crate::limits::Limits;
+use clap::{Args, Subcommand};
+use serde_json::json;
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// What to ask a gatherer's door for.
+#[derive(Debug, Subcommand)]
+pub enum Admin {
+    /// Say whether the process takes clients.
+    Ready(At),
+    /// Take an index host out: nothing new goes there until it is taken back.
+    Exclude(Host),
+    /// Take an index host back.
+    Include(Host),
+    /// Send clients away; the process goes on running.
+    Evacuate(At),
+    /// Take clients again.
+    Rejoin(At),
+}
+
+/// Where the door is.
+#[derive(Debug, Args)]
+pub struct At {
+    /// The door's address [default: $ROUTER_ADMIN].
+    #[arg(long, value_name = "ADDRESS")]
+    at: Option<SocketAddr>,
+    /// Milliseconds to wait for the answer.
+    #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+    patience: u64,
+}
+
+/// Which index host, and where the door is.
+#[derive(Debug, Args)]
+pub struct Host {
+    /// The host's id, as discovery has it.
+    member: String,
+    #[command(flatten)]
+    at: At,
+}
+
+/// Why there is no yes.
+#[derive(Debug)]
+pub enum AdminError {
+    /// No address was given.
+    NoAddress,
+    /// The door could not be asked.
+    Unreachable(SocketAddr, io::Error),
+    /// What came back is no answer.
+    Garbled(SocketAddr),
+    /// It said no.
+    No(String),
+}
+
+impl fmt::Display for AdminError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AdminError::NoAddress => f.write_str("no address: use --at, or set ROUTER_ADMIN"),
+            AdminError::Unreachable(at, problem) if is_late(problem) => write!(f, "{at}: no answer in time"),
+            AdminError::Unreachable(at, problem) => write!(f, "{at}: {problem}"),
+            AdminError::Garbled(at) => write!(f, "{at}: the answer cannot be read; is it a gatherer's door?"),
+            AdminError::No(words) => write!(f, "no: {words}"),
+        }
+    }
+}
+
+impl std::error::Error for AdminError {}
+
+fn is_late(problem: &io::Error) -> bool {
+    matches!(problem.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
+/// Makes the call; the words of a yes, or why there is none.
+pub fn run(call: Admin) -> Result<String, AdminError> {
+    let (operation, host, at) = match call {
+        Admin::Ready(at) => (Operation::Ready, None, at),
+        Admin::Exclude(Host { member, at }) => (Operation::Exclude, Some(member), at),
+        Admin::Include(Host { member, at }) => (Operation::Include, Some(member), at),
+        Admin::Evacuate(at) => (Operation::Evacuate, None, at),
+        Admin::Rejoin(at) => (Operation::Rejoin, None, at),
+    };
+    let told = || std::env::var("ROUTER_ADMIN").ok().and_then(|at| at.parse().ok());
+    let to = at.at.or_else(told).ok_or(AdminError::NoAddress)?;
+    let body = host.map(|member| json!({"member": member}).to_string()).unwrap_or_default();
+    let until = Instant::now() + Duration::from_millis(at.patience);
+    let (status, words) = ask(to, operation, &body, until)?;
+    if (200..300).contains(&status) { Ok(words) } else { Err(AdminError::No(words)) }
+}
+
+fn ask(
+    to: SocketAddr,
+    operation: Operation,
+    body: &str,
+    until: Instant,
+) -> Result<(u16, String), AdminError> {
+    let unreachable = |problem| AdminError::Unreachable(to, problem);
+    let left = || {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() { Err(io::Error::from(io::ErrorKind::TimedOut)) } else { Ok(left) }
+    };
+    let route = ROUTES.iter().find(|r| r.operation == operation).ok_or(AdminError::Garbled(to))?;
+    let request = format!(
+        "{} {} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        route.method,
+        route.path,
+        body.len()
+    );
+    let mut stream = left().and_then(|left| TcpStream::connect_timeout(&to, left)).map_err(unreachable)?;
+    let limits = Limits::default();
+    let mut reader = Reader::responses(limits.head_bytes, limits.body_bytes);
+    let (mut input, mut chunk) = (Vec::new(), [0; 4096]);
+    stream.write_all(request.as_bytes()).map_err(unreachable)?;
+    loop {
+        left().and_then(|left| stream.set_read_timeout(Some(left))).map_err(unreachable)?;
+        let n = stream.read(&mut chunk).map_err(unreachable)?;
+        input.extend_from_slice(&chunk[..n]);
+        match reader.read(&mut input) {
+            Ok(Progress::Whole) => break,
+            Ok(Progress::More) if n > 0 => {}
+            _ => return Err(AdminError::Garbled(to)),
+        }
+    }
+    let (head, body) = reader.take();
+    let status = head.start.1.parse().map_err(|_| AdminError::Garbled(to))?;
+    Ok((status, String::from_utf8_lossy(&body).trim_end().to_owned()))
+}
--- /dev/null
+++ b/bitternsill/src/admin/drain.rs
@@ -0,0 +1,111 @@
+//! Sending clients away: a schedule in time. It has no sockets; whoever holds these asks it what to do now.
+
+use crate::limits::Limits;
+use bramblestair::interface::Time;
+
+/// The moments of a drain, counted from the call.
+#[derive(Debug, Clone, Copy)]
+pub struct Steps {
+    /// From here on the front has heard of it and its last connections have come: answers close theirs.
+    pub farewell: Time,
+    /// From here on what is idle is closed.
+    pub clear: Time,
+    /// From here on what is half said is ended.
+    pub cut: Time,
+    /// Between two looks at what has become idle.
+    pub sweep: Time,
+    /// What has been idle for less is left alone: a request may be on its way.
+    pub grace: Time,
+}
+
+impl Steps {
+    /// The steps as the limits have them. A front asks for health every 0.1 s and sends new connections for 0.2 s after
+    /// the first no; 2 s after the call nothing may be left that could still take a request.
+    pub fn of(limits: &Limits) -> Steps {
+        let (farewell, clear, cut) = limits.drain_times;
+        let (sweep, grace) = limits.drain_sweep;
+        Steps { farewell, clear, cut, sweep, grace }
+    }
+}
+
+/// What to do with the clients' connections at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sweep {
+    /// Those idle since then or before are to be closed.
+    pub idle_since: Time,
+    /// Those half through a request are to be ended too.
+    pub partial: bool,
+}
+
+/// Whether clients are being sent away, and how far that has come.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Drain {
+    /// When the call came, and when to look next.
+    under_way: Option<(Time, Time, Steps)>,
+}
+
+impl Drain {
+    /// The call came; a second one changes nothing.
+    pub fn begin(&mut self, now: Time, steps: Steps) -> bool {
+        let begins = self.under_way.is_none();
+        if begins {
+            self.under_way = Some((now, now + steps.clear, steps));
+        }
+        begins
+    }
+
+    /// Clients may come again; says whether any had been sent away.
+    pub fn end(&mut self) -> bool {
+        self.under_way.take().is_some()
+    }
+
+    /// Whether clients should go elsewhere.
+    pub fn is_under_way(&self) -> bool {
+        self.under_way.is_some()
+    }
+
+    /// Whether an answer is to close its connection.
+    pub fn says_farewell(&self, now: Time) -> bool {
+        self.under_way.is_some_and(|(began, _, steps)| now >= began + steps.farewell)
+    }
+
+    /// When [`Drain::sweep`] has something to say.
+    pub fn due(&self) -> Option<Time> {
+        self.under_way.map(|(_, next, _)| next)
+    }
+
+    /// What to close now, if that is due.
+    pub fn sweep(&mut self, now: Time) -> Option<Sweep> {
+        let (began, next, steps) = self.under_way.as_mut().filter(|(_, next, _)| *next <= now)?;
+        *next = now + steps.sweep;
+        Some(Sweep { idle_since: now.saturating_sub(steps.grace), partial: now >= *began + steps.cut })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_connection_outlives_the_time_in_which_clients_may_be_held() {
+        let steps = Steps::of(&Limits::default());
+        let mut drain = Drain::default();
+        assert!(drain.begin(1_000, steps) && !drain.begin(2_000, steps));
+        assert!(drain.sweep(1_000).is_none() && !drain.says_farewell(1_000));
+        // Connections come until 0.2 s after the first no, which is asked for every 0.1 s.
+        assert!(!drain.says_farewell(1_000 + 300_000_000));
+        // What comes at the last moment, and is then idle, is closed well before 2 s are over: from then on a request
+        // would be one of the last 2 s when the drain is looked at.
+        let (mut at, mut closed) = (1_000, None);
+        let last = 1_000 + 300_000_000;
+        while let Some(due) = drain.due().filter(|due| *due < 3_000_000_000) {
+            at = due;
+            if drain.sweep(at).is_some_and(|s| s.idle_since >= last && s.partial) {
+                closed.get_or_insert(at);
+            }
+        }
+        assert!(closed.is_some_and(|at| at <= 1_000 + 2_000_000_000), "closed at {closed:?}, last look {at}");
+        assert!(drain.end() && !drain.is_under_way() && !drain.end());
+        assert!(drain.due().is_none() && !drain.says_farewell(Time::MAX));
+    }
+}
--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::admin::cli::{self as admin, Admin};
 use crate::conform::{self, Format, Protocol, Target};
 use crate::front::catalogue::setup;
 use crate::learned::LearningSetup;
@@ -65,6 +66,9 @@
     /// Look at a file of what was learned, or change its form.
     #[command(subcommand)]
     Learned(Learned),
+    /// Call a running gatherer's door, as operators do by hand.
+    #[command(subcommand)]
+    Admin(Admin),
     /// Print the version.
     Version,
 }
@@ -143,6 +147,13 @@
                 serve::platform(config, learning)
             }))
         }
+        Command::Admin(call) => match admin::run(call) {
+            Ok(words) => print(format_args!("{words}")),
+            Err(problem) => {
+                eprintln!("bitternsill: {problem}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Learned(call) => learned::run(call, |text| print(format_args!("{text}"))),
     }
 }
--- a/bitternsill/src/config.rs
+++ b/bitternsill/src/config.rs
@@ -43,6 +43,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; nowhere on most platforms.
+    pub admin: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -69,6 +71,10 @@
     let address = |key: &'static str, variable: &str| {
         word(key, variable).and_then(|a| a.parse().ok()).ok_or(ConfigError::Value(key))
     };
+    let admin = match word("admin", "ROUTER_ADMIN") {
+        None if json["admin"].is_null() => None,
+        word => Some(word.and_then(|a| a.parse().ok()).ok_or(ConfigError::Value("admin"))?),
+    };
     let seed = match &json["seed"] {
         Json::String(hex) => u64::from_str_radix(hex, 16).ok(),
         other => other.as_u64(),
@@ -77,6 +83,7 @@
         path,
         name: word("name", "ROUTER_NAME").unwrap_or_default(),
         listen: address("listen", "ROUTER_LISTEN")?,
+        admin,
         discovery: address("discovery", "ROUTER_DISCOVERY")?,
         seed: seed.ok_or(ConfigError::Value("seed"))?,
         sockets: json["limits"]["sockets"].as_u64().unwrap_or(1024) as usize,
--- a/bitternsill/src/front/clients.rs
+++ b/bitternsill/src/front/clients.rs
@@ -1,6 +1,7 @@
 //! The table of client connections, whatever they speak: how many there are and which one to close for room.
 
 use super::{Gatherer, Message};
+use crate::admin::drain::Sweep;
 use crate::limits::Limits;
 use crate::net::{Net, Token};
 use bramblestair::interface::Time;
@@ -95,6 +96,17 @@
         self.open.keys().copied().collect()
     }
 
+    /// Asks the connections that have been at rest since then to close; those half through a request only where that is
+    /// wanted.
+    pub fn sweep(&self, net: &mut Net<Gatherer>, sweep: Sweep) {
+        for &(rest, since, token) in &self.resting {
+            let partial = rest == Rest::Partial;
+            if since <= sweep.idle_since && (sweep.partial || !partial) {
+                net.post(token, if partial { Message::MakeRoom } else { Message::Retire });
+            }
+        }
+    }
+
     /// The connection that has been doing this longest, and since when.
     fn longest(&self, rest: Rest) -> Option<(Time, Token)> {
         let first = self.resting.range((rest, 0, Token::from_bits(0))..).next();
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -6,7 +6,7 @@
 use crate::net::{Connection, Net, Token};
 use bramblestair::interface::{Entry, ListKind, ServerId, Standing, Time};
 use serde_json::{Value as Json, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,10 +60,9 @@
 
 struct Host {
     uid: Arc<str>,
-    /// When it last started, by the list.
-    born: Time,
+    /// What the list says of it, and whether it is out by hand.
+    entry: Entry,
     endpoint: Option<SocketAddr>,
-    standing: Standing,
     leaving_since: Option<Time>,
     links: Vec<Link>,
     attempts: BTreeMap<AttemptId, Token>,
@@ -77,25 +76,34 @@
     limits: Rc<Limits>,
     ids: BTreeMap<String, ServerId>,
     hosts: BTreeMap<ServerId, Host>,
+    /// Who is out by hand, known or not: no list brings these back.
+    out: BTreeSet<String>,
     next: u32,
 }
 
 impl HostTable {
     /// A table without hosts.
     pub fn new(connector: Box<dyn Connector>, limits: Rc<Limits>) -> Self {
-        HostTable { connector, limits, ids: BTreeMap::new(), hosts: BTreeMap::new(), next: 1 }
+        HostTable {
+            connector,
+            limits,
+            ids: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            out: BTreeSet::new(),
+            next: 1,
+        }
     }
 
     /// Whether any host takes work.
     pub fn any_active(&self) -> bool {
-        self.hosts.values().any(|h| h.standing == Standing::Ready)
+        self.hosts.values().any(|h| h.entry.standing == Standing::Ready)
     }
 
     /// The hosts that have not left, as the store keeps them.
     pub fn known(&self) -> Json {
         let host = |(uid, id): (&String, &ServerId)| {
-            let host = self.hosts.get(id).filter(|h| h.standing != Standing::Gone)?;
-            let state = if host.standing == Standing::Ready { "active" } else { "leaving" };
+            let host = self.hosts.get(id).filter(|h| h.entry.standing != Standing::Gone)?;
+            let state = if host.entry.standing == Standing::Ready { "active" } else { "leaving" };
             let endpoint = host.endpoint.map(|e| e.to_string());
             Some(json!({"uid": uid, "endpoint": endpoint, "state": state}))
         };
@@ -104,8 +112,8 @@
 
     /// The hosts that have not left: their names, numbers and starts.
     pub fn listed(&self) -> impl Iterator<Item = (&str, ServerId, Time)> {
-        let present = self.hosts.iter().filter(|(_, h)| h.standing != Standing::Gone);
-        present.map(|(id, host)| (&*host.uid, *id, host.born))
+        let present = self.hosts.iter().filter(|(_, h)| h.entry.standing != Standing::Gone);
+        present.map(|(id, host)| (&*host.uid, *id, host.entry.born))
     }
 
     /// The number of a host that is known.
@@ -115,7 +123,7 @@
 
     /// The name and the start of a host.
     pub fn name_of(&self, id: ServerId) -> Option<(&Arc<str>, Time)> {
-        self.hosts.get(&id).map(|host| (&host.uid, host.born))
+        self.hosts.get(&id).map(|host| (&host.uid, host.entry.born))
     }
 
     /// Takes the lines of a list and gives the module's entries.
@@ -135,18 +143,17 @@
             };
             listed.push(id);
             member.entry.server = id;
+            member.entry.out = self.out.contains(&member.uid);
             let new = Host {
                 uid: Arc::from(member.uid.as_str()),
-                born: 0,
+                entry: Entry { standing: Standing::Gone, ..Entry::default() },
                 endpoint: None,
-                standing: Standing::Gone,
                 leaving_since: None,
                 links: Vec::new(),
                 attempts: BTreeMap::new(),
                 mute: 0,
             };
             let host = self.hosts.entry(id).or_insert(new);
-            host.born = member.entry.born;
             if member.endpoint.is_some() && host.endpoint != member.endpoint {
                 host.endpoint = member.endpoint;
                 // Connections to a former address end by themselves; new calls must not use them.
@@ -154,13 +161,15 @@
                     net.post(link.token, Message::HostLeaves);
                 }
             }
-            host.stand(member.entry.standing, net, now);
+            host.entry = member.entry.clone();
+            host.stand(net, now);
             entries.push(member.entry);
         }
         if kind != ListKind::Partial {
             for (id, host) in &mut self.hosts {
                 if !listed.contains(id) {
-                    host.stand(Standing::Gone, net, now);
+                    host.entry.standing = Standing::Gone;
+                    host.stand(net, now);
                 }
             }
         }
@@ -168,6 +177,20 @@
         entries
     }
 
+    /// Has exactly these hosts out by hand, and gives the module's entries of those for which that is news.
+    pub fn hold(&mut self, out: BTreeSet<String>, net: &mut Net<Gatherer>, now: Time) -> Vec<Entry> {
+        self.out = out;
+        let mut entries = Vec::new();
+        for host in self.hosts.values_mut() {
+            let is_out = self.out.contains(&*host.uid);
+            if std::mem::replace(&mut host.entry.out, is_out) != is_out {
+                host.stand(net, now);
+                entries.push(host.entry.clone());
+            }
+        }
+        entries
+    }
+
     fn id(&mut self, uid: &str) -> Option<ServerId> {
         if let Some(id) = self.ids.get(uid) {
             return Some(*id);
@@ -183,7 +206,8 @@
 
     /// Drops hosts that have left and hold nothing: hosts are replaced under new ids for as long as this runs.
     fn forget_gone(&mut self) {
-        let kept = |h: &Host| h.standing != Standing::Gone || !h.links.is_empty() || !h.attempts.is_empty();
+        let kept =
+            |h: &Host| h.entry.standing != Standing::Gone || !h.links.is_empty() || !h.attempts.is_empty();
         self.hosts.retain(|_, host| kept(host));
         self.ids.retain(|_, id| self.hosts.contains_key(id));
     }
@@ -197,7 +221,7 @@
         now: Time,
     ) -> Result<(), Vec<Outgoing>> {
         let grace = self.limits.drain_grace / 2;
-        let allowed = |h: &Host| h.leaving_since.is_none_or(|at| now < at + grace);
+        let allowed = |h: &Host| !h.entry.out && h.leaving_since.is_none_or(|at| now < at + grace);
         let Some(host) = self.hosts.get_mut(&id).filter(|h| allowed(h)) else { return Err(parts) };
         let Some(token) = host.link(id, self.connector.as_ref(), &self.limits, net, now) else {
             return Err(parts);
@@ -283,9 +307,9 @@
 }
 
 impl Host {
-    fn stand(&mut self, standing: Standing, net: &mut Net<Gatherer>, now: Time) {
-        self.standing = standing;
-        if standing == Standing::Ready {
+    /// Does as the list and the operators say, the stricter of the two.
+    fn stand(&mut self, net: &mut Net<Gatherer>, now: Time) {
+        if self.entry.standing == Standing::Ready && !self.entry.out {
             self.leaving_since = None;
         } else if self.leaving_since.is_none() {
             self.leaving_since = Some(now);
--- a/bitternsill/src/front/listener.rs
+++ b/bitternsill/src/front/listener.rs
@@ -4,7 +4,7 @@
 use super::{Gatherer, Message};
 use crate::net::{Connection, Context, Ready, Stream};
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 
 type Cx<'a> = Context<'a, Gatherer>;
 
@@ -40,23 +40,31 @@
         cx.set_timer(cx.now + cx.world.limits.accept_rest);
     }
 
+    /// Takes whoever is in the backlog, however many these are: they would be reset by the close that follows.
+    fn accept_all(&mut self, cx: &mut Cx<'_>) {
+        while let Ok((socket, _)) = self.socket.accept() {
+            self.take(cx, socket);
+        }
+    }
+
+    fn take(&mut self, cx: &mut Cx<'_>, socket: TcpStream) {
+        if let Err(problem) = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true)) {
+            tracing::warn!(%problem, "an accepted socket could not be set up");
+            return;
+        }
+        let connection = (self.accept)(Stream::new(socket), cx.world);
+        let token = cx.net.open(connection);
+        cx.world.clients.add(token, cx.now);
+    }
+
     fn accept_some(&mut self, cx: &mut Cx<'_>) {
         for _ in 0..cx.world.limits.accept_burst {
             // What waits in the backlog counts as taken, so an idle connection gives way to it.
-            if cx.world.clients.len() >= cx.world.limits.clients {
+            if cx.world.clients.len() >= cx.world.client_places() {
                 return self.make_room(cx);
             }
             match self.socket.accept() {
-                Ok((socket, _)) => {
-                    let ready = socket.set_nonblocking(true).and_then(|()| socket.set_nodelay(true));
-                    if let Err(problem) = ready {
-                        tracing::warn!(%problem, "an accepted socket could not be set up");
-                        continue;
-                    }
-                    let connection = (self.accept)(Stream::new(socket), cx.world);
-                    let token = cx.net.open(connection);
-                    cx.world.clients.add(token, cx.now);
-                }
+                Ok((socket, _)) => self.take(cx, socket),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
@@ -82,7 +90,7 @@
     fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
         if let Message::Retire = message {
             // Whoever reached the backlog before the end is still taken.
-            self.accept_some(cx);
+            self.accept_all(cx);
             cx.close();
         }
     }
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -9,13 +9,14 @@
 pub mod server;
 pub mod signals;
 
+use crate::admin::Orders;
 use crate::core::Core;
 use crate::core::ports::{Answer, AttemptId, Caller, Clients, Directory, Hosts, Outgoing};
 use crate::learned::Keeper;
 use crate::limits::Limits;
 use crate::net::{Net, Token, World};
 use crate::store::links::Shelf;
-use bramblestair::interface::{Outcome, ServerId, Time};
+use bramblestair::interface::{ListKind, Outcome, ServerId, Time};
 use clients::ClientTable;
 use hosts::HostTable;
 use std::net::SocketAddr;
@@ -50,6 +51,8 @@
     WakeAt(Time),
     /// The program is ending: take no more connections, close what is idle.
     Retire,
+    /// The operators' door: a caller's connection has ended.
+    CallerLeft(Token),
 }
 
 /// How far the program's end has come.
@@ -83,6 +86,10 @@
     pub ready_by: Option<Time>,
     /// The listeners.
     pub listeners: Vec<Token>,
+    /// What operators have asked for.
+    pub orders: Orders,
+    /// Told to end while another process serves the same address.
+    pub followed: bool,
     /// The store, off the request path; absent once its file has failed.
     pub shelf: Option<Shelf>,
     /// What is learned, where it is kept.
@@ -92,23 +99,48 @@
 impl Gatherer {
     /// Whether clients should be sent here.
     pub fn is_ready(&self, now: Time) -> bool {
-        self.phase == Phase::Serving && self.hosts.any_active() && self.ready_by.is_none_or(|by| by <= now)
+        let serving = self.phase == Phase::Serving && !self.orders.drain.is_under_way();
+        serving && self.hosts.any_active() && self.ready_by.is_none_or(|by| by <= now)
     }
 
     /// Whether answers close their connections.
     pub fn is_leaving(&self, now: Time) -> bool {
         match self.phase {
-            Phase::Serving => false,
-            Phase::Leaving(until) => until <= now + self.limits.farewell,
+            Phase::Serving => self.orders.drain.says_farewell(now),
+            Phase::Leaving(until) => self.followed || until <= now + self.limits.farewell,
             Phase::Finishing(_) | Phase::Done(_) => true,
         }
     }
 
-    /// Begins the end; what is asked is still served for a while.
-    pub fn leave(&mut self, now: Time) {
+    /// How many connections clients may have: both processes of an upgrade stand under one limit of descriptors.
+    pub fn client_places(&self) -> usize {
+        if self.orders.is_followed() { self.limits.clients / 2 } else { self.limits.clients }
+    }
+
+    /// Has index hosts stand as operators want them now.
+    pub fn hold_hosts(&mut self, net: &mut Net<Self>, now: Time) {
+        let entries = self.hosts.hold(self.orders.hand.out().map(str::to_owned).collect(), net, now);
+        if !entries.is_empty() {
+            self.core.list(ListKind::Partial, entries);
+        }
+    }
+
+    /// Begins the end; what is asked is still served for a while. Where another process serves the address it gets
+    /// every new connection from now on.
+    pub fn leave(&mut self, net: &mut Net<Self>, now: Time) {
         if self.phase == Phase::Serving {
-            tracing::info!(open = self.core.open_queries(), "told to end");
+            self.followed = self.orders.withdraw(now);
+            tracing::info!(open = self.core.open_queries(), followed = self.followed, "told to end");
             self.phase = Phase::Leaving(now + self.limits.keep_serving);
+            if self.followed {
+                self.close_listeners(net);
+            }
+        }
+    }
+
+    fn close_listeners(&mut self, net: &mut Net<Self>) {
+        for token in self.listeners.drain(..) {
+            net.post(token, Message::Retire);
         }
     }
 
@@ -137,9 +169,7 @@
             Phase::Leaving(until) if until <= now => {
                 let last = now + self.limits.last_call.saturating_sub(self.limits.keep_serving);
                 self.phase = Phase::Finishing(last);
-                for token in self.listeners.drain(..) {
-                    net.post(token, Message::Retire);
-                }
+                self.close_listeners(net);
                 for token in self.clients.tokens() {
                     net.post(token, Message::Retire);
                 }
@@ -168,7 +198,8 @@
             Phase::Finishing(_) if self.core.open_queries() == 0 => Some(now),
             Phase::Finishing(until) => Some(until),
         };
-        [self.core.due(), phase, self.keeper.as_ref().map(Keeper::due)].into_iter().flatten().min()
+        let keeper = self.keeper.as_ref().map(Keeper::due);
+        [self.core.due(), phase, keeper, self.orders.due()].into_iter().flatten().min()
     }
 
     fn turn(&mut self, net: &mut Net<Self>, now: Time) {
@@ -186,6 +217,12 @@
         if let Some(keeper) = &mut self.keeper {
             keeper.turn(&mut self.core, &self.hosts, now);
         }
+        if self.orders.look(now) {
+            self.hold_hosts(net, now);
+        }
+        if let Some(sweep) = self.orders.drain.sweep(now) {
+            self.clients.sweep(net, sweep);
+        }
         self.advance(net, now);
     }
 
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -79,6 +79,7 @@
                 standing,
                 heft: target["capacity_hint"].as_f64().unwrap_or(1.0),
                 born: target["boot_ms"].as_u64().unwrap_or(0).saturating_mul(1_000_000),
+                out: false,
             },
         });
     }
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -3,6 +3,7 @@
 use super::http::{Head, HttpError, Progress, Reader, Response};
 use super::{Gatherer, Message};
 use crate::core::ports::{Answer, Caller};
+use crate::limits::Limits;
 use crate::net::{Connection, Context, Input, Ready, Stream};
 use bramblestair::interface::Time;
 use std::io;
@@ -25,6 +26,19 @@
 
     /// Words the core's answer to the request that waits, or asks the core further.
     fn answer(&mut self, cx: &mut Cx<'_>, answer: &Answer) -> Handled;
+
+    /// Whether a connection may have more than one request.
+    fn keeps(&self) -> bool {
+        true
+    }
+
+    /// How long a connection may take over its first request.
+    fn patience(&self, limits: &Limits) -> Time {
+        limits.request_read
+    }
+
+    /// Its connection is about to be dropped.
+    fn closed(&mut self, _cx: &mut Cx<'_>) {}
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -127,7 +141,7 @@
     }
 
     fn respond(&mut self, cx: &mut Cx<'_>, response: &Response, keep: bool, with_body: bool) {
-        let keep = keep && !cx.world.is_leaving(cx.now);
+        let keep = keep && self.service.keeps() && !cx.world.is_leaving(cx.now);
         self.stream.push(&response.encode(!keep, with_body));
         if keep {
             self.state = State::Reading;
@@ -140,7 +154,9 @@
     }
 
     fn too_slow(&mut self, cx: &mut Cx<'_>) {
-        self.respond(cx, &Response::text(408, "the request did not come in time"), false, true);
+        // Where clients are sent away another gatherer may still take it.
+        let status = if cx.world.orders.drain.is_under_way() { 503 } else { 408 };
+        self.respond(cx, &Response::text(status, "the request did not come in time"), false, true);
         self.flush(cx);
     }
 
@@ -201,7 +217,7 @@
 impl Connection<Gatherer> for HttpConnection {
     fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
         // The listener has entered it as silent, and it stays so until its first byte.
-        cx.set_timer(cx.now + cx.world.limits.request_read);
+        cx.set_timer(cx.now + self.service.patience(&cx.world.limits));
         self.stream.arm(cx.net, cx.token, Ready { readable: true, writable: false })
     }
 
@@ -269,5 +285,6 @@
             cx.world.core.client_left(Caller::only(cx.token.bits()));
         }
         cx.world.clients.remove(cx.token);
+        self.service.closed(cx);
     }
 }
--- a/bitternsill/src/front/signals.rs
+++ b/bitternsill/src/front/signals.rs
@@ -56,7 +56,7 @@
 
     fn ready(&mut self, cx: &mut Cx<'_>, _ready: Ready) {
         self.0.drain();
-        cx.world.leave(cx.now);
+        cx.world.leave(cx.net, cx.now);
     }
 
     fn deliver(&mut self, _cx: &mut Cx<'_>, _message: Message) {}
--- a/bitternsill/src/lib.rs
+++ b/bitternsill/src/lib.rs
@@ -1,6 +1,7 @@
 //! bitternsill: one gatherer on sockets. `main.rs` starts it; everything else is here, so that tests reach it.
 #![forbid(unsafe_code)]
 
+pub mod admin;
 pub mod cli;
 pub mod config;
 pub mod conform;
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -164,6 +164,20 @@
     pub last_picture: Time,
     /// How long a start waits for discovery before it reports ready with the list it was given.
     pub first_list: Time,
+    /// Callers at the operators' door at once; so many descriptors are kept back for them.
+    pub door_callers: usize,
+    /// How long an operator's call may take to come.
+    pub door_read: Time,
+    /// A drain: from when on answers close connections, idle ones are closed, and half requests ended.
+    pub drain_times: (Time, Time, Time),
+    /// Between two looks for connections that have become idle in a drain, and how long a connection is left alone.
+    pub drain_sweep: (Time, Time),
+    /// How long it is remembered that a host is back, for the other process.
+    pub hand_kept: Time,
+    /// Between two looks at what the other process has noted.
+    pub handover_look: Time,
+    /// Processes of one name that can know of each other.
+    pub handover_processes: usize,
 }
 
 impl Default for Limits {
@@ -246,6 +260,13 @@
             last_call: 3_300 * MS,
             last_picture: 90 * MS,
             first_list: 1_500 * MS,
+            door_callers: 8,
+            door_read: 5_500 * MS,
+            drain_times: (400 * MS, 800 * MS, 1_700 * MS),
+            drain_sweep: (100 * MS, 150 * MS),
+            hand_kept: 60_000 * MS,
+            handover_look: 200 * MS,
+            handover_processes: 8,
         }
     }
 }
--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -124,6 +124,8 @@
     timers: BTreeSet<(Time, Token)>,
     due: Vec<Option<Time>>,
     opened: VecDeque<(Token, Box<dyn Connection<W>>)>,
+    /// Connections that are served before the others of a round.
+    first: BTreeSet<Token>,
     posted: VecDeque<(Token, W::Message)>,
 }
 
@@ -145,6 +147,13 @@
         token
     }
 
+    /// Hands a new connection to the loop whose events come before those of all others in a round.
+    pub fn open_first(&mut self, connection: Box<dyn Connection<W>>) -> Token {
+        let token = self.open(connection);
+        self.first.insert(token);
+        token
+    }
+
     /// Posts a message to a connection; it is dropped if the connection is no more.
     pub fn post(&mut self, to: Token, message: W::Message) {
         self.posted.push_back((to, message));
@@ -177,6 +186,7 @@
 
     fn release(&mut self, token: Token) {
         self.set_timer(token, None);
+        self.first.remove(&token);
         let generation = &mut self.generations[token.index as usize];
         *generation = generation.wrapping_add(1);
         self.free.push(token.index);
@@ -215,6 +225,7 @@
             timers: BTreeSet::new(),
             due: Vec::new(),
             opened: VecDeque::new(),
+            first: BTreeSet::new(),
             posted: VecDeque::new(),
         };
         Ok(Reactor { net, slots: Vec::new(), world })
@@ -253,6 +264,10 @@
             let now = self.net.now();
             // What is read after a stall may have come at its beginning, and its client has waited since.
             self.net.since = if now - asleep > STALL { asleep } else { now };
+            if !self.net.first.is_empty() {
+                let first = &self.net.first;
+                events.sort_by_key(|event| !first.contains(&Token::from_bits(event.data.u64())));
+            }
             for event in &events {
                 let flags = event.flags;
                 let ended = epoll::EventFlags::ERR | epoll::EventFlags::HUP;
--- a/bitternsill/src/net/stream.rs
+++ b/bitternsill/src/net/stream.rs
@@ -155,10 +155,20 @@
     }
 }
 
-/// A listening socket that does not block.
-pub fn listen(on: SocketAddr) -> io::Result<TcpListener> {
+fn bind_shared(on: SocketAddr) -> io::Result<TcpListener> {
+    let family = if on.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    rustix::net::bind(&socket, &on)?;
+    Ok(TcpListener::from(socket))
+}
+
+/// A listening socket that does not block. One that is shared can be bound again by another process of this user, and
+/// the system deals connections out among them.
+pub fn listen(on: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     // The standard library sets SO_REUSEADDR, so a restart finds its address free.
-    let listener = TcpListener::bind(on)?;
+    let listener = if shared { bind_shared(on)? } else { TcpListener::bind(on)? };
     // A request in the backlog counts as taken, but a short backlog turns clients away in a burst.
     rustix::net::listen(&listener, 4096)?;
     listener.set_nonblocking(true)?;
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -1,5 +1,7 @@
 //! Puts the parts together and runs the loop.
 
+use crate::admin::Orders;
+use crate::admin::door::Door;
 use crate::config::{self, Config, ConfigError};
 use crate::core::Core;
 use crate::core::settings::{self, Deployment};
@@ -31,6 +33,7 @@
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// Whatever keeps the program from serving.
@@ -44,6 +47,8 @@
     seed: u64,
     connector: Box<dyn Connector>,
     discovery: Option<SocketAddr>,
+    /// Where operators call; with it the clients' address is shared with the process that follows.
+    admin: Option<SocketAddr>,
     known: Json,
     listeners: Vec<(SocketAddr, Accept)>,
     reread: ReadAgain,
@@ -81,6 +86,7 @@
         limits,
         seed: config.seed,
         discovery: Some(config.discovery),
+        admin: config.admin,
         known: config.known,
         listeners: vec![(config.listen, accept)],
         reread: Box::new(move || {
@@ -155,6 +161,7 @@
         limits,
         seed,
         discovery: setup.discovery,
+        admin: None,
         known: setup.members,
         listeners,
         reread: Box::new(move || {
@@ -204,6 +211,7 @@
     let mut names = Names { zones: deployment.zones.clone(), kinds: deployment.kinds.clone() };
     let fleet = Fleet { classes: deployment.classes.clone(), cells: settings.cells, reach: settings.reach };
     let keeper = plan.learning.as_ref().and_then(|setup| Keeper::open(setup, fleet, now));
+    let folder = plan.admin.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
     let gatherer = Gatherer {
         core: Core::new(settings, deployment, limits.clone(), plan.seed),
         hosts: HostTable::new(plan.connector, limits.clone()),
@@ -211,6 +219,8 @@
         limits: limits.clone(),
         phase: Phase::Serving,
         directory: None,
+        orders: Orders::open(&plan.name, folder.as_deref(), now, &limits),
+        followed: false,
         ready_by: plan.discovery.map(|_| now + limits.first_list),
         listeners: Vec::new(),
         shelf: None,
@@ -226,10 +236,16 @@
     let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
     let store_listener = own.map(|address| (*address, Box::new(Incoming::accept) as Accept));
     for (address, accept) in plan.listeners.into_iter().chain(store_listener) {
-        let token = net.open(Box::new(Listener::new(net::listen(address)?, accept)));
+        let token = net.open(Box::new(Listener::new(net::listen(address, plan.admin.is_some())?, accept)));
         gatherer.listeners.push(token);
         tracing::info!(name = plan.name, listen = %address, "serving");
     }
+    if let Some(address) = plan.admin {
+        net.open_first(Box::new(Door::new(net::listen(address, false)?, &limits)));
+        tracing::info!(admin = %address, "operators are answered");
+    }
+    gatherer.hold_hosts(net, now);
+    gatherer.orders.announce();
     // The list from before the start may be old, or absent: then the module starts from an empty one.
     let (version, members) = match read_list(&plan.known, &mut names) {
         Ok((version, _, members)) => (Some(version), members),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -348,7 +348,7 @@
             let new = Server { limit: START_LIMIT, slowness, ..Server::default() };
             let server = self.servers.entry(e.server).or_insert(new);
             server.cell = e.cell % self.settings.cells;
-            server.ready = e.standing == Standing::Ready;
+            server.ready = e.standing == Standing::Ready && !e.out;
             server.gone = e.standing == Standing::Gone;
             // A fresh start means a cold server, whatever was known of its last life.
             if e.born > 0 && server.cold_from.is_none_or(|from| e.born > from) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,6 +162,8 @@
     pub heft: f64,
     /// When it last started; 0 for long ago.
     pub born: Time,
+    /// Taken out by hand, whatever the list says of it.
+    pub out: bool,
 }
 
 /// How a list event relates to the list held so far.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -160,6 +160,7 @@
             },
             heft: self.number_or("heft", 1.0)?,
             born: self.number_or("born", 0)?,
+            out: false,
         })
     }
 }
