--- a/bitternsill/benches/learned.rs
+++ b/bitternsill/benches/learned.rs
@@ -287,7 +287,6 @@
                     id: QueryId(number),
                     number,
                     class: (number % CLASSES as u64) as usize,
-                    tenant: 0,
                     parts: 2,
                     patience: 2_000_000_000,
                     repeat: false,
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -142,7 +142,6 @@
             id: QueryId(number),
             number,
             class: ask.class,
-            tenant: 0,
             parts: ask.parts.len() as u32,
             patience: patience.saturating_sub(self.limits.patience_margin.min(patience / 2)),
             repeat: ask.repeat,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -135,7 +135,6 @@
     first_whole: bool,
     time: Time, // The time that its client gave a first try; the aim for a repeat
     useful: Time,
-    over_share: bool,
     started: bool,
     scout: Option<PartId>, // The part sent first and alone while deaths are being seen
     wait_until: Time,
@@ -181,7 +180,6 @@
     extras: VecDeque<Time>,
     answers: VecDeque<Time>,
     started: Option<Time>,
-    shares: Vec<(f64, Time)>,
     usual: Vec<VecDeque<Time>>,
     /// Queries with parts that found no room, unlike those that wait for a scout or a probe.
     lacking: BTreeSet<u64>,
@@ -212,7 +210,6 @@
             holders: vec![Vec::new(); settings.cells as usize],
             pace: settings.classes.iter().map(start).collect(),
             tries: settings.classes.iter().map(start).collect(),
-            shares: vec![(0.0, 0); settings.tenants.len()],
             usual: vec![VecDeque::new(); settings.classes.len()],
             peers: vec![1.0; settings.classes.len()],
             tokens: 1.0,
@@ -229,7 +226,6 @@
         self.extras.retain(|at| at + window >= now);
         if self.started.is_none() {
             self.started = Some(now);
-            self.shares.iter_mut().for_each(|s| s.1 = now);
             if self.settings.list_on_request {
                 out.push(Action::Watch(true));
             }
@@ -434,7 +430,7 @@
     }
 
     fn admit(&mut self, event: &Event) {
-        let Event::Query { id, number, class, tenant, parts, patience, repeat } = *event else { return };
+        let Event::Query { id, number, class, parts, patience, repeat } = *event else { return };
         self.taken.push_back(self.now);
         let c = &self.settings.classes[class];
         // The aim runs from the first try. A try of no usual patience ends with its client's deadline.
@@ -452,17 +448,8 @@
         };
         let wanted = patience.min(c.aim.saturating_sub(age));
         let useful = self.now + wanted.saturating_sub(2 * self.settings.tick);
-        let mut over_share = false;
-        let tenant = self.settings.tenants.get(tenant).zip(self.shares.get_mut(tenant));
-        if let Some((told, (saved, at))) = tenant {
-            let rate = told.allowance / f64::from(self.settings.aggregators);
-            let now = (*saved + rate * (self.now - *at) as f64 / 1e9).min(rate.max(1.0));
-            over_share = now < 1.0;
-            (*saved, *at) = ((now - 1.0).max(0.0), self.now);
-        }
         let time = if repeat || age > 0 { c.aim } else { wanted };
-        let query =
-            Query { id, class, time, expected: parts as usize, useful, over_share, ..Query::default() };
+        let query = Query { id, class, time, expected: parts as usize, useful, ..Query::default() };
         self.timers.insert((useful, Timer::End(number)));
         if c.floor < c.need {
             // A class with partial answers keeps time for its second step.
@@ -767,10 +754,9 @@
                 let c = &self.settings.classes[query.class];
                 let must = waiting as f64 * c.floor;
                 held += must;
-                let share = if query.over_share { self.settings.over_share_worth } else { 1.0 };
                 let work = query.parts.len() as f64 * self.pace[query.class].median;
                 if waiting > 0 && !query.started {
-                    fresh.push((c.worth * share / work, number, must));
+                    fresh.push((c.worth / work, number, must));
                 }
             }
         }
@@ -851,17 +837,17 @@
     }
 
     fn dispatch(&mut self, out: &mut Vec<Action>) {
-        let mut order: Vec<(bool, bool, bool, Time, u64)> = Vec::new();
+        let mut order: Vec<(bool, bool, Time, u64)> = Vec::new();
         for (&number, query) in &self.queries {
             if !self.late(query) && self.parts_of(query).any(|p| p.1.held) {
                 // What can be answered from less gives way until its last step.
                 let gives_way = !c_whole(&self.settings.classes[query.class]) && !query.second;
-                order.push((query.over_share, gives_way, !query.started, query.useful, number));
+                order.push((gives_way, !query.started, query.useful, number));
             }
         }
         order.sort_unstable();
         let mut lacking = BTreeSet::new();
-        for (_, _, _, _, number) in order {
+        for (_, _, _, number) in order {
             let query = &self.queries[&number];
             // A deadly query kills as its part begins: a scout that lives on proves it. Haste allows none.
             let share = query.parts.len() as f64 / self.ready.max(1) as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -56,13 +56,6 @@
     pub second_step: u32,
 }
 
-/// One tenant and its share of the service.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Tenant {
-    /// Queries a second within the share, over all aggregators; infinite when none is told.
-    pub allowance: f64,
-}
-
 /// The stated limit on attempts beyond each part's first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
@@ -87,10 +80,6 @@
     pub list_on_request: bool,
     /// The classes of query.
     pub classes: Vec<Class>,
-    /// The tenants; empty where there are none.
-    pub tenants: Vec<Tenant>,
-    /// Portion of the worth that a query beyond its tenant's share keeps.
-    pub over_share_worth: f64,
     /// Number of cells; shard `s` is held by cells `s .. s + reach`, counted round.
     pub cells: u32,
     /// Number of cells in a row that hold a shard.
@@ -232,8 +221,6 @@
             tick: 1_000_000,
             list_on_request: false,
             classes: vec![Class::default()],
-            tenants: Vec::new(),
-            over_share_worth: 1.0,
             cells: 1,
             reach: 1,
             call_parts: 1,
@@ -330,8 +317,6 @@
         number: u64,
         /// Its class, by place in the settings.
         class: usize,
-        /// Its tenant, by place in the settings.
-        tenant: usize,
         /// How many parts its first step has.
         parts: u32,
         /// How long until the client leaves this try.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,7 @@
 use crate::choice::Aggregator;
 use crate::interface::{
     Action, Budget, Class, Effect, Entry, Event, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId,
-    Settings, Standing, Tenant, Time,
+    Settings, Standing, Time,
 };
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -247,10 +247,6 @@
     if classes.is_empty() {
         return Err("INIT: setting `boot_info.request_classes` is missing".to_owned());
     }
-    let mut tenants = Vec::new();
-    for tenant in root.sub("tenants").items() {
-        tenants.push(Tenant { allowance: tenant.real_or("allowance_per_s", f64::INFINITY)? });
-    }
     let budget = match rules.maybe("counted_over")? {
         Some(window) => Some(Budget {
             free: rules.time_or("budget_free", 0)?,
@@ -265,8 +261,6 @@
         tick: root.time_or("tick", 0)?,
         list_on_request: value["discovery"].as_str() == Some("ask"),
         classes,
-        tenants,
-        over_share_worth: root.real_or("over_share_worth", 1.0)?,
         cells: extra.real_or("sets", 1.0)?.max(1.0) as u32,
         reach: extra.real_or("in_a_row", 1.0)?.max(1.0) as u32,
         call_parts: extra.real_or("batch", 1.0)?.max(1.0) as u32,
@@ -507,7 +501,6 @@
         id: QueryId(id),
         number,
         class: line.number("band")?,
-        tenant: line.number_or("billing", 0)?,
         parts: line.whole("size_or_weight")?.clamp(0, i64::from(u32::MAX)) as u32,
         patience: line.number("time_budget")?,
         repeat: line.flag("resent")?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,7 +49,7 @@
         self.next += 1 + shards.len() as u64;
         let parts = shards.len() as u32;
         let id = QueryId(number);
-        let mut events = vec![Event::Query { id, number, class, tenant: 0, parts, patience, repeat: false }];
+        let mut events = vec![Event::Query { id, number, class, parts, patience, repeat: false }];
         for (i, &shard) in shards.iter().enumerate() {
             let weight = 1.0 / f64::from(parts);
             events.push(Event::Part { id: PartId(number + 1 + i as u64), number, shard, weight });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -114,7 +114,7 @@
             let (number, class, count) = (next, rng.usize(0..5), rng.u32(2..6));
             let patience = rng.u64(3..900) * MS;
             let (id, repeat) = (QueryId(number), rng.bool());
-            events.push(Event::Query { id, number, class, tenant: 0, parts: count, patience, repeat });
+            events.push(Event::Query { id, number, class, parts: count, patience, repeat });
             taken.push_back(now);
             let end = now + patience;
             let mut asked = Asked { id, class, end, parts: vec![], step: 1, first_whole: false, over: false };
