--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,12 +224,10 @@
         let window = self.settings.budget.map_or(0, |b| b.window);
         self.taken.retain(|at| at + window > now);
         self.extras.retain(|at| at + window >= now);
-        if self.started.is_none() {
-            self.started = Some(now);
-            if self.settings.list_on_request {
-                out.push(Action::Watch(true));
-            }
+        if self.started.is_none() && self.settings.list_on_request {
+            out.push(Action::Watch(true));
         }
+        self.started.get_or_insert(now);
         for event in events {
             self.take(event, out);
         }
@@ -370,13 +368,8 @@
     /// What a probed server reports against the usual, and the probe's own wait, which no report can hide.
     fn probed(&mut self, id: ServerId, outcome: Outcome, took: Time, load: &LoadReport) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.seen = self.now;
-        if outcome != Outcome::Ok {
-            server.busy = FAILURE;
-            return;
-        }
         // A sound probe that brings no report is neutral but for its wait.
-        server.busy = 1.0;
+        (server.seen, server.busy) = (self.now, if outcome == Outcome::Ok { 1.0 } else { FAILURE });
         if let Some(report) = load.busy.or(load.in_flight).or(load.queued) {
             let weight = if self.usual_load > 0.0 { REPORT } else { 1.0 };
             self.usual_load += weight * (report - self.usual_load);
@@ -441,11 +434,8 @@
         }
         let like = usual.iter().filter(|u| u.abs_diff(patience) <= patience / 64).count();
         let left = c.deadline.saturating_sub(patience);
-        let age = match (like * 16 >= usual.len(), repeat) {
-            (true, false) => 0,
-            (true, true) => left / 2,
-            (false, repeat) => left * Time::from(repeat || !self.settings.repeats_marked),
-        };
+        let again = Time::from(repeat || !self.settings.repeats_marked);
+        let age = if like * 16 >= usual.len() { left / 2 * Time::from(repeat) } else { left * again };
         let wanted = patience.min(c.aim.saturating_sub(age));
         let useful = self.now + wanted.saturating_sub(2 * self.settings.tick);
         let time = if repeat || age > 0 { c.aim } else { wanted };
