--- a/bitternsill/src/config.rs
+++ b/bitternsill/src/config.rs
@@ -18,6 +18,8 @@
     Value(&'static str),
     /// The settings cannot be used.
     Settings(crate::core::settings::SettingsError),
+    /// A file that is to take the place of another lacks what that has.
+    Lacks(String),
 }
 
 impl fmt::Display for ConfigError {
@@ -28,6 +30,7 @@
             ConfigError::Json(problem) => write!(f, "configuration: {problem}"),
             ConfigError::Value(name) => write!(f, "configuration: `{name}` is missing or malformed"),
             ConfigError::Settings(problem) => problem.fmt(f),
+            ConfigError::Lacks(what) => write!(f, "configuration: {what}"),
         }
     }
 }
@@ -57,6 +60,8 @@
     pub known: Json,
     /// The settings.
     pub settings: Json,
+    /// Which keys the file has.
+    pub shape: Shape,
 }
 
 /// Reads the file named on the command line or in the environment; variables stand in for what it lacks.
@@ -90,5 +95,67 @@
         memory_mb: json["limits"]["memory_mb"].as_u64().unwrap_or(192) as usize,
         known: json["known"].clone(),
         settings: json["settings"].clone(),
+        shape: Shape(json),
     })
 }
+
+/// Keys that a file may leave out though the one before had them: hints for a start, and what the platform's pages call
+/// absent at times.
+const OPTIONAL: &[&str] =
+    &["known", "seed", "aim_stretch", "warm_keys", "budget_free", "repeat_ratio", "counted_over", "fleet"];
+
+/// A file as far as its keys and their kinds go.
+#[derive(Debug, Clone)]
+pub struct Shape(Json);
+
+impl Shape {
+    /// Whether this file has all that `other` has; what it lacks otherwise. A file that is being written, or was cut in its
+    /// making, may well be sound JSON and still leave out a limit or a class's price.
+    pub fn fits(&self, other: &Shape) -> Result<(), String> {
+        fits(&self.0, &other.0, "")?;
+        let classes = |json: &Json| json["settings"]["request_classes"].as_array().map_or(0, Vec::len);
+        let lists = other.0["settings"]["extra"].as_object().into_iter().flatten();
+        for (key, value) in lists {
+            let told = |json: &Json| json.as_array().map(Vec::len);
+            let here = &self.0["settings"]["extra"][key];
+            if told(value) == Some(classes(&other.0)) && told(here) != Some(classes(&self.0)) {
+                return Err(format!("`settings.extra.{key}` does not tell one value for each class"));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn fits(here: &Json, other: &Json, path: &str) -> Result<(), String> {
+    match (here, other) {
+        (Json::Object(here), Json::Object(other)) => {
+            for (key, value) in other.iter().filter(|(key, _)| !OPTIONAL.contains(&key.as_str())) {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                let there = here.get(key).ok_or_else(|| format!("`{path}` is missing"))?;
+                fits(there, value, &path)?;
+            }
+            Ok(())
+        }
+        // Each entry must have what all entries had.
+        (Json::Array(here), Json::Array(other)) if other.iter().all(Json::is_object) && !other.is_empty() => {
+            let mut common = other[0].clone();
+            if let Json::Object(common) = &mut common {
+                common.retain(|key, _| other.iter().all(|entry| entry.get(key).is_some()));
+            }
+            here.iter().enumerate().try_for_each(|(at, entry)| fits(entry, &common, &format!("{path}[{at}]")))
+        }
+        _ if std::mem::discriminant(here) == std::mem::discriminant(other) || other.is_null() => Ok(()),
+        _ => Err(format!("`{path}` is {here}, where {} stood", kind(other))),
+    }
+}
+
+fn kind(json: &Json) -> &'static str {
+    match json {
+        Json::Null => "nothing",
+        Json::Bool(_) => "true or false",
+        Json::Number(_) => "a number",
+        Json::String(_) => "text",
+        Json::Array(_) => "a list",
+        Json::Object(_) => "an object",
+    }
+}
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! traits in [`ports`]. The rules that do not depend on a decision (one final answer, in time, from parts that
 //! are in) are enforced here whatever the module says.
 
+pub mod classes;
 pub mod ports;
 pub mod settings;
 
@@ -12,6 +13,7 @@
     Action, Entry, Event, Learned, ListKind, LoadReport, Outcome, PartId, QueryId, ServerId, Settings, Time,
 };
 use bramblestair::{Aggregator, interface::Effect};
+use classes::{Classes, TooMany};
 use ports::{Answer, Ask, AttemptId, Caller, Clients, Directory, Hosts, Outgoing, Reason, Refusal, Value};
 use settings::Deployment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -66,6 +68,8 @@
     aggregator: Aggregator,
     settings: Settings,
     deployment: Deployment,
+    /// The settings' classes, and those that open queries are still of.
+    classes: Classes,
     limits: Rc<Limits>,
     queries: BTreeMap<u64, Query>,
     callers: HashMap<Caller, u64>,
@@ -90,6 +94,7 @@
     pub fn new(settings: Settings, deployment: Deployment, limits: Rc<Limits>, seed: u64) -> Self {
         Core {
             aggregator: Aggregator::new(settings.clone(), seed),
+            classes: Classes::new(&deployment.classes, &settings.classes),
             settings,
             deployment,
             limits,
@@ -110,6 +115,30 @@
         }
     }
 
+    /// Takes other settings, or leaves all as it was. What is open keeps its class; the module wants the whole list next.
+    pub fn reconfigure(
+        &mut self,
+        mut settings: Settings,
+        deployment: Deployment,
+        limits: Rc<Limits>,
+        now: Time,
+    ) -> Result<(), TooMany> {
+        let held: BTreeSet<usize> = self.queries.values().map(|query| query.class).collect();
+        let (fading, most) = (now + limits.settings_overlap, limits.classes);
+        let held = |slot| held.contains(&slot);
+        let from = self.classes.lay(&deployment.classes, &settings.classes, held, now, fading, most)?;
+        settings.classes = self.classes.table();
+        (self.settings, self.deployment, self.limits) = (settings.clone(), deployment, limits);
+        self.events.push(Event::Settings { settings: Arc::new(settings), from: from.into() });
+        Ok(())
+    }
+
+    /// The class that a client means by a name, and by carrying a key or not, and whether that class wants one.
+    pub fn class(&self, name: &str, key: bool, now: Time) -> Option<(usize, bool)> {
+        let class = self.classes.find(name, key, now)?;
+        Some((class, self.settings.classes[class].effect == Effect::Keyed))
+    }
+
     /// What the program itself needs to know of the deployment.
     pub fn deployment(&self) -> &Deployment {
         &self.deployment
@@ -185,11 +214,23 @@
 
     /// What the module has learned: of at most so many of the hosts judged since they were last told of, and of classes.
     pub fn learned(&mut self, most: usize) -> Learned {
-        self.aggregator.learned(most)
+        // Told by class in the order of the settings: slots are the business of this run alone.
+        let (order, mut learned) = (self.classes.order(), self.aggregator.learned(most));
+        let parts = order.iter().filter_map(|slot| learned.parts.get(*slot).cloned()).collect();
+        let tries = order.iter().filter_map(|slot| learned.tries.get(*slot).cloned()).collect();
+        (learned.parts, learned.tries) = (parts, tries);
+        for (_, memory) in &mut learned.servers {
+            memory.slowness = order.iter().filter_map(|slot| memory.slowness.get(*slot).copied()).collect();
+        }
+        learned
     }
 
     /// What an earlier run had learned, as far as it still counts; after the list that it is about.
     pub fn recall(&mut self, learned: Learned) {
+        if self.classes.order().iter().enumerate().any(|(place, slot)| place != *slot) {
+            tracing::warn!("what was learned is not taken: the settings have changed since the start");
+            return;
+        }
         self.events.push(Event::Recall(Arc::new(learned)));
     }
 
@@ -405,7 +446,7 @@
             Effect::Keyed if id.leg > 0 => first_sent + class.key_lifetime,
             _ => Time::MAX,
         };
-        let over = part.value.is_some() || part.attempts > self.settings.max_attempts;
+        let over = part.value.is_some() || part.attempts > class.max_attempts;
         if over || until.min(repeatable) <= now {
             self.ended(id, Outcome::Skipped, now);
             return;
--- a/bitternsill/src/core/settings.rs
+++ b/bitternsill/src/core/settings.rs
@@ -11,7 +11,7 @@
 pub struct Deployment {
     /// The classes' names, in the settings' order.
     pub classes: Vec<String>,
-    /// Which classes carry an idempotency key.
+    /// Which classes carry an idempotency key, as the file says it.
     pub keyed: Vec<bool>,
     /// The time between turns is left open.
     pub open_tick: bool,
@@ -46,6 +46,7 @@
 /// Reads both shares of the settings.
 pub fn read(value: &Value) -> Result<(Settings, Deployment), SettingsError> {
     let mut settings = read_settings(&value.to_string()).map_err(SettingsError)?;
+    positive(value, settings.classes.len())?;
     let open_tick = value["tick"].is_null();
     if open_tick {
         // The module counts some waits in ticks.
@@ -66,6 +67,9 @@
     if names.iter().any(String::is_empty) {
         return Err(SettingsError("a class of `request_classes` has no `name`".to_owned()));
     }
+    if let Some(twice) = names.iter().enumerate().find(|(at, name)| names[..*at].contains(name)) {
+        return Err(SettingsError(format!("the class `{}` stands twice in `request_classes`", twice.1)));
+    }
     let deployment = Deployment {
         classes: names,
         keyed: settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
@@ -80,3 +84,20 @@
     };
     Ok((settings, deployment))
 }
+
+/// With no time or no attempt nothing could be served: that is no setting, but a slip.
+fn positive(value: &Value, classes: usize) -> Result<(), SettingsError> {
+    let times = (0..classes).flat_map(|at| ["deadline", "target"].map(|key| (at, key)));
+    for (at, key) in times {
+        let given = &value["request_classes"][at][key];
+        if given.as_f64().is_none_or(|n| n < 1.0) {
+            let path = format!("request_classes[{at}].{key}");
+            return Err(SettingsError(format!("`{path}` is {given}; allowed are numbers above 0")));
+        }
+    }
+    let given = &value["limits"]["max_attempts"];
+    if !given.is_null() && given.as_f64().is_none_or(|n| n < 1.0) {
+        return Err(SettingsError(format!("`limits.max_attempts` is {given}; allowed are numbers from 1")));
+    }
+    Ok(())
+}
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -94,6 +94,17 @@
         }
     }
 
+    /// Takes other bounds, and another way to connect.
+    pub fn retune(&mut self, connector: Box<dyn Connector>, limits: Rc<Limits>) {
+        (self.connector, self.limits) = (connector, limits);
+    }
+
+    /// The whole list, as the module is told it.
+    pub fn entries(&self) -> Vec<Entry> {
+        let present = self.hosts.values().filter(|h| h.entry.standing != Standing::Gone);
+        present.map(|h| h.entry.clone()).collect()
+    }
+
     /// Whether any host takes work.
     pub fn any_active(&self) -> bool {
         self.hosts.values().any(|h| h.entry.standing == Standing::Ready)
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -19,6 +19,8 @@
 use bramblestair::interface::{ListKind, Outcome, ServerId, Time};
 use clients::ClientTable;
 use hosts::HostTable;
+use learning::picture::Fleet;
+use signals::Fresh;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -117,6 +119,22 @@
         if self.orders.is_followed() { self.limits.clients / 2 } else { self.limits.clients }
     }
 
+    /// Takes other settings, or leaves all as it was.
+    pub fn reconfigure(&mut self, fresh: Fresh, now: Time) -> Result<(), String> {
+        let Fresh { settings, deployment, limits, connector } = fresh;
+        let fleet =
+            Fleet { classes: deployment.classes.clone(), cells: settings.cells, reach: settings.reach };
+        let taken = self.core.reconfigure(settings, deployment, limits.clone(), now);
+        taken.map_err(|_| format!("more classes at once than {}", limits.classes))?;
+        self.core.list(ListKind::Complete, self.hosts.entries());
+        self.hosts.retune(connector, limits.clone());
+        self.limits = limits;
+        if let Some(keeper) = &mut self.keeper {
+            keeper.settle(fleet);
+        }
+        Ok(())
+    }
+
     /// Has index hosts stand as operators want them now.
     pub fn hold_hosts(&mut self, net: &mut Net<Self>, now: Time) {
         let entries = self.hosts.hold(self.orders.hand.out().map(str::to_owned).collect(), net, now);
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -76,7 +76,7 @@
             Operation::Query => {
                 let caller = Caller::only(cx.token.bits());
                 let world = &mut *cx.world;
-                let ask = query::parse(head, body, caller, cx.since, world.core.deployment(), &world.limits);
+                let ask = query::parse(head, body, caller, cx.since, &world.core, cx.now, &world.limits);
                 match ask.map(|ask| world.core.take(ask, cx.now)) {
                     Ok(Ok(())) => Handled::Waiting,
                     Ok(Err(Refusal::TableFull { hold_off })) => {
--- a/bitternsill/src/front/platform/query.rs
+++ b/bitternsill/src/front/platform/query.rs
@@ -1,7 +1,7 @@
 //! What a client's request says, and what its answer looks like.
 
+use crate::core::Core;
 use crate::core::ports::{Answer, Ask, Caller, Reason};
-use crate::core::settings::Deployment;
 use crate::front::http::{Head, Response};
 use crate::limits::Limits;
 use bramblestair::interface::Time;
@@ -49,7 +49,8 @@
     body: &[u8],
     caller: Caller,
     arrived: Time,
-    deployment: &Deployment,
+    core: &Core,
+    now: Time,
     limits: &Limits,
 ) -> Result<Ask, QueryError> {
     // Ids and keys travel on in the frames' lines, where a space, a comma or a line end would mean something.
@@ -61,11 +62,11 @@
         head.get(name).filter(fits).ok_or(QueryError::Header(name))
     };
     let name = plain(CALL_ID)?;
-    let class = head.get(CALL_CLASS).and_then(|class| deployment.classes.iter().position(|c| c == class));
-    let class = class.ok_or(QueryError::Header(CALL_CLASS))?;
+    let class = head.get(CALL_CLASS).and_then(|class| core.class(class, head.get(KEY).is_some(), now));
+    let (class, keyed) = class.ok_or(QueryError::Header(CALL_CLASS))?;
     let budget = head.get(BUDGET).and_then(seconds).ok_or(QueryError::Header(BUDGET))?;
-    let key = if deployment.keyed[class] { Some(plain(KEY)?.into()) } else { None };
-    let (text, parts) = parse_body(body, deployment.shards)?;
+    let key = if keyed { Some(plain(KEY)?.into()) } else { None };
+    let (text, parts) = parse_body(body, core.deployment().shards)?;
     Ok(Ask {
         caller,
         name: name.into(),
--- a/bitternsill/src/front/signals.rs
+++ b/bitternsill/src/front/signals.rs
@@ -1,15 +1,19 @@
 //! Signals as descriptors of the loop: SIGTERM and SIGINT end the program, SIGHUP has it read its file again.
 
+use super::hosts::Connector;
 use super::platform::discovery::{Names, read_list};
 use super::{Gatherer, Message};
+use crate::core::settings::Deployment;
+use crate::limits::Limits;
 use crate::net::{Connection, Context, Ready};
-use bramblestair::interface::ListKind;
+use bramblestair::interface::{ListKind, Settings};
 use serde_json::Value as Json;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::error::Error;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
+use std::rc::Rc;
 
 type Cx<'a> = Context<'a, Gatherer>;
 
@@ -65,12 +69,25 @@
 }
 
 /// What the file that the program was started with says now, as far as it takes effect without a restart.
-#[derive(Debug)]
 pub struct Reread {
     /// Where discovery listens.
     pub discovery: Option<SocketAddr>,
     /// Where there is no discovery: the list of index hosts, in its form.
     pub members: Json,
+    /// The settings and what follows from them, where these can change in service.
+    pub settings: Option<Fresh>,
+}
+
+/// Settings, and what follows from them.
+pub struct Fresh {
+    /// The module's.
+    pub settings: Settings,
+    /// The program's own.
+    pub deployment: Deployment,
+    /// The bounds by them.
+    pub limits: Rc<Limits>,
+    /// The way to connect within these bounds.
+    pub connector: Box<dyn Connector>,
 }
 
 /// Reads the file again.
@@ -90,16 +107,25 @@
     }
 
     fn reload(&mut self, cx: &mut Cx<'_>) -> Result<(), Box<dyn Error>> {
-        let Reread { discovery, members } = (self.read)()?;
+        let Reread { discovery, members, settings } = (self.read)()?;
+        let mut names = self.names.clone();
+        let members = match (discovery, cx.world.directory) {
+            (Some(_), Some(_)) => Vec::new(),
+            (None, None) => read_list(&members, &mut names)?.2,
+            _ => return Err("with and without discovery: this takes a restart".into()),
+        };
+        // All that could fail has been read by now: the file is taken whole, or not at all.
+        if let Some(fresh) = settings {
+            cx.world.reconfigure(fresh, cx.now)?;
+        }
+        self.names = names;
         match (discovery, cx.world.directory) {
             (Some(to), Some(directory)) => cx.net.post(directory, Message::Moved(to)),
-            (None, None) => {
-                let (_, _, members) = read_list(&members, &mut self.names)?;
+            _ => {
                 let entries = cx.world.hosts.update(ListKind::Complete, members, cx.net, cx.now);
                 cx.world.core.list(ListKind::Complete, entries);
                 cx.world.record_members(cx.net);
             }
-            _ => return Err("with and without discovery: this takes a restart".into()),
         }
         Ok(())
     }
--- a/bitternsill/src/learned/mod.rs
+++ b/bitternsill/src/learned/mod.rs
@@ -108,6 +108,23 @@
         self.next_picture
     }
 
+    /// The settings have changed: what is learned is told by other classes from here on.
+    pub fn settle(&mut self, fleet: Fleet) {
+        let former = std::mem::replace(&mut self.picture.fleet, fleet);
+        let same = |name: &String| former.classes.iter().position(|f| f == name);
+        let places: Vec<Option<usize>> = self.picture.fleet.classes.iter().map(same).collect();
+        let hosts = std::mem::take(&mut self.picture.hosts);
+        self.picture.hosts = hosts
+            .into_iter()
+            .map(|(uid, mut host)| {
+                let slow =
+                    |at: &Option<usize>| at.and_then(|at| host.slowness.get(at).copied()).unwrap_or(1.0);
+                host.slowness = places.iter().map(slow).collect();
+                (uid, host)
+            })
+            .collect();
+    }
+
     /// With the first list that names a host: what was loaded, as far as it still counts.
     pub fn recall(&mut self, core: &mut Core, hosts: &HostTable, now: Time) {
         if self.loaded.is_none() || !hosts.any_active() {
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -164,6 +164,10 @@
     pub last_picture: Time,
     /// How long a start waits for discovery before it reports ready with the list it was given.
     pub first_list: Time,
+    /// How long after new settings the former names and meanings of classes hold beside the new ones.
+    pub settings_overlap: Time,
+    /// Classes held at once, those that only open queries are of included.
+    pub classes: usize,
     /// Callers at the operators' door at once; so many descriptors are kept back for them.
     pub door_callers: usize,
     /// How long an operator's call may take to come.
@@ -260,6 +264,8 @@
             last_call: 3_300 * MS,
             last_picture: 90 * MS,
             first_list: 1_500 * MS,
+            settings_overlap: 1_250 * MS,
+            classes: 64,
             door_callers: 8,
             door_read: 5_500 * MS,
             drain_times: (400 * MS, 800 * MS, 1_700 * MS),
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -19,7 +19,7 @@
 use crate::front::platform::discovery::{Discovery, Names, read_list};
 use crate::front::platform::link::FrameConnector;
 use crate::front::server::HttpConnection;
-use crate::front::signals::{End, ReadAgain, Reload, Reread};
+use crate::front::signals::{End, Fresh, ReadAgain, Reload, Reread};
 use crate::front::{Gatherer, Phase};
 use crate::learned::{Keeper, LearningSetup};
 use crate::limits::Limits;
@@ -77,7 +77,10 @@
 /// Serves the platform until SIGTERM; `learning` is where what is learned is kept, which the platform has no place for.
 pub fn platform(config: Config, learning: Option<LearningSetup>) -> Result<(), ServeError> {
     let settings = settings::read(&config.settings).map_err(ConfigError::Settings)?;
-    let limits = Rc::new(limits(&settings, config.sockets).with_memory(config.memory_mb));
+    let (sockets, memory_mb, shape) = (config.sockets, config.memory_mb, config.shape);
+    let bounds =
+        move |settings: &(Settings, Deployment)| Rc::new(limits(settings, sockets).with_memory(memory_mb));
+    let limits = bounds(&settings);
     let accept: Accept = Box::new(|stream, world| HttpConnection::accept(Box::new(Platform), stream, world));
     run(Plan {
         name: config.name,
@@ -91,7 +94,13 @@
         listeners: vec![(config.listen, accept)],
         reread: Box::new(move || {
             let fresh = config::load(Some(config.path.clone()))?;
-            Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null })
+            fresh.shape.fits(&shape).map_err(ConfigError::Lacks)?;
+            let settings = settings::read(&fresh.settings).map_err(ConfigError::Settings)?;
+            let limits = bounds(&settings);
+            let connector = Box::new(FrameConnector { limits: limits.clone() });
+            let (settings, deployment) = settings;
+            let settings = Some(Fresh { settings, deployment, limits, connector });
+            Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null, settings })
         }),
         store: None,
         learning,
@@ -166,7 +175,7 @@
         listeners,
         reread: Box::new(move || {
             let fresh = setup::load(&setup.path)?;
-            Ok(Reread { discovery: fresh.discovery, members: fresh.members })
+            Ok(Reread { discovery: fresh.discovery, members: fresh.members, settings: None })
         }),
         store: setup.store,
         learning: setup.learning,
--- a/bitternsill/tests/operations.rs
+++ b/bitternsill/tests/operations.rs
@@ -351,3 +351,94 @@
     assert_eq!(unread, 0, "of 200 that had connected");
     drop(next);
 }
+
+#[test]
+fn new_settings_are_taken_whole_or_not_at_all_and_what_is_open_keeps_its_class() {
+    // The hosts hold their answers to one query back until the test lets them go.
+    let gate = std::sync::Arc::new(AtomicBool::new(false));
+    let host = |score| {
+        let open = gate.clone();
+        FrameHost::start(move |id| {
+            eventually("the gate opens", || !id.starts_with("w.") || open.load(Ordering::SeqCst));
+            Say::Good(score, format!("value of {id}"))
+        })
+    };
+    let all = (1..=3).map(host).collect();
+    let served = start(settings(), all, 256);
+    let platform = &served.platform;
+    let status = |answer: String| answer.split(' ').nth(1).unwrap_or_default().to_owned();
+    let ask = |id: &str, class: &str| status(platform.ask(id, class, &[0]));
+    let keyed = |id: &str, class: &str| {
+        status(platform.say(&query(id, class, &[0], "Idempotency-Key: k\r\nConnection: close\r\n")))
+    };
+    // What is broken is not taken, discovery included: nobody listens where these files send the program.
+    let good = platform.config.clone();
+    let mut broken =
+        vec![String::new(), "{".to_owned(), good.to_string()[..good.to_string().len() / 2].to_owned()];
+    let mut spoil = |change: &dyn Fn(&mut Value)| {
+        let mut file = good.clone();
+        file["discovery"] = json!("127.0.0.1:1");
+        file["settings"]["request_classes"][1]["name"] = json!("leaf");
+        change(&mut file);
+        broken.push(file.to_string());
+    };
+    let remove = |group: &'static str, key: &'static str| {
+        move |f: &mut Value| f["settings"][group].as_object_mut().unwrap().remove(key).map(drop).unwrap()
+    };
+    spoil(&remove("limits", "max_attempts"));
+    spoil(&remove("extra", "ranges"));
+    spoil(&|f| {
+        f["settings"]["request_classes"][2].as_object_mut().unwrap().remove("effect").map(drop).unwrap()
+    });
+    spoil(&|f| f["settings"]["request_classes"][1]["deadline"] = json!(0));
+    spoil(&|f| f["settings"]["request_classes"][1]["deadline"] = json!("soon"));
+    spoil(&|f| f["settings"]["limits"]["max_attempts"] = json!(-1));
+    spoil(&|f| f["settings"]["extra"]["class_need"] = json!([1.0, 1.0]));
+    spoil(&|f| f.as_object_mut().unwrap().remove("listen").map(drop).unwrap());
+    let watches = platform.discovery.asked();
+    for (n, file) in broken.iter().enumerate() {
+        platform.reload(file);
+        // A signal is read before what is asked behind it.
+        assert_eq!(ask(&format!("b{n}"), "leaf"), "400", "{file}");
+        assert_eq!(ask(&format!("c{n}"), "page"), "200", "{file}");
+    }
+    assert_eq!((platform.discovery.watches(), platform.discovery.asked()), (1, watches));
+    // A query is open while its class goes, and another changes its meaning.
+    let mut waiting = platform.connect();
+    waiting.write_all(query("w", "page", &[1], "").as_bytes()).unwrap();
+    let out = |host: &FrameHost| host.seen().iter().any(|line| line.starts_with("w."));
+    eventually("its part is out", || platform.hosts.iter().any(out));
+    let mut fresh = good.clone();
+    let classes = fresh["settings"]["request_classes"].as_array_mut().unwrap();
+    classes[1]["name"] = json!("leaf");
+    classes[2]["effect"] = json!("read_like");
+    classes.push(json!({"name": "note", "target": 1_500_000_000u64, "deadline": 4_000_000_000u64, "effect": "non_idempotent"}));
+    for list in ["class_fetch", "class_need", "floor_by_class", "short_worth"] {
+        let one = json!(if list == "class_fetch" { 0.0 } else { 1.0 });
+        fresh["settings"]["extra"][list].as_array_mut().unwrap().push(one);
+    }
+    platform.reload(&fresh.to_string());
+    let began = Instant::now();
+    eventually("the new class is served", || ask(&format!("n{:?}", began.elapsed()), "leaf") == "200");
+    assert_eq!(
+        (ask("o1", "page"), ask("n1", "note")),
+        ("200".into(), "200".into()),
+        "both namings hold for a while"
+    );
+    assert_eq!((keyed("k1", "shelf"), ask("k2", "shelf")), ("200".into(), "200".into()), "and both meanings");
+    gate.store(true, Ordering::SeqCst);
+    let answer = read_response(&mut waiting);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("value of w.1"), "{answer}");
+    eventually("the former naming ends", || ask(&format!("e{:?}", began.elapsed()), "page") == "400");
+    assert!(began.elapsed() >= Duration::from_millis(1_200), "too soon: {:?}", began.elapsed());
+    assert_eq!((ask("k3", "shelf"), ask("n2", "leaf")), ("200".into(), "200".into()));
+    // Changed to and fro, it neither grows nor forgets: 64 classes may be held, and each change brings some.
+    for n in 0..60 {
+        platform.reload(&if n % 2 == 0 { &good } else { &fresh }.to_string());
+        ask(&format!("f{n}"), "search");
+    }
+    eventually("the last settings are taken in the end", || {
+        platform.reload(&fresh.to_string());
+        ask(&format!("l{:?}", began.elapsed()), "note") == "200"
+    });
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -78,6 +78,7 @@
     cell: u32,
     ready: bool,
     gone: bool,
+    out: bool, // Taken out by hand
     calls: BTreeMap<u64, u32>,
     limit: f64,
     delay: f64,
@@ -140,7 +141,7 @@
     wait_until: Time,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Pace {
     recent: VecDeque<Time>,
     median: f64,
@@ -205,7 +206,7 @@
             Pace { recent: VecDeque::new(), median: p95 / 3.0, p95, least: p95 }
         };
         Aggregator {
-            aim: settings.classes.iter().map(|c| c.aim).min().unwrap_or(1),
+            aim: settings.classes.iter().filter(|c| !c.retired).map(|c| c.aim).min().unwrap_or(1),
             rng: fastrand::Rng::with_seed(seed),
             holders: vec![Vec::new(); settings.cells as usize],
             pace: settings.classes.iter().map(start).collect(),
@@ -256,6 +257,7 @@
 
     fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
         match *event {
+            Event::Settings { ref settings, ref from } => self.resettle(settings, from),
             Event::List { kind, ref entries } => self.list(kind, entries),
             Event::ListFailed => {
                 // All fail together and would call again together: the more there are, the more they spread.
@@ -288,6 +290,23 @@
         }
     }
 
+    /// Takes other settings: each class goes on from one of before, or starts anew.
+    fn resettle(&mut self, settings: &Settings, from: &[Option<usize>]) {
+        fn carry<T: Clone>(old: &mut Vec<T>, new: Vec<T>, from: &[Option<usize>]) {
+            let kept = |(new, from): (T, &Option<usize>)| from.map_or(new, |at| old[at].clone());
+            *old = new.into_iter().zip(from).map(kept).collect();
+        }
+        let new = Aggregator::new(settings.clone(), 0);
+        carry(&mut self.pace, new.pace, from);
+        carry(&mut self.tries, new.tries, from);
+        carry(&mut self.usual, new.usual, from);
+        carry(&mut self.peers, new.peers, from);
+        for server in self.servers.values_mut() {
+            carry(&mut server.slowness, vec![(1.0, 0); from.len()], from);
+        }
+        (self.aim, self.settings) = (new.aim, new.settings);
+    }
+
     /// What was learned: of so many servers judged since last told of (noted from the first call on), and of classes.
     pub fn learned(&mut self, most: usize) -> Learned {
         let server = |id| {
@@ -344,12 +363,14 @@
             server.cell = e.cell % self.settings.cells;
             server.ready = e.standing == Standing::Ready && !e.out;
             server.gone = e.standing == Standing::Gone;
-            // A fresh start means a cold server, whatever was known of its last life.
-            if e.born > 0 && server.cold_from.is_none_or(|from| e.born > from) {
+            // A fresh start means a cold server, whatever was known of its last life. One that was out by hand was
+            // started anew meanwhile, which is told of late.
+            let back = std::mem::replace(&mut server.out, e.out) && !e.out;
+            if back || e.born > 0 && server.cold_from.is_none_or(|from| e.born > from) {
                 server.limit = START_LIMIT / 2.0;
                 server.slowness.fill((1.0, 0));
                 (server.errors, server.judged) = (0.0, 0.0);
-                server.cold_from = Some(e.born);
+                server.cold_from = Some(if back { self.now } else { e.born });
                 server.sent.retain(|at| *at >= e.born);
                 server.turn = self.rng.f64();
             }
@@ -941,7 +962,7 @@
             Effect::Keyed => alone && part.may_have_run.is_none_or(|at| self.now < at + c.key_lifetime),
             Effect::Unsafe => alone && part.may_have_run.is_none(),
         };
-        let over = part.attempts >= self.settings.max_attempts || !first && !may_repeat;
+        let over = part.attempts >= c.max_attempts || !first && !may_repeat;
         if over || !(alone || self.settings.second_copies) || !first && !self.budget_left(0.0) {
             self.parts.get_mut(&id).expect("looked up above").held &= !over; // a lack of budget passes
             return false;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -54,6 +54,10 @@
     pub short_worth: f64,
     /// Parts of the second step; 0 for a class with one step.
     pub second_step: u32,
+    /// The most attempts for one part.
+    pub max_attempts: u32,
+    /// No longer in the settings; only queries that were taken before are still of it.
+    pub retired: bool,
 }
 
 /// The stated limit on attempts beyond each part's first.
@@ -88,8 +92,6 @@
     pub call_parts: u32,
     /// Work of a call beside that of its parts; 0 where calls cost nothing.
     pub call_work: Time,
-    /// The most attempts for one part.
-    pub max_attempts: u32,
     /// How many queries and parts may be held.
     pub max_open: u32,
     /// Whether an attempt may be called off.
@@ -208,6 +210,8 @@
             need: 1.0,
             short_worth: 0.0,
             second_step: 0,
+            max_attempts: 3,
+            retired: false,
         }
     }
 }
@@ -225,7 +229,6 @@
             reach: 1,
             call_parts: 1,
             call_work: 0,
-            max_attempts: 3,
             max_open: u32::MAX,
             cancels: true,
             probes: false,
@@ -300,6 +303,13 @@
 pub enum Event {
     /// What an earlier life of this aggregator had learned, as far as it still counts; after the list it is about.
     Recall(Arc<Learned>),
+    /// Other settings hold from now on. Classes that queries are of keep their places; the whole list follows.
+    Settings {
+        /// The settings.
+        settings: Arc<Settings>,
+        /// For each class the one of before that it goes on from.
+        from: Arc<[Option<usize>]>,
+    },
     /// News of the server list.
     List {
         /// How it relates to the list held.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -242,6 +242,8 @@
             need: at(&needs, i, 1.0),
             short_worth: at(&shorts, i, 0.0),
             second_step: at(&fetches, i, 0.0) as u32,
+            max_attempts: limits.real_or("max_attempts", 1.0)? as u32,
+            retired: false,
         });
     }
     if classes.is_empty() {
@@ -265,7 +267,6 @@
         reach: extra.real_or("in_a_row", 1.0)?.max(1.0) as u32,
         call_parts: extra.real_or("batch", 1.0)?.max(1.0) as u32,
         call_work: extra.time_or("per_call_work", 0)?,
-        max_attempts: limits.real_or("max_attempts", 1.0)? as u32,
         max_open: limits.real_or("max_open", f64::from(u32::MAX))? as u32,
         cancels: limits.flag("cancel"),
         probes: limits.flag("probes"),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,7 +56,6 @@
         cells: CELLS,
         reach: if rng.bool() { 1 } else { 3 },
         call_parts: if rng.bool() { 1 } else { 4 },
-        max_attempts: 3,
         second_copies: rng.bool(),
         max_hold_off: 100 * MS,
         drain_grace: if rng.bool() { 0 } else { 50 * MS },
@@ -73,13 +72,15 @@
 
 fn run(seed: u64) -> usize {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let s = settings(&mut rng);
+    let mut s = settings(&mut rng);
     let mut aggregator = Aggregator::new(s.clone(), seed);
     let mut queries: BTreeMap<u64, Asked> = BTreeMap::new();
     let mut pieces: BTreeMap<PartId, Piece> = BTreeMap::new();
     let mut out: BTreeMap<(PartId, u32), Out> = BTreeMap::new();
     let mut barred: BTreeMap<ServerId, Time> = BTreeMap::new();
     let mut entries: Vec<Entry> = (0..2 * CELLS).map(|i| common::entry(50 + i, i % CELLS)).collect();
+    // Whoever was out by hand counts as started when taken back, whatever the list says.
+    let mut back: BTreeMap<ServerId, Time> = BTreeMap::new();
     let mut cold_sent: BTreeMap<ServerId, VecDeque<Time>> = BTreeMap::new();
     let (mut taken, mut extras) = (VecDeque::new(), VecDeque::new());
     let mut now = 5000 * MS;
@@ -111,7 +112,8 @@
         }
         if turn < 1200 && rng.u32(0..4) == 0 {
             next += 1;
-            let (number, class, count) = (next, rng.usize(0..5), rng.u32(2..6));
+            let current: Vec<usize> = (0..s.classes.len()).filter(|c| !s.classes[*c].retired).collect();
+            let (number, class, count) = (next, *rng.choice(&current).unwrap(), rng.u32(2..6));
             let patience = rng.u64(3..900) * MS;
             let (id, repeat) = (QueryId(number), rng.bool());
             events.push(Event::Query { id, number, class, parts: count, patience, repeat });
@@ -140,6 +142,24 @@
             }
             events.push(Event::List { kind: ListKind::Partial, entries: [entries[i].clone()].into() });
         }
+        if rng.u32(0..40) == 0 {
+            let i = rng.usize(0..entries.len());
+            entries[i].out = !entries[i].out;
+            if !entries[i].out && entries[i].standing != Standing::Gone {
+                back.insert(entries[i].server, now);
+            }
+            events.push(Event::List { kind: ListKind::Partial, entries: [entries[i].clone()].into() });
+        }
+        if rng.u32(0..400) == 0 {
+            // One class says something else: its queries keep the place that they know, and new ones get a fresh one.
+            let i = rng.usize(0..s.classes.len());
+            let fresh = Class { max_attempts: rng.u32(1..5), retired: false, ..s.classes[i].clone() };
+            s.classes[i].retired = true;
+            let from = (0..s.classes.len()).chain([i]).map(Some).collect();
+            s.classes.push(fresh);
+            events.push(Event::Settings { settings: s.clone().into(), from });
+            events.push(Event::List { kind: ListKind::Complete, entries: entries.clone().into() });
+        }
         if rng.u32(0..60) == 0 {
             let open: Vec<u64> = queries.iter().filter(|q| !q.1.over).map(|q| *q.0).collect();
             if let Some(number) = rng.choice(&open) {
@@ -161,7 +181,9 @@
                     assert!(!asked.over && !piece.done, "lost: a send for something finished");
                     assert!(until <= asked.end, "an attempt outlives its client");
                     // A cold server of one core, parts of 40 ms, this aggregator's half, and half as much for chance.
-                    let born = entries.iter().find(|e| e.server == server).unwrap().born;
+                    let entry = entries.iter().find(|e| e.server == server).unwrap();
+                    assert!(!entry.out, "sent to a server that is out by hand");
+                    let born = entry.born.max(back.get(&server).copied().unwrap_or(0));
                     if born > 0 && now < born + s.ramp {
                         let capacity = 0.2 + 0.8 * (now - born) as f64 / s.ramp as f64;
                         let most = 1.5
@@ -184,7 +206,7 @@
                     }
                     let live = piece.attempts.iter().filter(|a| a.1.is_none()).count();
                     assert!(live == 0 || s.second_copies, "two attempts out");
-                    assert!(piece.attempts.len() < s.max_attempts as usize);
+                    assert!(piece.attempts.len() < s.classes[asked.class].max_attempts as usize);
                     if !piece.attempts.is_empty() {
                         extras.push_back(now);
                         let b = s.budget.unwrap();
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -162,7 +162,7 @@
 #[test]
 fn settings_skip_unknown_keys_and_name_bad_ones() {
     let settings = read_settings(INFO).unwrap();
-    assert_eq!((settings.cells, settings.reach, settings.max_attempts), (2, 2, 3));
+    assert_eq!((settings.cells, settings.reach, settings.classes[0].max_attempts), (2, 2, 3));
     assert_eq!(settings.budget, None);
     let bad = INFO.replace("\"target\": 1000000000", "\"target\": \"soon\"");
     assert_eq!(
