--- a/bitternsill/src/describe/openapi.rs
+++ b/bitternsill/src/describe/openapi.rs
@@ -1,5 +1,6 @@
 //! The HTTP surfaces as an OpenAPI description.
 
+use crate::admin::calls;
 use crate::front::platform::client::{Operation, ROUTES, Route};
 use crate::front::platform::query::{AGAIN, BUDGET, CALL_CLASS, CALL_ID, KEY};
 use crate::limits::Limits;
@@ -60,6 +61,31 @@
     }}})
 }
 
+/// One call of the operators' door.
+fn call(route: &calls::Route) -> Json {
+    let responses: Map<String, Json> = route
+        .answers
+        .iter()
+        .map(|(status, about)| (status.to_string(), json!({"description": about})))
+        .collect();
+    let mut operation = json!({
+        "summary": format!("{} (at the address `admin`)", route.summary),
+        "operationId": format!("{:?}", route.operation).to_lowercase(),
+        "tags": ["operators"],
+        "responses": responses,
+    });
+    if route.names_host() {
+        let schema = json!({
+            "type": "object",
+            "required": ["member"],
+            "properties": {"member": {"type": "string", "minLength": 1, "description": "The index host's id"}}
+        });
+        operation["requestBody"] =
+            json!({"required": true, "content": {"application/json": {"schema": schema}}});
+    }
+    operation
+}
+
 fn operation(route: &Route, limits: &Limits) -> Json {
     let mut responses = Map::new();
     for (status, meaning) in route.answers {
@@ -117,6 +143,9 @@
         let path = paths.entry(route.path).or_insert_with(|| json!({}));
         path[route.method.to_lowercase()] = operation(route, limits);
     }
+    for route in calls::ROUTES {
+        paths.insert(route.path.to_owned(), json!({route.method.to_lowercase(): call(route)}));
+    }
     paths.insert("/{database}".to_owned(), json!({"get": catalogue()}));
     json!({
         "openapi": "3.1.0",
