Clients that read no answers get no more of them, and hold no drain

Change: past 1 MiB unwritten (the bound of catalogue clients) nothing further is read or begun; in a drain, or when the program ends, one that has its answers and does not read them is given 0.5 s.

--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -87,7 +87,8 @@
 
     /// Parses what has come and acts on whole requests, one at a time.
     fn read_requests(&mut self, cx: &mut Cx<'_>) {
-        while self.state == State::Reading {
+        // Who reads no answers gets no more of them: they would pile up here.
+        while self.state == State::Reading && self.stream.unwritten() < cx.world.limits.output {
             let fresh = self.reader.is_fresh();
             match self.reader.read(&mut self.input) {
                 Ok(Progress::Whole) => {
@@ -172,8 +173,9 @@
     /// Writes what is there and sets what the socket is watched for.
     fn flush(&mut self, cx: &mut Cx<'_>) {
         // Bytes past the present request wait in the socket, so that they cannot pile up here.
-        let readable =
-            !matches!(self.state, State::Waiting { .. }) || self.input.len() < cx.world.limits.head_bytes;
+        let stalled = self.stream.unwritten() >= cx.world.limits.output;
+        let behind = stalled || matches!(self.state, State::Waiting { .. });
+        let readable = !behind || self.input.len() < cx.world.limits.head_bytes;
         match self.stream.flush_and_arm(cx.net, cx.token, readable) {
             Ok(false) if self.state == State::Ending => {
                 // Closing at once could reset the connection before the client has read the answer.
@@ -237,6 +239,11 @@
             self.read_requests(cx);
         }
         self.flush(cx);
+        if ready.writable && !self.input.is_empty() && !cx.is_closing() {
+            // What waited for the client to read.
+            self.read_requests(cx);
+            self.flush(cx);
+        }
     }
 
     fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
@@ -261,6 +268,11 @@
                 let idle = self.state == State::Reading && self.reader.is_fresh();
                 if idle && self.stream.unwritten() == 0 || !matches!(ended, Ok(Input::Open)) {
                     cx.close();
+                } else if idle && cx.world.is_leaving(cx.now) {
+                    // It has its answers and does not read them: it gets a little longer, and no more.
+                    self.state = State::Ending;
+                    cx.set_timer(cx.now + cx.world.limits.linger);
+                    self.flush(cx);
                 } else if self.state == State::Reading && !idle && matches!(message, Message::MakeRoom) {
                     // Others wait for its place, and it was given longer than any sound client takes.
                     self.too_slow(cx);
--- a/bitternsill/tests/operations.rs
+++ b/bitternsill/tests/operations.rs
@@ -442,3 +442,41 @@
         ask(&format!("l{:?}", began.elapsed()), "note") == "200"
     });
 }
+
+#[test]
+fn a_client_that_never_reads_does_not_hold_a_drain_and_sigterm_ends_it_in_order() {
+    // Values so large that an answer does not fit what the system buffers for a client that reads nothing.
+    let large = |score| FrameHost::start(move |_| Say::Good(score, "x".repeat(60_000)));
+    let mut served = start(settings(), (1..=3).map(large).collect(), 256);
+    let folder = format!("/proc/{}/fd", served.platform.program.child.id());
+    let open = || std::fs::read_dir(&folder).unwrap().count();
+    let idle = open();
+    let mut deaf: Vec<TcpStream> = (0..2).map(|_| served.platform.connect()).collect();
+    for (n, socket) in deaf.iter_mut().enumerate() {
+        for m in 0..200 {
+            let asked = query(&format!("d{n}-{m}"), "page", &[0, 1, 2], "");
+            socket.set_write_timeout(Some(Duration::from_millis(50))).unwrap();
+            if socket.write_all(asked.as_bytes()).is_err() {
+                break;
+            }
+        }
+    }
+    // Nothing more is asked of the hosts for them, and what they hold of the memory is bounded.
+    let asked = || (0..3).map(|host| served.seen(host)).sum::<usize>();
+    let mut last = (asked(), Instant::now());
+    eventually("no more is asked for the deaf", || {
+        if asked() > last.0 {
+            last = (asked(), Instant::now());
+        }
+        last.1.elapsed() > Duration::from_millis(700)
+    });
+    assert!(last.0 < 2 * 200 * 3 / 2, "{} parts asked", last.0);
+    let began = Instant::now();
+    assert!(call(served.door, "POST", "evacuate", "").starts_with("HTTP/1.1 200"));
+    assert!(served.platform.ask("beside", "page", &[0]).starts_with("HTTP/1.1 200"));
+    // With links to its hosts it may hold a few descriptors more than at its start, but not one for each of the deaf.
+    eventually("the deaf are let go", || open() <= idle + 3);
+    assert!(began.elapsed() < Duration::from_secs(4), "held for {:?}", began.elapsed());
+    served.platform.program.signal("TERM");
+    assert!(served.platform.program.child.wait().unwrap().success());
+}
