check takes the platform's configuration and tells each wrong value as operators know it

Problems of the settings spoke in the words of the simulator's wire (`INIT: setting boot_info…`), and a bad address did not say what is allowed.

Change: a file whose `listen` is one address is read as the platform's configuration; paths are told as they stand in the file.

Ruled out: a sub-command of its own; the file tells what it is.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::cli::{self as admin, Admin};
 use crate::conform::{self, Format, Protocol, Target};
+use crate::core::settings;
 use crate::front::catalogue::setup;
 use crate::learned::LearningSetup;
 use crate::learned::cli::{self as learned, Learned};
@@ -36,7 +37,7 @@
     Serve(Serve),
     /// Say whether an operator's file can be used, and where not.
     Check {
-        /// A set-up, or an OpenAPI or AsyncAPI description in JSON.
+        /// A set-up, the platform's configuration, or an OpenAPI or AsyncAPI description in JSON.
         file: PathBuf,
     },
     /// Print a description of the program's surfaces.
@@ -178,6 +179,12 @@
         Err(problem) => return vec![problem.to_string()],
     };
     describe::fit::check(&json, &Limits::default()).unwrap_or_else(|| {
+        // The platform's configuration names one address; a set-up says for each front where to listen.
+        if json["listen"].is_string() {
+            let config = config::load(Some(file.to_owned())).map_err(|problem| problem.to_string());
+            let read = |c: config::Config| settings::read(&c.settings).map_err(|problem| problem.to_string());
+            return config.and_then(read).err().into_iter().collect();
+        }
         // A set-up says where to listen; what goes beside the platform's configuration does not.
         let problem = match json.get("listen") {
             None if json.get("learning").is_some() => setup::read_operator(&json).err(),
--- a/bitternsill/src/config.rs
+++ b/bitternsill/src/config.rs
@@ -28,7 +28,10 @@
             ConfigError::NoFile => f.write_str("no configuration: set ROUTER_CONFIG or use --config"),
             ConfigError::File(path, problem) => write!(f, "{}: {problem}", path.display()),
             ConfigError::Json(problem) => write!(f, "configuration: {problem}"),
-            ConfigError::Value(name) => write!(f, "configuration: `{name}` is missing or malformed"),
+            ConfigError::Value(name) => {
+                let form = if *name == "seed" { "hex digits" } else { "IP:PORT" };
+                write!(f, "configuration: `{name}` is missing or malformed; allowed is {form}")
+            }
             ConfigError::Settings(problem) => problem.fmt(f),
             ConfigError::Lacks(what) => write!(f, "configuration: {what}"),
         }
--- a/bitternsill/src/core/settings.rs
+++ b/bitternsill/src/core/settings.rs
@@ -45,7 +45,9 @@
 
 /// Reads both shares of the settings.
 pub fn read(value: &Value) -> Result<(Settings, Deployment), SettingsError> {
-    let mut settings = read_settings(&value.to_string()).map_err(SettingsError)?;
+    let mut settings = read_settings(&value.to_string())
+        // In the words of the simulator's wire, which operators never see.
+        .map_err(|problem| SettingsError(problem.replace("INIT: setting `boot_info.", "`")))?;
     positive(value, settings.classes.len())?;
     let open_tick = value["tick"].is_null();
     if open_tick {
--- a/bitternsill/tests/cli.rs
+++ b/bitternsill/tests/cli.rs
@@ -68,3 +68,42 @@
     let output = child.wait_with_output().unwrap();
     assert_eq!(String::from_utf8_lossy(&output.stderr), "");
 }
+
+#[test]
+fn check_tells_what_is_wrong_with_a_configuration_before_it_is_sent_for() {
+    let good = serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "admin": "127.0.0.1:9901", "seed": "8c1f",
+        "limits": {"sockets": 256, "memory_mb": 48},
+        "settings": {
+            "request_classes": [{"name": "page", "target": 1, "deadline": 2, "effect": "read_like"}],
+            "limits": {"max_attempts": 4}
+        }
+    });
+    let file = std::env::temp_dir().join(format!("bitternsill-configuration-{}", std::process::id()));
+    let check = |config: &serde_json::Value| {
+        std::fs::write(&file, config.to_string()).unwrap();
+        let (status, out, problems) = run(&["check", file.to_str().unwrap()]);
+        (status, out + &problems)
+    };
+    assert_eq!(check(&good).0, Some(0));
+    for (path, value, told) in [
+        ("/admin", serde_json::json!("door"), "`admin` is missing or malformed; allowed is IP:PORT"),
+        (
+            "/settings/request_classes/0/deadline",
+            serde_json::json!(0),
+            "`request_classes[0].deadline` is 0; allowed",
+        ),
+        ("/settings/limits/max_attempts", serde_json::json!(0), "`limits.max_attempts` is 0; allowed"),
+        (
+            "/settings/request_classes/0/effect",
+            serde_json::json!("odd"),
+            "`request_classes[0].effect` is unknown",
+        ),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).unwrap() = value;
+        let (status, said) = check(&bad);
+        assert!(status == Some(1) && said.contains(told), "{path}: {said}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
