--- a/bitternsill/src/admin/door.rs
+++ b/bitternsill/src/admin/door.rs
@@ -145,8 +145,11 @@
 fn operate(cx: &mut Cx<'_>, call: &Call) -> Response {
     let serving = cx.world.phase == Phase::Serving;
     match call.operation {
-        Operation::Ready if cx.world.is_ready(cx.now) => Response::text(200, "ready"),
-        Operation::Ready => Response::text(503, "not taking clients"),
+        // What is turned away is told too: a gatherer may be ready and yet serve nobody.
+        Operation::Ready => match cx.world.waits(cx.now) {
+            None => Response::text(200, format!("ready{}", cx.world.turned)),
+            Some(wait) => Response::text(503, format!("not taking clients: {wait}{}", cx.world.turned)),
+        },
         Operation::Exclude => stand(cx, &call.member, true),
         Operation::Include => stand(cx, &call.member, false),
         Operation::Evacuate | Operation::Rejoin if !serving => Response::text(503, "this process is ending"),
--- a/bitternsill/src/describe/openapi.rs
+++ b/bitternsill/src/describe/openapi.rs
@@ -142,6 +142,17 @@
     for route in ROUTES {
         let path = paths.entry(route.path).or_insert_with(|| json!({}));
         path[route.method.to_lowercase()] = operation(route, limits);
+        if route.subject {
+            let path = paths.entry(format!("{}/{{subject}}", route.path)).or_insert_with(|| json!({}));
+            let mut operation = operation(route, limits);
+            operation["operationId"] = json!(format!("{:?}About", route.operation).to_lowercase());
+            let parameters = operation["parameters"].as_array_mut().expect("a list, as made above");
+            parameters.push(json!({
+                "name": "subject", "in": "path", "required": true, "schema": {"type": "string", "minLength": 1},
+                "description": "What the request concerns, where requests carry such a key"
+            }));
+            path[route.method.to_lowercase()] = operation;
+        }
     }
     for route in calls::ROUTES {
         paths.insert(route.path.to_owned(), json!({route.method.to_lowercase(): call(route)}));
--- a/bitternsill/src/front/hosts.rs
+++ b/bitternsill/src/front/hosts.rs
@@ -107,7 +107,12 @@
 
     /// Whether any host takes work.
     pub fn any_active(&self) -> bool {
-        self.hosts.values().any(|h| h.entry.standing == Standing::Ready)
+        self.active() > 0
+    }
+
+    /// How many take work.
+    pub fn active(&self) -> usize {
+        self.hosts.values().filter(|h| h.entry.standing == Standing::Ready).count()
     }
 
     /// The hosts that have not left, as the store keeps them.
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -8,6 +8,7 @@
 pub mod platform;
 pub mod server;
 pub mod signals;
+pub mod turned;
 
 use crate::admin::Orders;
 use crate::core::Core;
@@ -23,6 +24,7 @@
 use signals::Fresh;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use turned::Turned;
 
 /// What connections are told.
 #[derive(Debug)]
@@ -70,6 +72,30 @@
     Done(Time),
 }
 
+/// What keeps clients away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wait {
+    /// The program has been told to end.
+    Ending,
+    /// An operator has clients sent away.
+    SentAway,
+    /// Discovery has not told the list yet, and the time to wait for it is not over.
+    FirstList,
+    /// No list named an index host that takes work.
+    NoHost,
+}
+
+impl std::fmt::Display for Wait {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Wait::Ending => "the program has been told to end",
+            Wait::SentAway => "clients are sent away by an operator",
+            Wait::FirstList => "discovery has not told the list of index hosts yet",
+            Wait::NoHost => "no list has named an active index host",
+        })
+    }
+}
+
 /// What all connections share.
 pub struct Gatherer {
     /// Queries and decisions.
@@ -96,13 +122,57 @@
     pub shelf: Option<Shelf>,
     /// What is learned, where it is kept.
     pub keeper: Option<Keeper>,
+    /// What was turned away before it became a query.
+    pub turned: Turned,
+    /// What the log last said that clients wait for.
+    pub said: Option<Wait>,
 }
 
 impl Gatherer {
     /// Whether clients should be sent here.
     pub fn is_ready(&self, now: Time) -> bool {
-        let serving = self.phase == Phase::Serving && !self.orders.drain.is_under_way();
-        serving && self.hosts.any_active() && self.ready_by.is_none_or(|by| by <= now)
+        self.waits(now).is_none()
+    }
+
+    /// What keeps clients from being sent here.
+    pub fn waits(&self, now: Time) -> Option<Wait> {
+        if self.phase != Phase::Serving {
+            Some(Wait::Ending)
+        } else if self.orders.drain.is_under_way() {
+            Some(Wait::SentAway)
+        } else if self.ready_by.is_some_and(|by| by > now) {
+            Some(Wait::FirstList)
+        } else if !self.hosts.any_active() {
+            Some(Wait::NoHost)
+        } else {
+            None
+        }
+    }
+
+    /// Tells the log whenever what clients wait for has changed.
+    fn say_waits(&mut self, now: Time) {
+        let waits = self.waits(now);
+        if waits == self.said {
+            return;
+        }
+        self.said = waits;
+        match waits {
+            None => tracing::info!(hosts = self.hosts.active(), "taking clients"),
+            Some(Wait::NoHost) => tracing::warn!("not taking clients: {}", Wait::NoHost),
+            Some(wait) => tracing::info!("not taking clients: {wait}"),
+        }
+    }
+
+    /// Notes a request that is no query.
+    pub fn turn_away(&mut self, why: &str, asked: &str, now: Time) {
+        if let Some(report) = self.turned.note(why, asked, now, &self.limits) {
+            tracing::warn!(
+                why = report.why,
+                count = report.new,
+                asked = report.example,
+                "requests turned away"
+            );
+        }
     }
 
     /// Whether answers close their connections.
@@ -217,7 +287,8 @@
             Phase::Finishing(until) => Some(until),
         };
         let keeper = self.keeper.as_ref().map(Keeper::due);
-        [self.core.due(), phase, keeper, self.orders.due()].into_iter().flatten().min()
+        let waits = self.ready_by.filter(|_| self.said == Some(Wait::FirstList));
+        [self.core.due(), phase, keeper, self.orders.due(), waits].into_iter().flatten().min()
     }
 
     fn turn(&mut self, net: &mut Net<Self>, now: Time) {
@@ -242,6 +313,7 @@
             self.clients.sweep(net, sweep);
         }
         self.advance(net, now);
+        self.say_waits(now);
     }
 
     fn undelivered(&mut self, message: Message, now: Time) {
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -12,6 +12,8 @@
     pub method: &'static str,
     /// The path, compared without its query.
     pub path: &'static str,
+    /// Whether one more segment may follow the path: what the request concerns.
+    pub subject: bool,
     /// What it does.
     pub operation: Operation,
     /// What it is for, in a line.
@@ -34,6 +36,7 @@
     Route {
         method: "POST",
         path: "/api",
+        subject: true,
         operation: Operation::Query,
         summary: "Takes a query and gives its one answer",
         answers: &[
@@ -49,12 +52,22 @@
     Route {
         method: "GET",
         path: "/_health",
+        subject: false,
         operation: Operation::Health,
         summary: "Tells whether clients should be sent here",
         answers: &[(200, "Ready"), (503, "Not ready, or about to end")],
     },
 ];
 
+impl Route {
+    /// Whether a path is this route's. What may follow it is one segment that is not empty: it names a user or an object.
+    fn fits(&self, path: &str) -> bool {
+        let Some(rest) = path.strip_prefix(self.path) else { return false };
+        let subject = rest.strip_prefix('/').is_some_and(|s| !s.is_empty() && !s.contains('/'));
+        rest.is_empty() || self.subject && subject
+    }
+}
+
 /// The platform's service.
 pub struct Platform;
 
@@ -63,15 +76,16 @@
         let (method, target) = (head.start.0.as_str(), head.start.1.as_str());
         let path = target.split('?').next().unwrap_or_default();
         let wanted = if method == "HEAD" { "GET" } else { method };
-        let Some(route) = ROUTES.iter().find(|r| r.path == path && r.method == wanted) else {
-            let allowed: Vec<&str> = ROUTES.iter().filter(|r| r.path == path).map(|r| r.method).collect();
+        let Some(route) = ROUTES.iter().find(|r| r.fits(path) && r.method == wanted) else {
+            let allowed: Vec<&str> = ROUTES.iter().filter(|r| r.fits(path)).map(|r| r.method).collect();
+            let why = if allowed.is_empty() { "no such path" } else { "no such method on this path" };
+            cx.world.turn_away(why, &format!("{method} {target}"), cx.now);
             return Handled::Done(Response::no_route(&allowed));
         };
         match route.operation {
-            Operation::Health => Handled::Done(if cx.world.is_ready(cx.now) {
-                Response::text(200, "ready")
-            } else {
-                Response::text(503, "not ready")
+            Operation::Health => Handled::Done(match cx.world.waits(cx.now) {
+                None => Response::text(200, "ready"),
+                Some(wait) => Response::text(503, format!("not ready: {wait}")),
             }),
             Operation::Query => {
                 let caller = Caller::only(cx.token.bits());
@@ -87,7 +101,7 @@
                         Handled::Done(Response::text(409, "a query of this id is open"))
                     }
                     Err(problem) => {
-                        tracing::debug!(%problem, "bad request");
+                        cx.world.turn_away(&problem.to_string(), &format!("{method} {target}"), cx.now);
                         Handled::Done(Response::text(400, problem.to_string()))
                     }
                 }
--- a/bitternsill/src/front/server.rs
+++ b/bitternsill/src/front/server.rs
@@ -119,7 +119,7 @@
     }
 
     fn refuse(&mut self, cx: &mut Cx<'_>, problem: HttpError) {
-        tracing::debug!(%problem, "bad request");
+        cx.world.turn_away(&problem.to_string(), "something that is no HTTP request", cx.now);
         self.respond(cx, &Response::text(problem.status(), problem.to_string()), false, true);
     }
 
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -182,6 +182,12 @@
     pub handover_look: Time,
     /// Processes of one name that can know of each other.
     pub handover_processes: usize,
+    /// Reasons for which requests are turned away that are counted apart.
+    pub turned_reasons: usize,
+    /// Between two lines of the log on one such reason.
+    pub turned_repeat: Time,
+    /// Characters of what such a request asked for that are kept.
+    pub turned_example: usize,
 }
 
 impl Default for Limits {
@@ -273,6 +279,9 @@
             hand_kept: 60_000 * MS,
             handover_look: 200 * MS,
             handover_processes: 8,
+            turned_reasons: 32,
+            turned_repeat: 60_000 * MS,
+            turned_example: 96,
         }
     }
 }
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -20,7 +20,8 @@
 use crate::front::platform::link::FrameConnector;
 use crate::front::server::HttpConnection;
 use crate::front::signals::{End, Fresh, ReadAgain, Reload, Reread};
-use crate::front::{Gatherer, Phase};
+use crate::front::turned::Turned;
+use crate::front::{Gatherer, Phase, Wait};
 use crate::learned::{Keeper, LearningSetup};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
@@ -234,6 +235,9 @@
         listeners: Vec::new(),
         shelf: None,
         keeper,
+        turned: Turned::default(),
+        // Before the first turn nobody is served.
+        said: Some(Wait::FirstList),
     };
     let (end, reload) = (End::install()?, Reload::install(plan.reread, names.clone())?);
     let mut reactor = Reactor::new(gatherer, clock)?;
--- a/bitternsill/tests/platform.rs
+++ b/bitternsill/tests/platform.rs
@@ -636,3 +636,28 @@
     assert!((15..=40).contains(&open), "{open} of 70 are open");
     ask(&mut kept, "c");
 }
+
+#[test]
+fn a_path_that_names_what_a_query_concerns_is_served_and_what_is_turned_away_is_told_in_the_log() {
+    let log = std::env::temp_dir().join(format!("bitternsill-turned-{}", std::process::id()));
+    let hosts = three();
+    let targets = hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+    let shell = format!("exec 2>{}", log.display());
+    let platform = Platform::start_in(&shell, settings(), hosts, Discovery::start(targets), 256, &[]);
+    let about = |path: &str, id: &str| {
+        let query = query(id, "page", &[0, 1], "Connection: close\r\n");
+        platform.say(&query.replace("POST /api ", &format!("POST {path} ")))
+    };
+    let answer = about("/api/7f3a9c21e0b4d655", "one");
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("value of one.1"), "{answer}");
+    assert!(about("/api/7f3a?x=1", "two").starts_with("HTTP/1.1 200"));
+    for path in ["/api/", "/api/a/b", "/apis/7f3a", "/search/7f3a"] {
+        assert!(about(path, "odd").starts_with("HTTP/1.1 404"), "{path}");
+    }
+    assert!(platform.say("GET /api/7f3a HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 405"));
+    // Of four requests of one kind the log tells once, with what the first asked for.
+    let said = std::fs::read_to_string(&log).unwrap();
+    assert_eq!(said.matches("no such path").count(), 1, "{said}");
+    assert!(said.contains("requests turned away") && said.contains("POST /api/"), "{said}");
+    std::fs::remove_file(&log).unwrap();
+}
