--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,10 +21,9 @@
 /// With thin evidence a query is refused if a shard may take this share of its time; its wait drains so fast.
 const HOT_SHARE: f64 = 0.5;
 const HOT_DRAIN: f64 = 0.25;
-/// A probe is good for this share of the least aim and awaited so many ticks; the weight of one report.
+/// A probe is good for this share of the least aim and awaited so many ticks.
 const PROBE_GOOD: f64 = 0.125;
 const PROBE_WAIT: Time = 4;
-const REPORT: f64 = 0.02;
 /// A part leaves its row for a holder expected to be so many times as quick; less is a tie.
 const ROW_LEFT: f64 = 1.25;
 /// A server whose smoothed delay is over this share of the aim has its limit lowered, to this share of it.
@@ -174,7 +173,6 @@
     stale: (Time, Time), // The least idle time that broke a connection, and when one last did
     doubt_until: Time,
     oldest: BTreeMap<ServerId, (Time, usize)>,
-    usual_load: f64,
     misses: u32,        // Calls for the list that failed since one came
     borne: (f64, Time), // Answers of each warm server, smoothed over a ramp, and when the last came
     tokens: f64,
@@ -284,7 +282,7 @@
                     self.forget(number, out);
                 }
             }
-            Event::Probed { server, outcome, took, load } => self.probed(server, outcome, took, &load),
+            Event::Probed { server, outcome, took, .. } => self.probed(server, outcome, took),
             Event::Recall(ref learned) => self.recall(learned),
             Event::Wake => {}
         }
@@ -378,23 +376,15 @@
         self.servers.retain(|_, s| !s.gone || !s.calls.is_empty());
         self.ready = self.servers.values().filter(|s| s.ready).count();
         self.holders = vec![Vec::new(); self.settings.cells as usize];
-        for (&id, server) in &self.servers {
-            if server.ready {
-                self.holders[server.cell as usize].push(id);
-            }
+        for (&id, server) in self.servers.iter().filter(|s| s.1.ready) {
+            self.holders[server.cell as usize].push(id);
         }
     }
 
-    /// What a probed server reports against the usual, and the probe's own wait, which no report can hide.
-    fn probed(&mut self, id: ServerId, outcome: Outcome, took: Time, load: &LoadReport) {
+    /// How long a probe waited. Reports of load say no more of a server than its answers do, so none is read.
+    fn probed(&mut self, id: ServerId, outcome: Outcome, took: Time) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        // A sound probe that brings no report is neutral but for its wait.
         (server.seen, server.busy) = (self.now, if outcome == Outcome::Ok { 1.0 } else { FAILURE });
-        if let Some(report) = load.busy.or(load.in_flight).or(load.queued) {
-            let weight = if self.usual_load > 0.0 { REPORT } else { 1.0 };
-            self.usual_load += weight * (report - self.usual_load);
-            server.busy = report / self.usual_load.max(REPORT);
-        }
         server.busy += (took / (PROBE_WAIT * self.settings.tick).max(1)) as f64;
     }
 
@@ -461,10 +451,9 @@
         let time = if repeat || age > 0 { c.aim } else { wanted };
         let query = Query { id, class, time, expected: parts as usize, useful, ..Query::default() };
         self.timers.insert((useful, Timer::End(number)));
-        if c.floor < c.need {
+        if c.floor < c.need && c.second_step > 0 {
             // A class with partial answers keeps time for its second step.
-            let (p95, aim) = (self.pace[class].p95, c.aim as f64);
-            let kept = if c.second_step > 0 { (1.2 * p95).clamp(0.2 * aim, 0.6 * aim) } else { 0.0 };
+            let kept = (1.2 * self.pace[class].p95).clamp(0.2 * c.aim as f64, 0.6 * c.aim as f64);
             self.timers.insert((useful.saturating_sub(kept as Time), Timer::Cut(number)));
         }
         self.queries.insert(number, query);
@@ -679,21 +668,19 @@
         }
         // A first step that ends at the last moment leaves no time for a second: that query is over.
         let over = c.second_step > 0 && !query.second && self.now >= query.useful;
-        if !over && (whole || (c.floor < c.need && query.weight >= c.floor)) {
-            let honest = whole && (!query.second || query.first_whole);
-            out.push(Action::Answer { query: query.id, whole: honest });
-            if c.second_step > 0 && !query.second {
-                (query.second, query.first_whole) = (true, whole);
-                query.expected = (c.second_step as usize).min(query.done);
-                (query.done, query.weight) = (0, 0.0);
-                let old = std::mem::take(&mut query.parts);
-                self.drop_parts(&old, out);
-                return;
-            }
-            self.forget(number, out);
-        } else {
-            self.give_up(number, out);
+        if over || !(whole || (c.floor < c.need && query.weight >= c.floor)) {
+            return self.give_up(number, out);
+        }
+        let honest = whole && (!query.second || query.first_whole);
+        out.push(Action::Answer { query: query.id, whole: honest });
+        if c.second_step > 0 && !query.second {
+            (query.second, query.first_whole) = (true, whole);
+            query.expected = (c.second_step as usize).min(query.done);
+            (query.done, query.weight) = (0, 0.0);
+            let old = std::mem::take(&mut query.parts);
+            return self.drop_parts(&old, out);
         }
+        self.forget(number, out);
     }
 
     /// Ends a query that cannot be answered any more.
@@ -760,7 +747,7 @@
             let over = c_whole(c) && self.parts_of(query).any(|p| stuck(p.1));
             if over || waiting > 0 && self.late(query) {
                 lost.push(number);
-            } else if self.lacking.contains(&number) || query.scout.is_some() && self.now < self.doubt_until {
+            } else if self.lacking.contains(&number) {
                 // Of a partial class only the floor must be sent.
                 let must = waiting as f64 * c.floor;
                 held += must;
@@ -867,7 +854,10 @@
             let share = query.parts.len() as f64 / self.ready.max(1) as f64;
             let enough = (SCOUT_WAIT * share * self.pace[query.class].median) as Time;
             let calm = self.now >= self.doubt_until && share <= COMMON;
-            let scout = query.scout.and_then(|p| self.parts.get(&p)).filter(|p| !p.live.is_empty());
+            // One whose server has fallen silent proves nothing any more.
+            let waits = |s: &Sent| !self.silent(s.server, s.at, s.class);
+            let sound = |p: &PartId| self.sends.range((*p, 0)..=(*p, u32::MAX)).any(|s| waits(s.1));
+            let scout = query.scout.filter(sound).and_then(|p| self.parts.get(&p));
             let since = scout.and_then(|p| p.first_sent).unwrap_or(self.now);
             let proved = query.done > 0 || query.second || calm && since + enough <= self.now;
             if !proved && (scout.is_some() || self.now < query.wait_until) {
@@ -889,7 +879,12 @@
                 continue;
             }
             if alone {
-                held.truncate(1);
+                // At a server that is silent or sick it would prove nothing.
+                let sound = |p: &(PartId, u32, f64)| {
+                    self.replicas(p.1).iter().any(|s| !self.sick(&self.servers[s], class))
+                };
+                let first = held.iter().position(sound).unwrap_or(0);
+                held = vec![held[first]];
                 self.timers.insert((self.now + enough, Timer::Beat));
                 self.queries.get_mut(&number).expect("in order").scout = Some(held[0].0);
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -878,3 +878,65 @@
     // 3 x 0.32 x 1 s of a hundred a second; one core shared by two, at 105 ms, would be 4 of them, the average 8.
     assert!((30..=96).contains(&sent), "{sent} parts in its first second");
 }
+
+/// Found on prairie-results big-1 (crash+hang): a query's scout went to a server that took it and never answered, and the
+/// query's other parts, whose servers were idle, waited for it until the query's time was over.
+#[test]
+fn a_scout_at_a_silent_server_holds_its_query_up_only_until_the_silence_shows() {
+    let mut rig = Rig::new(ring(40, 3));
+    rig.warm_up(100 * MS, &[0, 10]);
+    rig.ask(40 * MS, &(0..30).collect::<Vec<_>>());
+    let scout = rig.sends();
+    // A copy of the scout itself does not count: it is one more part of a query not proved yet.
+    let others = |rig: &Rig| -> Vec<_> { rig.sends().into_iter().filter(|s| s.0 != scout[0].0).collect() };
+    rig.turn(100 * MS, &[Event::Wake]);
+    assert_eq!((scout.len(), others(&rig)), (1, vec![]), "so wide a query waits for its scout's answer");
+    rig.turn(300 * MS, &[Event::Wake]);
+    let next = others(&rig);
+    assert_eq!(next.len(), 1, "silent for three times as long as parts take: another goes ahead");
+    assert_ne!(next[0].1, scout[0].1);
+    rig.turn(100 * MS, &[ended(next[0].0, 0, next[0].1, Outcome::Ok, 100 * MS)]);
+    assert!(rig.sends().len() > 20, "its answer lets the rest go");
+}
+
+/// The same day: where a shard's only server was down, the scout was that shard's part, as the query named it first.
+#[test]
+fn a_scout_goes_to_a_shard_that_has_a_sound_server() {
+    // What can be answered without some parts is not given up for a shard that is down.
+    let class = Class { floor: 0.6, ..Class::default() };
+    let mut rig = Rig::new(Settings { classes: vec![class], ..ring(40, 1) });
+    rig.warm_up(100 * MS, &[0, 10]);
+    for _ in 0..4 {
+        rig.ask(40 * MS, &[0]);
+        for attempt in 0..3 {
+            if let Some(tried) = rig.sends().first().copied() {
+                rig.turn(5 * MS, &[ended(tried.0, attempt, tried.1, Outcome::ConnectFailed, MS)]);
+            }
+        }
+    }
+    rig.ask(40 * MS, &(0..10).collect::<Vec<_>>());
+    let scout = rig.sends();
+    assert_eq!(scout.len(), 1);
+    assert_ne!(scout[0].1, ServerId(100), "nothing is proved where every attempt fails");
+}
+
+/// The same day: after a crash queries waited behind their scouts, few answers came because of that, and what waited was
+/// refused as more than so few answers could bear, with the servers idle.
+#[test]
+fn queries_that_wait_for_their_scouts_are_not_refused_as_too_much_work() {
+    let mut rig = Rig::new(ring(40, 3));
+    rig.warm_up(100 * MS, &[0, 10]);
+    for later in [100, 600] {
+        rig.ask(later * MS, &[20, 24, 28]);
+        let sends = rig.sends();
+        rig.turn(10 * MS, &[ended(sends[0].0, 0, sends[0].1, Outcome::Reset, 10 * MS)]);
+    }
+    rig.turn(1500 * MS, &[Event::Wake]);
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..8 {
+        rig.ask(5 * MS, &[0, 4, 8, 12]);
+        sent += rig.sends().len();
+        refused += rig.actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+    }
+    assert_eq!((sent, refused), (8, 0), "each sends its scout, and none is refused");
+}
