A connection that comes while the program stands still has its wait counted

Cause: the_query_that_waited_out_a_stall failed 1 of 12 times on the untouched program and 3 of 12 here, with 2.69 s for a client that waits 2.0 s: where the connection was accepted only after the stall, its request was read one round later, and that round's `since` was the present (net/reactor.rs, run). Its client had waited 1.2 s by then, so the answer came after its time.

Change: the round behind a stall counts from the stall's begin too. Ruled out: stray load (the machine was idle), the module (times are the core's).

--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -239,7 +239,7 @@
     /// Runs until the world is finished.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
-        let mut interrupted = None;
+        let (mut interrupted, mut stalled) = (None, None);
         loop {
             self.settle();
             let now = self.net.now();
@@ -262,8 +262,10 @@
                 Err(problem) => return Err(problem.into()),
             }
             let now = self.net.now();
-            // What is read after a stall may have come at its beginning, and its client has waited since.
-            self.net.since = if now - asleep > STALL { asleep } else { now };
+            // What is read after a stall may have come at its beginning, and its client has waited since. That holds for
+            // the round behind it too: a connection that was accepted only now is read then.
+            let before = std::mem::replace(&mut stalled, (now - asleep > STALL).then_some(asleep));
+            self.net.since = stalled.or(before).unwrap_or(now);
             if !self.net.first.is_empty() {
                 let first = &self.net.first;
                 events.sort_by_key(|event| !first.contains(&Token::from_bits(event.data.u64())));
