The store's member moves to a package without I/O; its file has checksums and a thread

A changed text in a member's file was told to watchers for good; a spoilt line stopped the member after it had begun to serve; a member whose file was gone began the store again and the others took its word; each sync stalled the loop.

Change: store/ (log, records, packets; no I/O): numbered writes, packets and committed entries wait for the writes before them. Records with length, place and checksums of head and content; a torn tail is cut and told, anything else refused with file, byte, what was found and what an operator can do; JSON lines are brought over once. Writing and syncing on a thread, bounded, one sync for what waits; a failed one ends the member. Each store has an id, each start is counted; another store's member is refused in words. `bitternsill store verify|show`.

Measured: each of all bit flips of a file of 7 records is refused, each cut gives its whole records (unit test). Three processes, power off three times with syncs of 20 ms: one state again. A sync of 2 s holds no answer of the loop for 0.9 s. In `run` the store has one member in memory and makes no write. Ruled out: entries sent while the leader's own write is under way, as the Raft library counts its vote at once.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::learned::LearningSetup;
 use crate::learned::cli::{self as learned, Learned};
 use crate::limits::Limits;
+use crate::store::cli::{self as store_file, StoreCall};
 use crate::{config, describe, serve};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::ffi::OsString;
@@ -67,6 +68,9 @@
     /// Look at a file of what was learned, or change its form.
     #[command(subcommand)]
     Learned(Learned),
+    /// Look at the file of a store's member.
+    #[command(subcommand)]
+    Store(StoreCall),
     /// Call a running gatherer's door, as operators do by hand.
     #[command(subcommand)]
     Admin(Admin),
@@ -148,6 +152,13 @@
                 serve::platform(config, learning)
             }))
         }
+        Command::Store(call) => match store_file::run(&call) {
+            Ok(words) => print(format_args!("{words}")),
+            Err(problem) => {
+                eprintln!("bitternsill: {problem}");
+                ExitCode::FAILURE
+            }
+        },
         Command::Admin(call) => match admin::run(call) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => {
--- a/bitternsill/src/describe/asyncapi.rs
+++ b/bitternsill/src/describe/asyncapi.rs
@@ -2,8 +2,8 @@
 
 use crate::front::platform::discovery::{MEMBERS, STATES};
 use crate::store::links::WATCH;
-use crate::store::packet::KINDS;
 use serde_json::{Map, Value as Json, json};
+use store::packet::KINDS;
 
 fn object(required: &[&str], properties: Json) -> Json {
     json!({"type": "object", "required": required, "properties": properties})
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -14,6 +14,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Something in the file that cannot be used.
 #[derive(Debug)]
@@ -168,6 +169,8 @@
     begins: bool,
     file: PathBuf,
     members: BTreeMap<u64, Address>,
+    #[serde(default)]
+    test_sync_ms: u64,
 }
 
 /// A store with several members.
@@ -181,6 +184,8 @@
     pub begins: bool,
     /// What this member keeps across its restarts.
     pub file: PathBuf,
+    /// For tests alone: so much longer each sync takes, and what is not synced is not in the file.
+    pub test_sync: Duration,
 }
 
 /// What bounds the result sets, where the file says so.
@@ -370,7 +375,13 @@
                 ));
             }
             let members = store.members.into_iter().map(|(id, address)| (id, address.0)).collect();
-            Some(StoreSetup { member: store.member, members, begins: store.begins, file: store.file })
+            Some(StoreSetup {
+                member: store.member,
+                members,
+                begins: store.begins,
+                file: store.file,
+                test_sync: Duration::from_millis(store.test_sync_ms),
+            })
         }
     };
     Ok(Setup {
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -24,6 +24,7 @@
 use signals::Fresh;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use store::member::Write;
 use turned::Turned;
 
 /// What connections are told.
@@ -49,6 +50,8 @@
     Fetch,
     /// Discovery: it listens elsewhere now.
     Moved(SocketAddr),
+    /// The store's file: something to be written.
+    Write(Write),
     /// A line of the store, for a member or a watcher.
     Line(String),
     /// When the store's timer is due.
@@ -234,11 +237,8 @@
 
     /// Records something in the store.
     pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Self>) {
-        if let Some(shelf) = &mut self.shelf
-            && let Err(problem) = shelf.record(what, value, net)
-        {
-            tracing::error!(%problem, "the store's file cannot be written; this member stops");
-            self.shelf = None;
+        if let Some(shelf) = &mut self.shelf {
+            shelf.record(what, value, net);
         }
     }
 
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -25,9 +25,8 @@
 use crate::learned::{Keeper, LearningSetup};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
-use crate::store::file::Journal;
+use crate::store::disk::{Behaviour, Disk};
 use crate::store::links::{Incoming, Shelf};
-use crate::store::{Bounds, Membership, Pace, Store};
 use bramblestair::interface::{ListKind, Settings, Time};
 use catalogue::session;
 use learning::picture::Fleet;
@@ -36,6 +35,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use store::member::{Bounds, Membership, Pace, Store};
 
 /// Whatever keeps the program from serving.
 pub type ServeError = Box<dyn std::error::Error>;
@@ -191,26 +191,31 @@
     RandomState::new().build_hasher().finish()
 }
 
+/// A member of the store, where the others are, and the file of one that keeps any.
+type Member = (Store, BTreeMap<u64, SocketAddr>, Option<Disk>);
+
 /// The store: a lone member in memory, or one of several that keep a file.
 fn open_store(
     setup: Option<&StoreSetup>,
     limits: &Limits,
     seed: u64,
     now: Time,
-) -> Result<(Store, BTreeMap<u64, SocketAddr>), ServeError> {
+) -> Result<Member, ServeError> {
     let pace = Pace { heartbeat: limits.store_heartbeat, election: limits.store_election };
     let bounds = Bounds { log: limits.store_log, keys: limits.store_keys, value_bytes: limits.body_bytes };
     let Some(setup) = setup else {
         let lone = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
-        return Ok((Store::start(&lone, pace, bounds, seed, None, now)?, BTreeMap::new()));
+        return Ok((Store::start(&lone, pace, bounds, seed, None, now), BTreeMap::new(), None));
     };
     let members = setup.members.keys().copied().collect();
     let membership = Membership { id: setup.member, members, begins: setup.begins };
-    let journal = Journal::open(&setup.file)?;
-    let store = Store::start(&membership, pace, bounds, seed ^ setup.member, Some(journal), now)?;
+    let behaviour = Behaviour { sync: setup.test_sync };
+    let (disk, kept) = Disk::open(&setup.file, limits.store_log, behaviour)?;
+    let store = Store::start(&membership, pace, bounds, seed ^ setup.member, Some(kept), now);
+    tracing::info!(member = setup.member, start = store.starts(), store = %format_args!("{:016x}", store.cluster()), "store");
     let mut peers = setup.members.clone();
     peers.remove(&setup.member);
-    Ok((store, peers))
+    Ok((store, peers, Some(disk)))
 }
 
 fn run(plan: Plan) -> Result<(), ServeError> {
@@ -244,8 +249,8 @@
     let (net, gatherer) = reactor.parts();
     net.open(Box::new(end));
     net.open(Box::new(reload));
-    let (store, peers) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
-    gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, net));
+    let (store, peers, disk) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
+    gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, disk, net));
     let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
     let store_listener = own.map(|address| (*address, Box::new(Incoming::accept) as Accept));
     for (address, accept) in plan.listeners.into_iter().chain(store_listener) {
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -1,14 +1,15 @@
 //! The store on the loop: its timer, its lines to and from other members, and those who watch it.
 
-use super::packet::{Change, Packet};
-use super::{Store, packet};
+use super::disk::Disk;
 use crate::front::{Gatherer, Message};
 use crate::net::{self, Attempt, Connection, Context, Input, Net, Ready, Stream, Token};
 use bramblestair::interface::Time;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use store::member::{Store, Write};
+use store::packet::{self, Change, Packet};
 
 type Cx<'a> = Context<'a, Gatherer>;
 
@@ -19,40 +20,50 @@
     clock: Option<Token>,
     peers: BTreeMap<u64, Token>,
     watchers: Vec<Token>,
+    /// Who writes the member's file, where it has one.
+    pages: Option<Token>,
 }
 
 impl Shelf {
-    /// Puts a store on the loop; a lone member needs neither a timer nor sockets.
+    /// Puts a store on the loop; a lone member needs neither a timer nor sockets, and one in memory no file.
     pub fn new(
         store: Store,
         name: String,
         peers: &BTreeMap<u64, SocketAddr>,
+        disk: Option<Disk>,
         net: &mut Net<Gatherer>,
     ) -> Shelf {
         let clock = (!peers.is_empty()).then(|| net.open(Box::new(Clock)));
         let open = |(id, address): (&u64, &SocketAddr)| (*id, net.open(Box::new(Peer::new(*address))));
         let peers = peers.iter().map(open).collect();
-        Shelf { store, name, clock, peers, watchers: Vec::new() }
+        let pages = disk.map(|disk| net.open(Box::new(Pages { disk, waiting: VecDeque::new() })));
+        let mut shelf = Shelf { store, name, clock, peers, watchers: Vec::new(), pages };
+        shelf.pump(net);
+        shelf
     }
 
     /// Records something of this gatherer under its name.
-    pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Gatherer>) -> io::Result<()> {
+    pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Gatherer>) {
         let key = format!("{what}/{}", self.name);
-        if self.store.put(&key, value, net.now())?.is_err() {
+        if self.store.put(&key, value, net.now()).is_err() {
             tracing::warn!(key, "the store does not take this much");
         }
         self.pump(net);
-        Ok(())
     }
 
     /// Passes on what the store has for others.
     fn pump(&mut self, net: &mut Net<Gatherer>) {
+        for write in self.store.take_writes() {
+            if let Some(token) = self.pages {
+                net.post(token, Message::Write(write));
+            }
+        }
         for (to, packet) in self.store.take_outbox() {
             if let Some(token) = self.peers.get(&to) {
                 net.post(*token, Message::Line(packet.write()));
             }
         }
-        for change in self.store.take_committed() {
+        for (_, change) in self.store.take_committed() {
             let line = watch_line(&change);
             for token in &self.watchers {
                 net.post(*token, Message::Line(line.clone()));
@@ -72,16 +83,67 @@
     json!({"key": change.key, "value": change.value}).to_string() + "\n"
 }
 
-/// Does something with the store; where its file fails, the member stops rather than break a promise.
-fn with_store(cx: &mut Cx<'_>, act: impl FnOnce(&mut Store, Time) -> io::Result<()>) {
-    let Some(shelf) = &mut cx.world.shelf else { return };
-    match act(&mut shelf.store, cx.now) {
-        Ok(()) => shelf.pump(cx.net),
-        Err(problem) => {
-            tracing::error!(%problem, "the store's file cannot be written; this member stops");
-            cx.world.shelf = None;
+/// Does something with the store, and passes on what comes of it.
+fn with_store<T>(cx: &mut Cx<'_>, act: impl FnOnce(&mut Store, Time) -> T) -> Option<T> {
+    let shelf = cx.world.shelf.as_mut()?;
+    let result = act(&mut shelf.store, cx.now);
+    shelf.pump(cx.net);
+    Some(result)
+}
+
+/// The member's file: writes go to its thread in order, and the store hears of each that is done.
+struct Pages {
+    disk: Disk,
+    /// Writes for which the thread has no room yet.
+    waiting: VecDeque<Write>,
+}
+
+impl Pages {
+    /// Hands over what the thread has room for. A member whose disk does not keep up with so much ends: it could not
+    /// promise anything in time.
+    fn hand(&mut self, cx: &mut Cx<'_>) {
+        while let Some(write) = self.waiting.pop_front() {
+            if let Err(write) = self.disk.hand(write) {
+                self.waiting.push_front(write);
+                break;
+            }
+        }
+        if self.waiting.len() > cx.world.limits.store_log {
+            self.end(cx, &"the disk does not keep up");
+        }
+    }
+
+    fn end(&mut self, cx: &mut Cx<'_>, problem: &dyn std::fmt::Display) {
+        tracing::error!(%problem, "the store's file cannot be written; this member stops");
+        cx.world.shelf = None;
+        cx.close();
+    }
+}
+
+impl Connection<Gatherer> for Pages {
+    fn opened(&mut self, cx: &mut Cx<'_>) -> io::Result<()> {
+        cx.net.register(self.disk.woken(), cx.token, Ready { readable: true, writable: false })
+    }
+
+    fn ready(&mut self, cx: &mut Cx<'_>, _ready: Ready) {
+        match self.disk.done() {
+            Ok(Some(number)) => {
+                with_store(cx, |store, _| store.written(number));
+                self.hand(cx);
+            }
+            Ok(None) => {}
+            Err(problem) => self.end(cx, &problem),
         }
     }
+
+    fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
+        if let Message::Write(write) = message {
+            self.waiting.push_back(write);
+            self.hand(cx);
+        }
+    }
+
+    fn timer(&mut self, _cx: &mut Cx<'_>) {}
 }
 
 struct Clock;
@@ -208,7 +270,11 @@
         if !known {
             return Err(packet::NoPacket("from no member"));
         }
-        with_store(cx, |store, now| store.receive(packet, now));
+        if let Some(Err(other)) = with_store(cx, |store, now| store.receive(packet, now)) {
+            // It will say so again with every packet: once for a connection is enough.
+            tracing::warn!(%other, "a member of another store is refused");
+            return Err(packet::NoPacket("of another store"));
+        }
         Ok(())
     }
 
--- a/store/src/kept.rs
+++ b/store/src/kept.rs
@@ -1,55 +1,17 @@
-//! What a member keeps across its restarts: a file of JSON lines, read back in order.
+//! What a member's file kept, read back in order.
 
-use super::packet::{self, Change, Entries, Position, Snapshot};
+use crate::packet::{Change, Position, Snapshot};
+use crate::record::Record;
 use raftbare::{Log, LogEntries, Node, NodeId};
-use serde_json::{Value as Json, json};
 use std::collections::BTreeMap;
-use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
-
-/// One line.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Record {
-    /// The present term.
-    Term(u64),
-    /// Who has this member's vote in it.
-    Vote(Option<u64>),
-    /// Entries at their place; they replace what stood there and after.
-    Append(Entries),
-    /// Everything up to a place.
-    Snapshot(Snapshot),
-}
-
-impl Record {
-    fn write(&self) -> String {
-        let json = match self {
-            Record::Term(term) => json!({"term": term}),
-            Record::Vote(vote) => json!({"vote": vote}),
-            Record::Append(entries) => json!({"append": packet::write_entries(entries)}),
-            Record::Snapshot(snapshot) => json!({"snapshot": packet::write_snapshot(snapshot)}),
-        };
-        json.to_string() + "\n"
-    }
-
-    fn read(line: &str) -> Option<Record> {
-        let json: Json = serde_json::from_str(line).ok()?;
-        if let Some(term) = json["term"].as_u64() {
-            return Some(Record::Term(term));
-        }
-        if json["append"].is_object() {
-            return Some(Record::Append(packet::read_entries(&json["append"])?));
-        }
-        if json["snapshot"].is_object() {
-            return Some(Record::Snapshot(packet::read_snapshot(&json["snapshot"])?));
-        }
-        json.get("vote").map(|vote| Record::Vote(vote.as_u64()))
-    }
-}
 
 /// What a file kept.
 #[derive(Debug, Default)]
 pub struct Kept {
+    /// How often the member has started before.
+    pub starts: u64,
+    /// Which store it is of; 0 where the file does not say.
+    pub cluster: u64,
     term: u64,
     vote: Option<u64>,
     snapshot: Snapshot,
@@ -58,13 +20,22 @@
 }
 
 impl Kept {
-    /// True where nothing was kept.
+    /// What these records say.
+    pub fn of(records: Vec<Record>) -> Kept {
+        let mut kept = Kept::default();
+        records.into_iter().for_each(|record| kept.take(record));
+        kept
+    }
+
+    /// True where the member has never been part of a store.
     pub fn is_empty(&self) -> bool {
         self.term == 0 && self.log.is_none()
     }
 
     fn take(&mut self, record: Record) {
         match record {
+            Record::Start(count) => self.starts = self.starts.max(count),
+            Record::Cluster(id) => self.cluster = id,
             Record::Term(term) => {
                 if term != self.term {
                     self.vote = None;
@@ -73,12 +44,12 @@
             }
             Record::Vote(vote) => self.vote = vote,
             Record::Snapshot(snapshot) => {
-                self.log = Some(super::after(snapshot.position));
+                self.log = Some(crate::member::after(snapshot.position));
                 self.snapshot = snapshot;
             }
             Record::Append(entries) => {
                 self.changes.extend(entries.changes().map(|(position, change)| (position, change.clone())));
-                let log = self.log.get_or_insert_with(|| super::after(Position::default()));
+                let log = self.log.get_or_insert_with(|| crate::member::after(Position::default()));
                 // Entries that begin inside the log replace its end.
                 let kept = entries.after.index.saturating_sub(log.prev_position().index.get());
                 log.truncate(usize::try_from(kept).unwrap_or(usize::MAX));
@@ -91,60 +62,30 @@
 
     /// The member as it was, its state at the snapshot, and what the log's entries say.
     pub fn into_node(self, id: NodeId) -> (Node, Snapshot, BTreeMap<Position, Change>) {
-        let log = self.log.unwrap_or_else(|| super::after(self.snapshot.position));
+        let log = self.log.unwrap_or_else(|| crate::member::after(self.snapshot.position));
         let log = Log::new(self.snapshot.config(), log);
         let node = Node::restart(id, self.term.into(), self.vote.map(NodeId::new), log);
         (node, self.snapshot, self.changes)
     }
-}
-
-/// The file.
-#[derive(Debug)]
-pub struct Journal {
-    path: PathBuf,
-    file: File,
-}
 
-impl Journal {
-    /// Opens the file and reads what it kept; a last line cut short by a crash is dropped.
-    pub fn open(path: &Path) -> io::Result<(Journal, Kept)> {
-        let text = match std::fs::read_to_string(path) {
-            Ok(text) => text,
-            Err(problem) if problem.kind() == io::ErrorKind::NotFound => String::new(),
-            Err(problem) => return Err(problem),
-        };
-        let mut kept = Kept::default();
-        let mut whole = 0;
-        for line in text.split_inclusive('\n').filter(|line| line.ends_with('\n')) {
-            let Some(record) = Record::read(line) else {
-                // A member that made up for a spoilt line could break a promise it has given.
-                let what = format!("{}: a line is no record", path.display());
-                return Err(io::Error::new(io::ErrorKind::InvalidData, what));
-            };
-            kept.take(record);
-            whole += line.len();
-        }
-        let file = OpenOptions::new().create(true).append(true).open(path)?;
-        file.set_len(whole as u64)?;
-        Ok((Journal { path: path.to_owned(), file }, kept))
-    }
-
-    /// Adds a record; it is on the disk when this returns.
-    pub fn append(&mut self, record: &Record) -> io::Result<()> {
-        self.file.write_all(record.write().as_bytes())?;
-        self.file.sync_data()
-    }
-
-    /// Replaces everything, by a new file in the old one's place.
-    pub fn rewrite(&mut self, records: &[Record]) -> io::Result<()> {
-        let beside = self.path.with_extension("new");
-        let mut file = File::create(&beside)?;
-        for record in records {
-            file.write_all(record.write().as_bytes())?;
-        }
-        file.sync_all()?;
-        std::fs::rename(&beside, &self.path)?;
-        self.file = OpenOptions::new().append(true).open(&self.path)?;
-        Ok(())
+    /// What `store show` prints.
+    pub fn summary(&self) -> Vec<(&'static str, String)> {
+        let last = self.log.as_ref().map_or(self.snapshot.position, |log| log.last_position().into());
+        let mut keys: Vec<&str> = self.snapshot.state.keys().map(String::as_str).collect();
+        keys.extend(self.changes.values().map(|change| change.key.as_str()));
+        keys.sort_unstable();
+        keys.dedup();
+        vec![
+            (
+                "store",
+                if self.cluster == 0 { "not known".to_owned() } else { format!("{:016x}", self.cluster) },
+            ),
+            ("starts", self.starts.to_string()),
+            ("term", self.term.to_string()),
+            ("vote", self.vote.map_or("none".to_owned(), |id| id.to_string())),
+            ("snapshot up to entry", self.snapshot.position.index.to_string()),
+            ("last entry", format!("{} of term {}", last.index, last.term)),
+            ("keys", keys.join(" ")),
+        ]
     }
 }
--- a/store/src/packet.rs
+++ b/store/src/packet.rs
@@ -87,7 +87,7 @@
 
     /// The library's form of it.
     pub fn log(&self) -> LogEntries {
-        let mut log = super::after(self.after);
+        let mut log = crate::member::after(self.after);
         for entry in &self.entries {
             log.push(match entry {
                 Entry::Term(term) => LogEntry::Term((*term).into()),
@@ -150,6 +150,8 @@
 pub struct Packet {
     /// Who sent it.
     pub from: u64,
+    /// Which store the sender is of; 0 where it does not know that yet.
+    pub cluster: u64,
     /// The sender's term.
     pub term: u64,
     /// The sender's count.
@@ -212,7 +214,7 @@
 
 impl Packet {
     /// The packet that carries a message of the library.
-    pub fn from_message(message: &Message, changes: &BTreeMap<Position, Change>) -> Packet {
+    pub fn from_message(message: &Message, cluster: u64, changes: &BTreeMap<Position, Change>) -> Packet {
         let body = match message {
             Message::RequestVoteCall { last_position, .. } => Body::Vote { last: (*last_position).into() },
             Message::RequestVoteReply { vote_granted, .. } => Body::Voted { granted: *vote_granted },
@@ -225,6 +227,7 @@
         };
         Packet {
             from: message.from().get(),
+            cluster,
             term: message.term().get(),
             sequence: message.seqno().get(),
             body,
@@ -242,6 +245,7 @@
         };
         json["kind"] = self.body.kind().into();
         json["from"] = self.from.into();
+        json["cluster"] = self.cluster.into();
         json["term"] = self.term.into();
         json["sequence"] = self.sequence.into();
         json.to_string() + "\n"
@@ -264,7 +268,10 @@
             "put" => Body::Put(read_change(&json).ok_or(NoPacket("put"))?),
             _ => return Err(NoPacket("unknown kind")),
         };
-        Ok(Packet { from: number("from")?, term: number("term")?, sequence: number("sequence")?, body })
+        // A member of an earlier build names no store.
+        let cluster = json["cluster"].as_u64().unwrap_or(0);
+        let (from, term, sequence) = (number("from")?, number("term")?, number("sequence")?);
+        Ok(Packet { from, cluster, term, sequence, body })
     }
 }
 
