A gatherer of the platform may be a member of the store, by its operator's file

Nothing without that file: `run` names none, and its store stays one member in memory that writes nothing. Measured: story with three processes, two of them catalogue fronts and one the platform's: all know its set-up, it serves queries beside that, and after a kill it goes on from its file. The program before refuses the file's key.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -3,8 +3,7 @@
 use crate::admin::cli::{self as admin, Admin};
 use crate::conform::{self, Format, Protocol, Target};
 use crate::core::settings;
-use crate::front::catalogue::setup;
-use crate::learned::LearningSetup;
+use crate::front::catalogue::setup::{self, Beside};
 use crate::learned::cli::{self as learned, Learned};
 use crate::limits::Limits;
 use crate::store::cli::{self as store_file, StoreCall};
@@ -147,9 +146,9 @@
         }
         Command::Serve(Serve { config, operator, .. }) => {
             start_log();
-            served(operator_file(operator).and_then(|learning| {
+            served(operator_file(operator).and_then(|beside| {
                 let config = config::load(config)?;
-                serve::platform(config, learning)
+                serve::platform(config, beside)
             }))
         }
         Command::Store(call) => match store_file::run(&call) {
@@ -178,8 +177,8 @@
     }
 }
 
-fn operator_file(path: Option<PathBuf>) -> Result<Option<LearningSetup>, serve::ServeError> {
-    let Some(path) = path else { return Ok(None) };
+fn operator_file(path: Option<PathBuf>) -> Result<Beside, serve::ServeError> {
+    let Some(path) = path else { return Ok(Beside::default()) };
     Ok(setup::read_operator(&setup::load_json(&path)?)?)
 }
 
@@ -198,7 +197,9 @@
         }
         // A set-up says where to listen; what goes beside the platform's configuration does not.
         let problem = match json.get("listen") {
-            None if json.get("learning").is_some() => setup::read_operator(&json).err(),
+            None if ["learning", "store"].iter().any(|key| json.get(key).is_some()) => {
+                setup::read_operator(&json).err()
+            }
             _ => setup::read(&json).err(),
         };
         problem.iter().map(ToString::to_string).collect()
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -259,15 +259,43 @@
 #[serde(deny_unknown_fields)]
 struct Operator {
     learning: Option<LearningSetup>,
+    store: Option<Store>,
 }
 
-/// Reads an operator's file for the platform's front: what is kept beside its configuration.
-pub fn read_operator(json: &Json) -> Result<Option<LearningSetup>, SetupError> {
+/// What an installation has beside the platform's configuration.
+#[derive(Debug, Default)]
+pub struct Beside {
+    /// Where what is learned is kept.
+    pub learning: Option<LearningSetup>,
+    /// This member of the store, and where all of them are.
+    pub store: Option<StoreSetup>,
+}
+
+/// Reads an operator's file for the platform's front.
+pub fn read_operator(json: &Json) -> Result<Beside, SetupError> {
     let file: Operator = serde_path_to_error::deserialize(json).map_err(|problem| {
         let path = problem.path().to_string();
         bad(json, if path == "." { "file" } else { &path }, problem.inner().to_string())
     })?;
-    Ok(file.learning)
+    let store = file.store.map(|store| read_store(json, store)).transpose()?;
+    Ok(Beside { learning: file.learning, store })
+}
+
+fn read_store(json: &Json, store: Store) -> Result<StoreSetup, SetupError> {
+    if !store.members.contains_key(&store.member) {
+        return Err(bad(
+            json,
+            "store.members",
+            format!("member {} itself is wanted among them", store.member),
+        ));
+    }
+    Ok(StoreSetup {
+        member: store.member,
+        members: store.members.into_iter().map(|(id, address)| (id, address.0)).collect(),
+        begins: store.begins,
+        file: store.file,
+        test_sync: Duration::from_millis(store.test_sync_ms),
+    })
 }
 
 /// What stands at a path, shortened.
@@ -364,26 +392,7 @@
             }
         }
     };
-    let store = match file.store {
-        None => None,
-        Some(store) => {
-            if !store.members.contains_key(&store.member) {
-                return Err(bad(
-                    json,
-                    "store.members",
-                    format!("member {} itself is wanted among them", store.member),
-                ));
-            }
-            let members = store.members.into_iter().map(|(id, address)| (id, address.0)).collect();
-            Some(StoreSetup {
-                member: store.member,
-                members,
-                begins: store.begins,
-                file: store.file,
-                test_sync: Duration::from_millis(store.test_sync_ms),
-            })
-        }
-    };
+    let store = file.store.map(|store| read_store(json, store)).transpose()?;
     Ok(Setup {
         path: PathBuf::new(),
         name: file.name,
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::core::settings::{self, Deployment};
 use crate::front::catalogue::link::{MakeDialect, SerialConnector};
 use crate::front::catalogue::session::SessionConnection;
-use crate::front::catalogue::setup::{self, Setup, Speaks, StoreSetup};
+use crate::front::catalogue::setup::{self, Beside, Setup, Speaks, StoreSetup};
 use crate::front::catalogue::sru::Sru;
 use crate::front::catalogue::sru_host::SruHost;
 use crate::front::catalogue::z3950_host::Z3950Host;
@@ -75,8 +75,8 @@
     }
 }
 
-/// Serves the platform until SIGTERM; `learning` is where what is learned is kept, which the platform has no place for.
-pub fn platform(config: Config, learning: Option<LearningSetup>) -> Result<(), ServeError> {
+/// Serves the platform until SIGTERM; `beside` is what an installation has that the platform has no place for.
+pub fn platform(config: Config, beside: Beside) -> Result<(), ServeError> {
     let settings = settings::read(&config.settings).map_err(ConfigError::Settings)?;
     let (sockets, memory_mb, shape) = (config.sockets, config.memory_mb, config.shape);
     let bounds =
@@ -103,8 +103,8 @@
             let settings = Some(Fresh { settings, deployment, limits, connector });
             Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null, settings })
         }),
-        store: None,
-        learning,
+        store: beside.store,
+        learning: beside.learning,
         setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
 }
--- a/bitternsill/tests/store.rs
+++ b/bitternsill/tests/store.rs
@@ -46,8 +46,6 @@
 
     /// Starts a member whose disk takes so much longer over each sync; the log goes to a file.
     fn start_with(&self, member: usize, sync_ms: u64, log: &Path, name: &str) -> Program {
-        let members: Vec<(String, Value)> =
-            self.stores.iter().enumerate().map(|(i, a)| (i.to_string(), json!(a.to_string()))).collect();
         let mut settings = settings();
         settings["extra"]["class_fetch"] = json!([0, 0, 0]);
         Program::start_in(
@@ -58,7 +56,7 @@
                 "database": "comics", "class": "search", "budget_ms": 3000,
                 "index_hosts": {"speak": "sru", "discovery": self.discovery.address.to_string()},
                 "settings": settings,
-                "store": {"member": member, "members": serde_json::Map::from_iter(members),
+                "store": {"member": member, "members": self.addresses(),
                           "begins": member == 0, "file": self.files[member], "test_sync_ms": sync_ms}
             }),
             &[],
@@ -69,6 +67,11 @@
         (0..3).all(|at| (0..3).all(|of| self.told(at, &format!("setup/m{of}"), "catalogue")))
     }
 
+    /// Every member's address, by its number.
+    fn addresses(&self) -> serde_json::Map<String, Value> {
+        self.stores.iter().enumerate().map(|(i, a)| (i.to_string(), json!(a.to_string()))).collect()
+    }
+
     /// Whether a watcher of a member is told that a key has a value with this in it.
     fn told(&self, member: usize, key: &str, has: &str) -> bool {
         let Ok(mut socket) = TcpStream::connect(self.stores[member]) else { return false };
@@ -209,6 +212,32 @@
     std::fs::remove_file(log).unwrap();
 }
 
+#[test]
+fn a_gatherer_of_the_platform_is_a_member_where_its_operators_file_says_so() {
+    let members = Members::new("platform");
+    let _catalogues = [members.start(0), members.start(1)];
+    let beside = std::env::temp_dir().join(format!("bitternsill-beside-{}", std::process::id()));
+    let store = json!({"store": {"member": 2, "members": members.addresses(), "file": members.files[2]}});
+    std::fs::write(&beside, store.to_string()).unwrap();
+    let check = Command::new(env!("CARGO_BIN_EXE_bitternsill")).arg("check").arg(&beside).output().unwrap();
+    assert!(check.status.success(), "{}", String::from_utf8_lossy(&check.stderr));
+    let start = || {
+        let hosts: Vec<FrameHost> =
+            (0..3).map(|_| FrameHost::start(|_| Say::Good(1, "v".to_owned()))).collect();
+        let targets = hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+        let more = ["--operator".to_owned(), beside.display().to_string()];
+        Platform::start_in("ulimit -n 1024", settings(), hosts, Discovery::start(targets), 256, &more)
+    };
+    let platform = start();
+    eventually("all know its set-up", || (0..3).all(|at| members.told(at, "setup/n0", "platform")));
+    assert!(platform.ask("q", "page", &[0, 1]).starts_with("HTTP/1.1 200"), "it serves beside that");
+    drop(platform);
+    let _again = start();
+    eventually("it goes on from its file", || members.told(2, "setup/m0", "catalogue"));
+    members.clear();
+    std::fs::remove_file(beside).unwrap();
+}
+
 /// What `bitternsill store` says of a file, and whether it is well.
 fn store_says(args: &[&str]) -> (bool, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_bitternsill")).arg("store").args(args).output().unwrap();
