A stall anywhere in the loop's round counts for what came meanwhile

Change: what is read counts as come since the last look, where that look is longer ago than a stall. Ruled out: an interrupted wait (counted already), the machine's load (the answer was late by the stall to 2 ms).

--- a/bitternsill/src/net/reactor.rs
+++ b/bitternsill/src/net/reactor.rs
@@ -239,7 +239,7 @@
     /// Runs until the world is finished.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
-        let (mut interrupted, mut stalled) = (None, None);
+        let (mut interrupted, mut stalled, mut looked) = (None, None, self.net.now());
         loop {
             self.settle();
             let now = self.net.now();
@@ -251,7 +251,8 @@
             let left = due.into_iter().flatten().min().map_or(LONGEST_WAIT, |at| at.saturating_sub(now));
             let wait = Timespec { tv_sec: 0, tv_nsec: left.min(LONGEST_WAIT) as _ };
             // A wait that a signal cut short, as it does when the program is made to go on, counts with the next.
-            let asleep = interrupted.take().unwrap_or(now);
+            // So does a round that took long, or in which the program was stopped: nobody looked meanwhile.
+            let asleep = interrupted.take().unwrap_or(if now - looked > STALL { looked } else { now });
             events.clear();
             match epoll::wait(&self.net.epoll, spare_capacity(&mut events), Some(&wait)) {
                 Ok(_) => {}
@@ -262,6 +263,7 @@
                 Err(problem) => return Err(problem.into()),
             }
             let now = self.net.now();
+            looked = now;
             // What is read after a stall may have come at its beginning, and its client has waited since. That holds for
             // the round behind it too: a connection that was accepted only now is read then.
             let before = std::mem::replace(&mut stalled, (now - asleep > STALL).then_some(asleep));
