Nothing is sent for a query that its own turn has ended; give-ups go before answers

The turn's calls were collected and went out at its end, behind [Answered(Refused), GaveUp(leg 1), Called(leg 1)]: Core::turn never looked whether an attempt that it was about to call had been called off meanwhile.

Change: calls are freed of attempts that are gone; final answers of a turn go out after its give-ups, as a link writes what is queued whenever it is given something to do; at the program's end what is out is given up before it is answered. Both tests fail without it.

--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -86,6 +86,8 @@
     following: Vec<(ServerId, Outgoing)>,
     events: Vec<Event>,
     actions: Vec<Action>,
+    /// Final answers of this turn: they go out once all that they end has been given up.
+    answers: Vec<(Caller, Answer)>,
     last_turn: Time,
     next_id: u64,
 }
@@ -111,6 +113,7 @@
             following: Vec::new(),
             events: Vec::new(),
             actions: Vec::new(),
+            answers: Vec::new(),
             last_turn: 0,
             next_id: 1,
         }
@@ -343,7 +346,12 @@
             self.carry_out(action, now, &mut calls, ports);
         }
         self.actions = actions;
+        for (caller, answer) in self.answers.drain(..) {
+            ports.answer(caller, answer);
+        }
         for (host, mut parts) in calls {
+            // Called off in the turn that sent it: its query has its final answer, or its part another's.
+            parts.retain(|part| self.attempts.contains_key(&part.id));
             while !parts.is_empty() {
                 // One frame must not grow with what a client's text holds.
                 let fits = (self.limits.call_bytes / parts[0].text.len().max(1)).max(1);
@@ -353,7 +361,7 @@
         }
     }
 
-    fn time_out(&mut self, now: Time, ports: &mut (impl Clients + Hosts)) {
+    fn time_out(&mut self, now: Time, ports: &mut impl Hosts) {
         while let Some(&(at, id)) = self.timeouts.first()
             && at <= now
         {
@@ -375,7 +383,7 @@
             self.deadlines.pop_first();
             if let Some(query) = self.close(number) {
                 tracing::warn!(query = &*query.name, "no decision in time");
-                ports.answer(query.caller, Answer::Failed(Reason::TimeUp));
+                self.answers.push((query.caller, Answer::Failed(Reason::TimeUp)));
                 self.events.push(Event::ClientLeft { id: QueryId(number) });
             }
         }
@@ -386,7 +394,7 @@
         action: Action,
         now: Time,
         calls: &mut Vec<(ServerId, Vec<Outgoing>)>,
-        ports: &mut (impl Clients + Hosts + Directory),
+        ports: &mut (impl Hosts + Directory),
     ) {
         match action {
             Action::Send { part, server, until } => self.send(part.0, server, until, now, calls),
@@ -398,17 +406,17 @@
                     self.ended(id, outcome, now);
                 }
             }
-            Action::Answer { query, whole } => self.answer(query.0, whole, now, ports),
+            Action::Answer { query, whole } => self.answer(query.0, whole, now),
             Action::Refuse { query, hold_off } => {
                 if let Some(query) = self.close(query.0) {
                     let held = now.saturating_sub(query.taken) / MS;
                     tracing::debug!(query = &*query.name, held, attempts = query.attempts, "refused");
-                    ports.answer(query.caller, Answer::Refused { hold_off });
+                    self.answers.push((query.caller, Answer::Refused { hold_off }));
                 }
             }
             Action::Fail { query } => {
                 if let Some(query) = self.close(query.0) {
-                    ports.answer(query.caller, Answer::Failed(Reason::GivenUp));
+                    self.answers.push((query.caller, Answer::Failed(Reason::GivenUp)));
                 }
             }
             Action::WakeAt(at) => {
@@ -478,7 +486,7 @@
         add_to_call(calls, host, outgoing);
     }
 
-    fn answer(&mut self, number: u64, whole: bool, now: Time, ports: &mut impl Clients) {
+    fn answer(&mut self, number: u64, whole: bool, now: Time) {
         let Some(query) = self.queries.get(&number) else { return };
         let class = &self.settings.classes[query.class];
         let (floor, need, second_step) = (class.floor, class.need, class.second_step as usize);
@@ -493,7 +501,7 @@
             // An answer from less than the class's least share must never go out, whoever asked for it.
             tracing::error!(query = &*query.name, weight, "an answer from too few parts was held back");
             if let Some(query) = self.close(number) {
-                ports.answer(query.caller, Answer::Failed(Reason::GivenUp));
+                self.answers.push((query.caller, Answer::Failed(Reason::GivenUp)));
             }
             self.events.push(Event::ClientLeft { id: QueryId(number) });
             return;
@@ -511,7 +519,7 @@
                 "answered"
             );
             within.sort_by_key(|(shard, _)| *shard);
-            ports.answer(query.caller, Answer::Served { whole: honest, values: within });
+            self.answers.push((query.caller, Answer::Served { whole: honest, values: within }));
         }
     }
 
@@ -554,11 +562,16 @@
         self.next_id
     }
 
-    /// Fails whatever is still open: the program is about to end.
-    pub fn fail_all(&mut self, clients: &mut impl Clients) {
+    /// Fails whatever is still open: the program is about to end. What waits to be written is not written any more.
+    pub fn fail_all(&mut self, ports: &mut (impl Clients + Hosts)) {
+        for (id, attempt) in self.attempts.drain() {
+            ports.give_up(attempt.host, id);
+        }
+        self.timeouts.clear();
+        self.following.clear();
         while let Some((&number, _)) = self.queries.first_key_value() {
             if let Some(query) = self.close(number) {
-                clients.answer(query.caller, Answer::Failed(Reason::Ending));
+                ports.answer(query.caller, Answer::Failed(Reason::Ending));
             }
         }
     }
--- /dev/null
+++ b/bitternsill/tests/core.rs
@@ -0,0 +1,142 @@
+//! The core before ports that write down what it does, in its order.
+
+use bitternsill::core::Core;
+use bitternsill::core::ports::{
+    Answer, Ask, AttemptId, Caller, Clients, Directory, Hosts, Outgoing, Score, Value,
+};
+use bitternsill::core::settings::Deployment;
+use bitternsill::limits::{Limits, MS};
+use bramblestair::interface::*;
+use std::rc::Rc;
+
+/// What the core did.
+#[derive(Debug, Clone, PartialEq)]
+enum Did {
+    Answered(u64, Answer),
+    Called(ServerId, Vec<(String, AttemptId)>),
+    GaveUp(AttemptId),
+}
+
+#[derive(Default)]
+struct Ports(Vec<Did>);
+
+impl Clients for Ports {
+    fn answer(&mut self, caller: Caller, answer: Answer) {
+        self.0.push(Did::Answered(caller.connection, answer));
+    }
+}
+
+impl Hosts for Ports {
+    fn call(&mut self, host: ServerId, parts: Vec<Outgoing>) {
+        self.0.push(Did::Called(host, parts.into_iter().map(|part| (part.name, part.id)).collect()));
+    }
+    fn give_up(&mut self, _host: ServerId, attempt: AttemptId) {
+        self.0.push(Did::GaveUp(attempt));
+    }
+    fn probe(&mut self, _host: ServerId) {}
+    fn close_idle(&mut self, _host: ServerId) {}
+}
+
+impl Directory for Ports {
+    fn watch(&mut self, _on: bool) {}
+    fn fetch(&mut self) {}
+}
+
+/// One set of six hosts that hold three shards; one class that needs every part, with two attempts for each.
+fn core() -> Core {
+    let class = Class { aim: 1_000 * MS, deadline: 2_000 * MS, max_attempts: 2, ..Class::default() };
+    let settings = Settings {
+        aggregators: 1,
+        tick: 5 * MS,
+        classes: vec![class],
+        cells: 1,
+        reach: 1,
+        call_parts: 8,
+        max_open: 100,
+        cancels: true,
+        second_copies: true,
+        ..Settings::default()
+    };
+    let deployment = Deployment { classes: vec!["page".to_owned()], shards: 3, ..Deployment::default() };
+    let mut core = Core::new(settings, deployment, Rc::new(Limits::default()), 7);
+    let entry = |server| Entry {
+        server: ServerId(server),
+        zone: 0,
+        kind: 0,
+        cell: 0,
+        standing: Standing::Ready,
+        heft: 1.0,
+        born: 0,
+        out: false,
+    };
+    core.list(ListKind::Complete, (1..=6).map(entry).collect());
+    core
+}
+
+fn ask(core: &mut Core, now: Time, shards: &[u32]) {
+    let ask = Ask {
+        caller: Caller::only(1),
+        name: "q".into(),
+        class: 0,
+        key: None,
+        repeat: false,
+        budget: 1_000 * MS,
+        arrived: now,
+        text: "t".into(),
+        parts: shards.iter().map(|shard| (*shard, 1.0 / shards.len() as f64)).collect(),
+    };
+    core.take(ask, now).unwrap();
+}
+
+fn turn(core: &mut Core, now: Time) -> Vec<Did> {
+    let mut ports = Ports::default();
+    core.turn(now, &mut ports);
+    ports.0
+}
+
+/// Every attempt that calls carry.
+fn sent(did: &[Did]) -> Vec<AttemptId> {
+    let parts = did.iter().filter_map(|did| if let Did::Called(_, parts) = did { Some(parts) } else { None });
+    parts.flatten().map(|(_, id)| *id).collect()
+}
+
+/// On a day of a bench a part was written after its query's refusal: one part of a query was sent again in the turn in which
+/// another part of it, without attempts left, ended the query.
+#[test]
+fn what_a_turn_sends_and_calls_off_is_not_sent_after_the_final_answer() {
+    let (mut core, mut now) = (core(), 10_000 * MS);
+    ask(&mut core, now, &[0, 1, 2]);
+    // Of a query of so many parts one is sent ahead; once it is served the others follow.
+    let ahead = sent(&turn(&mut core, now));
+    assert_eq!(ahead.len(), 1);
+    now += 6 * MS;
+    core.served(ahead[0], Value { score: Score::Whole(1), body: "v".into() }, now);
+    let both = sent(&turn(&mut core, now));
+    assert_eq!(both.len(), 2);
+    // One of them is turned away and sent again, its last time; then both are turned away in one turn.
+    now += 6 * MS;
+    core.ended(both[0], Outcome::ConnectFailed, now);
+    let again = sent(&turn(&mut core, now));
+    assert_eq!(again, [AttemptId { leg: 1, ..both[0] }]);
+    now += 6 * MS;
+    core.ended(again[0], Outcome::ConnectFailed, now);
+    core.ended(both[1], Outcome::ConnectFailed, now);
+    let did = turn(&mut core, now);
+    // A link writes what is queued whenever it is given something to do: it is told what is given up first.
+    let given_up = Did::GaveUp(AttemptId { leg: 1, ..both[1] });
+    assert_eq!(did, [given_up, Did::Answered(1, Answer::Refused { hold_off: 0 })], "and nothing is sent");
+}
+
+/// Before, what was queued for a host at the end of the program was written behind the answer.
+#[test]
+fn at_the_end_all_that_is_out_is_given_up_before_it_is_answered() {
+    let (mut core, now) = (core(), 10_000 * MS);
+    ask(&mut core, now, &[0]);
+    let out = sent(&turn(&mut core, now));
+    assert_eq!(out.len(), 1);
+    let mut ports = Ports::default();
+    core.fail_all(&mut ports);
+    assert_eq!(ports.0[0], Did::GaveUp(out[0]));
+    assert!(matches!(ports.0[1], Did::Answered(1, Answer::Failed(_))), "{:?}", ports.0);
+    assert_eq!(turn(&mut core, now + 2_000 * MS), []);
+}
