--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -6,6 +6,7 @@
 use crate::front::catalogue::setup::{self, Beside};
 use crate::learned::cli::{self as learned, Learned};
 use crate::limits::Limits;
+use crate::recovery::cli::{self as fleet, FleetCall};
 use crate::store::cli::{self as store_file, StoreCall};
 use crate::{config, describe, serve};
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -70,6 +71,9 @@
     /// Look at the file of a store's member.
     #[command(subcommand)]
     Store(StoreCall),
+    /// Ask a fleet how far it has come after a start.
+    #[command(subcommand)]
+    Fleet(FleetCall),
     /// Call a running gatherer's door, as operators do by hand.
     #[command(subcommand)]
     Admin(Admin),
@@ -158,6 +162,11 @@
                 ExitCode::FAILURE
             }
         },
+        Command::Fleet(call) => {
+            let (words, all) = fleet::run(&call);
+            let printed = print(format_args!("{words}"));
+            if all { printed } else { ExitCode::FAILURE }
+        }
         Command::Admin(call) => match admin::run(call) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => {
@@ -197,7 +206,7 @@
         }
         // A set-up says where to listen; what goes beside the platform's configuration does not.
         let problem = match json.get("listen") {
-            None if ["learning", "store"].iter().any(|key| json.get(key).is_some()) => {
+            None if ["learning", "recovery", "store"].iter().any(|key| json.get(key).is_some()) => {
                 setup::read_operator(&json).err()
             }
             _ => setup::read(&json).err(),
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -148,6 +148,16 @@
         &self.deployment
     }
 
+    /// The module's settings, as they are in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The longest time to return that clients may be told; 0 where none may.
+    pub fn longest_hold_off(&self) -> Time {
+        self.settings.max_hold_off
+    }
+
     /// Queries that have no final answer yet.
     pub fn open_queries(&self) -> usize {
         self.queries.len()
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -5,6 +5,7 @@
 use crate::front::platform::discovery::{Names, read_list};
 use crate::learned::LearningSetup;
 use crate::limits::MS;
+use crate::recovery::RecoverySetup;
 use bramblestair::interface::{Settings, Time};
 use catalogue::session::{Access, Reader};
 use serde::Deserialize;
@@ -119,6 +120,7 @@
     settings: Json,
     store: Option<Store>,
     learning: Option<LearningSetup>,
+    recovery: Option<RecoverySetup>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -244,6 +246,8 @@
     pub store: Option<StoreSetup>,
     /// Where what is learned is kept.
     pub learning: Option<LearningSetup>,
+    /// How the gatherer returns after a start, where it does by rule.
+    pub recovery: Option<RecoverySetup>,
     /// The module's settings and the program's share of them.
     pub settings: (Settings, Deployment),
 }
@@ -264,6 +268,7 @@
 struct Operator {
     learning: Option<LearningSetup>,
     store: Option<Store>,
+    recovery: Option<RecoverySetup>,
 }
 
 /// What an installation has beside the platform's configuration.
@@ -273,6 +278,8 @@
     pub learning: Option<LearningSetup>,
     /// This member of the store, and where all of them are.
     pub store: Option<StoreSetup>,
+    /// How the gatherer returns after a start, where it does by rule.
+    pub recovery: Option<RecoverySetup>,
 }
 
 /// Reads an operator's file for the platform's front.
@@ -282,7 +289,21 @@
         bad(json, if path == "." { "file" } else { &path }, problem.inner().to_string())
     })?;
     let store = file.store.map(|store| read_store(json, store)).transpose()?;
-    Ok(Beside { learning: file.learning, store })
+    let recovery = read_recovery(json, file.recovery, store.as_ref())?;
+    Ok(Beside { learning: file.learning, store, recovery })
+}
+
+fn read_recovery(
+    json: &Json,
+    recovery: Option<RecoverySetup>,
+    store: Option<&StoreSetup>,
+) -> Result<Option<RecoverySetup>, SetupError> {
+    match recovery {
+        Some(_) if store.is_none() => {
+            Err(bad(json, "recovery", "a `store` is wanted beside it: its other members are asked"))
+        }
+        recovery => Ok(recovery),
+    }
 }
 
 fn read_store(json: &Json, store: Store) -> Result<StoreSetup, SetupError> {
@@ -398,6 +419,7 @@
         }
     };
     let store = file.store.map(|store| read_store(json, store)).transpose()?;
+    let recovery = read_recovery(json, file.recovery, store.as_ref())?;
     Ok(Setup {
         path: PathBuf::new(),
         name: file.name,
@@ -422,6 +444,7 @@
         },
         store,
         learning: file.learning,
+        recovery,
         settings,
     })
 }
@@ -469,6 +492,9 @@
             ("learning", json!({"folder": 7})),
             ("learning", json!({"folder": "x", "period_ms": 5})),
             ("learning", json!({"folder": "x", "often": true})),
+            ("recovery", json!({})),
+            ("recovery", json!({"ask_ms": "soon"})),
+            ("recovery", json!({"ask": 1})),
             ("colour", json!("red")),
         ];
         let mut said = Vec::new();
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -16,6 +16,7 @@
 use crate::learned::Keeper;
 use crate::limits::Limits;
 use crate::net::{Net, Token, World};
+use crate::recovery::Return;
 use crate::store::links::Shelf;
 use bramblestair::interface::{ListKind, Outcome, ServerId, Time};
 use clients::ClientTable;
@@ -86,11 +87,14 @@
     FirstList,
     /// No list named an index host that takes work.
     NoHost,
+    /// The gatherer returns, and has come no further than this.
+    Returning(recovery::phase::Phase),
 }
 
 impl std::fmt::Display for Wait {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
+            Wait::Returning(phase) => return write!(f, "the gatherer returns, and is {phase}"),
             Wait::Ending => "the program has been told to end",
             Wait::SentAway => "clients are sent away by an operator",
             Wait::FirstList => "discovery has not told the list of index hosts yet",
@@ -125,6 +129,10 @@
     pub shelf: Option<Shelf>,
     /// What is learned, where it is kept.
     pub keeper: Option<Keeper>,
+    /// The return after a start, where an operator's file asks for it.
+    pub returning: Option<Return>,
+    /// When the program started.
+    pub started: Time,
     /// What was turned away before it became a query.
     pub turned: Turned,
     /// What the log last said that clients wait for.
@@ -143,6 +151,10 @@
             Some(Wait::Ending)
         } else if self.orders.drain.is_under_way() {
             Some(Wait::SentAway)
+        } else if let Some(state) =
+            self.returning.as_ref().map(Return::state).filter(|state| !state.is_ready())
+        {
+            Some(Wait::Returning(state.phase()))
         } else if self.ready_by.is_some_and(|by| by > now) {
             Some(Wait::FirstList)
         } else if !self.hosts.any_active() {
@@ -288,7 +300,8 @@
         };
         let keeper = self.keeper.as_ref().map(Keeper::due);
         let waits = self.ready_by.filter(|_| self.said == Some(Wait::FirstList));
-        [self.core.due(), phase, keeper, self.orders.due(), waits].into_iter().flatten().min()
+        let returning = self.returning.as_ref().and_then(|returning| returning.state().due());
+        [self.core.due(), phase, keeper, self.orders.due(), waits, returning].into_iter().flatten().min()
     }
 
     fn turn(&mut self, net: &mut Net<Self>, now: Time) {
@@ -312,6 +325,7 @@
         if let Some(sweep) = self.orders.drain.sweep(now) {
             self.clients.sweep(net, sweep);
         }
+        self.go_on_returning(net, now);
         self.advance(net, now);
         self.say_waits(now);
     }
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -4,6 +4,7 @@
 use crate::core::ports::{Answer, Caller, Refusal};
 use crate::front::http::{Head, Response};
 use crate::front::server::{Cx, Handled, Service};
+use ::recovery::ramp::Turn;
 
 /// One thing that the HTTP surface offers.
 #[derive(Debug, Clone, Copy)]
@@ -91,6 +92,13 @@
                 let caller = Caller::only(cx.token.bits());
                 let world = &mut *cx.world;
                 let ask = query::parse(head, body, caller, cx.since, &world.core, cx.now, &world.limits);
+                if let (Ok(ask), Some(returning)) = (&ask, &mut world.returning)
+                    && let Turn::Later(wait) = returning.admit(ask.class, cx.now)
+                {
+                    // Where no time to return may be told, none is.
+                    let hold_off = wait.min(world.core.longest_hold_off());
+                    return Handled::Done(query::respond(&Answer::Refused { hold_off }));
+                }
                 match ask.map(|ask| world.core.take(ask, cx.now)) {
                     Ok(Ok(())) => Handled::Waiting,
                     Ok(Err(Refusal::TableFull { hold_off })) => {
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -200,6 +200,7 @@
         cx.world.core.list(kind, entries);
         cx.world.record_members(cx.net);
         cx.world.ready_by = None;
+        cx.world.list_is_there(true, cx.now);
         self.release_former(cx);
         self.version = Some(version);
         Ok(())
--- a/bitternsill/src/lib.rs
+++ b/bitternsill/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod learned;
 pub mod limits;
 pub mod net;
+pub mod recovery;
 pub mod serve;
 pub mod store;
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -84,6 +84,8 @@
     pub store_election: Time,
     /// Between two attempts to connect to another member.
     pub store_retry: Time,
+    /// Between two attempts to ask a peer for its phase.
+    pub recovery_retry: Time,
     /// Between two lines of the log on a member that waits for others.
     pub store_told: Time,
     /// How long a full disk is left alone before the next attempt.
@@ -234,6 +236,7 @@
             store_heartbeat: 150 * MS,
             store_election: 600 * MS,
             store_retry: 100 * MS,
+            recovery_retry: 200 * MS,
             store_told: 30_000 * MS,
             store_full_rest: 500 * MS,
             name_bytes: 256,
@@ -293,6 +296,11 @@
 }
 
 impl Limits {
+    /// So many milliseconds.
+    pub fn ms(count: u64) -> Time {
+        count.saturating_mul(MS)
+    }
+
     /// Shares out the descriptors: some for the program itself, some for index hosts, the rest for clients.
     pub fn with_descriptors(mut self, descriptors: usize) -> Self {
         self.descriptors = descriptors;
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::learned::{Keeper, LearningSetup};
 use crate::limits::Limits;
 use crate::net::{self, Clock, Reactor};
+use crate::recovery::{RecoverySetup, Return};
 use crate::store::disk::{Behaviour, Disk};
 use crate::store::links::{Incoming, Shelf};
 use bramblestair::interface::{ListKind, Settings, Time};
@@ -55,6 +56,7 @@
     reread: ReadAgain,
     store: Option<StoreSetup>,
     learning: Option<LearningSetup>,
+    recovery: Option<RecoverySetup>,
     /// What the store keeps of the front's set-up.
     setup: Json,
 }
@@ -105,6 +107,7 @@
         }),
         store: beside.store,
         learning: beside.learning,
+        recovery: beside.recovery,
         setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
 }
@@ -180,6 +183,7 @@
         }),
         store: setup.store,
         learning: setup.learning,
+        recovery: setup.recovery,
         setup: kept,
     })
 }
@@ -241,6 +245,8 @@
         listeners: Vec::new(),
         shelf: None,
         keeper,
+        returning: None,
+        started: now,
         turned: Turned::default(),
         // Before the first turn nobody is served.
         said: Some(Wait::FirstList),
@@ -251,6 +257,7 @@
     net.open(Box::new(end));
     net.open(Box::new(reload));
     let (store, peers, disk) = open_store(plan.store.as_ref(), &limits, plan.seed, now)?;
+    let asked = peers.clone();
     gatherer.shelf = Some(Shelf::new(store, plan.name.clone(), &peers, disk, limits.store_told, net));
     let own = plan.store.as_ref().and_then(|s| s.members.get(&s.member));
     let store_listener = own.map(|address| (*address, Box::new(Incoming::accept) as Accept));
@@ -270,8 +277,17 @@
         Ok((version, _, members)) => (Some(version), members),
         Err(_) => (None, Vec::new()),
     };
-    let entries = gatherer.hosts.update(ListKind::Persisted, members, net, now);
-    gatherer.core.list(ListKind::Persisted, entries);
+    match plan.recovery {
+        // What that list is worth is known once the peers have been asked.
+        Some(setup) => {
+            let settings = gatherer.core.settings();
+            gatherer.returning = Some(Return::begin(setup, settings, &asked, members, plan.seed, net));
+        }
+        None => {
+            let entries = gatherer.hosts.update(ListKind::Persisted, members, net, now);
+            gatherer.core.list(ListKind::Persisted, entries);
+        }
+    }
     // Other gatherers may be on their way out, so a list from before is good enough to begin with.
     if gatherer.hosts.any_active() {
         gatherer.ready_by = None;
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -3,6 +3,7 @@
 use super::disk::Disk;
 use crate::front::{Gatherer, Message};
 use crate::net::{self, Attempt, Connection, Context, Input, Net, Ready, Stream, Token};
+use crate::recovery;
 use bramblestair::interface::Time;
 use serde_json::json;
 use std::collections::{BTreeMap, VecDeque};
@@ -63,6 +64,11 @@
         (self.store.standing(), self.store.waits_for())
     }
 
+    /// Which store the member is of; 0 where it does not know.
+    pub fn id(&self) -> u64 {
+        self.store.cluster()
+    }
+
     /// Tells the log of a new standing at once, and of one that waits when it has waited for long.
     fn tell_standing(&mut self, now: Time) {
         let (standing, waits) = self.standing();
@@ -296,6 +302,10 @@
             }
             return Ok(());
         }
+        if line.trim_ascii() == recovery::ASK.as_bytes() {
+            self.stream.push(cx.world.phase_line(cx.now).as_bytes());
+            return Ok(());
+        }
         let packet = Packet::read(line)?;
         let known = cx.world.shelf.as_ref().is_some_and(|shelf| shelf.peers.contains_key(&packet.from));
         if !known {
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! For development only, and linked into nothing that serves: links between processes that a test can cut, stall, delay or
+//! reset; timelines of faults drawn by a seed; and what observers saw, checked against what may be seen.
+
+#![forbid(unsafe_code)]
+
+pub mod history;
+pub mod link;
+pub mod timeline;
