--- a/bitternsill/tests/fleet_recovery.rs
+++ b/bitternsill/tests/fleet_recovery.rs
@@ -171,7 +171,7 @@
             .collect();
         let beside = self.files[at].with_extension("beside");
         let mut installed = json!({"store": {"member": at, "members": members, "begins": at == 0,
-                                             "file": self.files[at], "test_sync_ms": 4}});
+                                             "file": self.files[at], "test_sync_ms": 25}});
         if let Some(recovery) = &self.set.recovery {
             installed["recovery"] = recovery.clone();
         }
@@ -194,7 +194,11 @@
     /// Kills these at one moment, as far as signals are one.
     fn power_off(&mut self, group: &BTreeSet<usize>) {
         let off: Vec<Program> = group.iter().filter_map(|at| self.programs[*at].take()).collect();
-        off.iter().for_each(|program| program.signal("KILL"));
+        if off.is_empty() {
+            return;
+        }
+        let pids = off.iter().map(|program| program.child.id().to_string());
+        assert!(Command::new("kill").arg("-KILL").args(pids).status().unwrap().success());
     }
 
     /// Notes what a member tells a watcher, for as long as the day goes on.
@@ -390,7 +394,7 @@
     for (at, fault) in timeline::draw(seed, count, 4000) {
         while begun.elapsed() < Duration::from_millis(at) {
             fleet.count_up();
-            thread::sleep(Duration::from_millis(15));
+            thread::sleep(Duration::from_millis(50));
         }
         fleet.befall(&fault);
     }
@@ -553,7 +557,9 @@
         // Warm for good as far as the list from before says.
         set.known = true;
         set.settings["guarantees"]["ramp_time"] = json!(30_000_000_000u64);
-        set.settings["guarantees"]["start_capacity"] = json!(0.05);
+        // The dearest of three classes is taken whole; what bounds it is what a cold host is told to bear.
+        set.settings["guarantees"]["start_capacity"] = json!(0.4);
+        set.settings["guarantees"]["tip_multiple"] = json!(0.2);
         set.settings["request_classes"][1]["target"] = json!(400_000_000u64);
         let mut fleet = Fleet::with(if recovery { "cold" } else { "warm" }, 3, set);
         fleet.counter.mute.store(true, Ordering::SeqCst);
@@ -563,7 +569,7 @@
         let before = seen(&fleet);
         *fleet.asked.lock().unwrap() = Asked::default();
         fleet.befall(&Fault::PowerOn(all));
-        eventually("so many have had an answer", || fleet.answered() >= 150);
+        eventually("so many have had an answer", || fleet.answered() >= 45);
         (seen(&fleet) - before, fleet.answered())
     });
     println!("parts sent and queries asked, with and without: {sent:?}");
--- a/lab/src/timeline.rs
+++ b/lab/src/timeline.rs
@@ -41,7 +41,7 @@
         match rng.u8(0..12) {
             0..=2 if off.is_empty() => {
                 // Of all, of a group, or of one.
-                let most = [processes, processes.div_ceil(2), 1][rng.usize(0..3)];
+                let most = [processes, processes, processes.div_ceil(2), 1][rng.usize(0..4)];
                 let mut all: Vec<usize> = (0..processes).collect();
                 rng.shuffle(&mut all);
                 off = all.into_iter().take(most).collect();
