--- a/bitternsill/src/recovery/mod.rs
+++ b/bitternsill/src/recovery/mod.rs
@@ -52,6 +52,7 @@
         settings: &Settings,
         peers: &BTreeMap<u64, SocketAddr>,
         kept: Vec<Member>,
+        list_for: Time,
         seed: u64,
         net: &mut Net<Gatherer>,
     ) -> Return {
@@ -61,11 +62,13 @@
         // Without stated times index hosts are taken to bear everything at once.
         let ramp = Ramp::new(settings.start_capacity, settings.ramp, most, &worth);
         let ms = Limits::ms;
-        let plan = Plan { ask_for: ms(setup.ask_ms), together: ms(setup.together_s * 1_000), ramp };
+        let (ask_for, together) = (ms(setup.ask_ms), ms(setup.together_s.saturating_mul(1_000)));
+        let plan = Plan { ask_for, list_for, together, ramp };
         for (peer, address) in peers {
             net.open(Box::new(questions::Question::new(*peer, *address)));
         }
-        let recovery = Recovery::new(plan, peers.keys().copied(), net.now());
+        let mut recovery = Recovery::new(plan, peers.keys().copied(), net.now());
+        recovery.listed(!kept.is_empty(), false, net.now());
         Return { recovery, rng: fastrand::Rng::with_seed(seed), kept }
     }
 
@@ -92,7 +95,7 @@
             tracing::info!(from = %change.from, lasted_ms = change.lasted / 1_000_000, to = %change.to, why = why.join("; "),
                 "the return goes on");
         }
-        if self.recovery.phase() == Phase::Asking || self.kept.is_empty() {
+        if self.recovery.phase() < Phase::Returning || self.kept.is_empty() {
             return None;
         }
         let mut kept = std::mem::take(&mut self.kept);
@@ -120,7 +123,11 @@
     /// A list has been taken; whether discovery itself told it.
     pub fn list_is_there(&mut self, by_discovery: bool, now: Time) {
         let usable = self.hosts.any_active();
+        // Nothing of the list from before is needed any more.
         if let Some(returning) = &mut self.returning {
+            if by_discovery {
+                returning.kept.clear();
+            }
             returning.recovery.listed(usable, by_discovery, now);
         }
     }
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -281,7 +281,8 @@
         // What that list is worth is known once the peers have been asked.
         Some(setup) => {
             let settings = gatherer.core.settings();
-            gatherer.returning = Some(Return::begin(setup, settings, &asked, members, plan.seed, net));
+            gatherer.returning =
+                Some(Return::begin(setup, settings, &asked, members, limits.first_list, plan.seed, net));
         }
         None => {
             let entries = gatherer.hosts.update(ListKind::Persisted, members, net, now);
--- a/recovery/src/phase.rs
+++ b/recovery/src/phase.rs
@@ -80,6 +80,8 @@
 pub struct Plan {
     /// The longest that peers are waited for.
     pub ask_for: Time,
+    /// The longest after the start that discovery's own list is waited for where there is one from before.
+    pub list_for: Time,
     /// Gatherers that started no further apart than this have one cause.
     pub together: Time,
     /// How index hosts warm up and what classes are worth.
@@ -154,6 +156,7 @@
     pub fn reasons(&self) -> Vec<Reason> {
         let mut why = match self.phase {
             Phase::Asking => vec![Reason::PeersSilent(self.silent())],
+            Phase::Listing if self.listed => vec![Reason::ListUnconfirmed],
             Phase::Listing => vec![Reason::NoList],
             Phase::Returning | Phase::Full => self.why.clone(),
         };
@@ -193,6 +196,7 @@
     pub fn due(&self) -> Option<Time> {
         match self.phase {
             Phase::Asking => Some(self.started.saturating_add(self.plan.ask_for)),
+            Phase::Listing if self.listed => Some(self.started.saturating_add(self.plan.list_for)),
             Phase::Returning => Some(self.since.saturating_add(self.plan.ramp.lasts)),
             Phase::Listing | Phase::Full => None,
         }
@@ -254,7 +258,9 @@
                 self.go(Phase::Listing, why, now);
             }
         }
-        if self.phase == Phase::Listing && self.listed {
+        // Discovery knows when each host started; a list from before does not, and is used for want of that one.
+        let told = self.confirmed || !self.together || now >= self.started.saturating_add(self.plan.list_for);
+        if self.phase == Phase::Listing && self.listed && told {
             let why = self.why.clone();
             let to = if self.together { Phase::Returning } else { Phase::Full };
             self.go(to, why, now);
@@ -296,7 +302,7 @@
 
     fn start(peers: &[u64]) -> Recovery {
         let ramp = Ramp::new(0.2, 10_000 * MS, 1_000 * MS, &[1.0, 5.0, 2.0]);
-        let plan = Plan { ask_for: 1_000 * MS, together: 5_000 * MS, ramp };
+        let plan = Plan { ask_for: 1_000 * MS, list_for: 1_500 * MS, together: 5_000 * MS, ramp };
         Recovery::new(plan, peers.iter().copied(), 100 * MS)
     }
 
@@ -325,12 +331,15 @@
         one.answered(2, peer(2_000 * MS, Phase::Listing), 150 * MS);
         assert_eq!((one.phase(), one.reasons()), (Phase::Listing, vec![Reason::NoList]));
         one.listed(true, false, 160 * MS);
+        // Discovery's own list is waited for, but not for long.
+        assert_eq!((one.phase(), one.due()), (Phase::Listing, Some(1_600 * MS)));
+        one.tick(1_600 * MS);
         assert_eq!((one.phase(), one.distrusts_hosts()), (Phase::Returning, true));
-        one.listed(true, true, 200 * MS);
+        one.listed(true, true, 1_700 * MS);
         assert!(!one.distrusts_hosts(), "discovery knows when each started");
-        one.tick(10_159 * MS);
+        one.tick(11_599 * MS);
         assert_eq!(one.phase(), Phase::Returning);
-        one.tick(10_160 * MS);
+        one.tick(11_600 * MS);
         let told: Vec<(Phase, Phase)> = one.take_changes().iter().map(|c| (c.from, c.to)).collect();
         let way = [Phase::Asking, Phase::Listing, Phase::Returning, Phase::Full];
         assert_eq!(told, way.windows(2).map(|w| (w[0], w[1])).collect::<Vec<_>>());
