Beside a store that an operator begins anew no member begins another

Cause, from the order of answers: the member whose set-up says that it begins asks with an empty file; the one that was recovered from a file answers that it has joined a store in which nobody has voted, which counts as none; so both begin, and each waits for all.

Change: who begins a store answers that it has a file; of two that begin, the one whose log goes further goes on, and nobody leaves a store for one that holds less.

--- a/store/src/member/rejoining.rs
+++ b/store/src/member/rejoining.rs
@@ -126,11 +126,13 @@
 
     /// Another member begins the store, with this one in it.
     pub(super) fn join(&mut self, from: u64, cluster: u64, life: u64, snapshot: Snapshot) {
+        // Of two that begin one store, as an operator may have it who begins it anew from a file, the one that has more goes on.
         let founding = self.rejoin.standing() == Standing::Founding;
+        let (own, other) = (rank(self.last()), rank(snapshot.position));
+        let gives_way = self.unvoted && if founding { other > own } else { other >= own };
         let body = if self.unvoted && self.cluster == cluster {
             Body::Joined
-        } else if (self.unvoted && !founding || self.rejoin.standing() == Standing::Empty)
-            && snapshot.members == self.members
+        } else if (gives_way || self.rejoin.standing() == Standing::Empty) && snapshot.members == self.members
         {
             self.cluster = cluster;
             self.rejoin.restored();
--- a/store/src/rejoin.rs
+++ b/store/src/rejoin.rs
@@ -209,8 +209,10 @@
         let what = match self.standing {
             Standing::Lost => What::Lost,
             Standing::Empty => What::Empty,
+            // Whoever would begin a store hears of one that another begins.
+            Standing::Founding => What::Whole,
             _ if !voted => What::Joined,
-            Standing::Founding | Standing::Unjudged => What::Whole,
+            Standing::Unjudged => What::Whole,
             Standing::Sound => What::Sound,
         };
         let peer = self.peers.entry(from).or_default();
@@ -460,6 +462,11 @@
                 Verdict::Waits
             );
         }
+        // One that begins a store itself, as an operator has it do, is no reason to begin another.
+        let mut second = Rejoin::new(Standing::Founding, 5, false, 8, 0, BTreeMap::new());
+        let ask = first.ask(1, Position::default()).unwrap();
+        let (answer, _) = second.answer(1, &ask, 0, false, Position::default());
+        assert_eq!(first.told(5, 3, 0, answer), Verdict::Waits);
         // One that has lost its file knows that there was a store.
         assert_eq!(first.told(5, 0, 0, told(7, What::Lost, 0, false, Position::default())), Verdict::Waits);
         assert_eq!(first.told(5, 0, 0, told(7, What::Empty, 0, false, Position::default())), Verdict::Founds);
