What is known of others is noted only once someone has voted, also by who begins the store

A member that lost its file before anyone had voted started again from one, was told of a newer file, and took itself for lost; three of five then waited for ever.

Change: notes are taken only where someone may have voted (Rejoin::answer).

--- a/store/src/rejoin.rs
+++ b/store/src/rejoin.rs
@@ -232,7 +232,7 @@
             }
         };
         // Only who will remember it may say that it has noted it. Before anyone has voted there is nothing to lose.
-        let keeps = matches!(what, What::Whole | What::Sound) && ask.past != Past::None && !newer;
+        let keeps = voted && matches!(what, What::Whole | What::Sound) && ask.past != Past::None && !newer;
         let noted = keeps && (told, ask.life) != (known, peer.life);
         if noted {
             let past = if ask.generation > peer.generation { Peer::default() } else { *peer };
