A cold server's share goes by the first answers, of the classes that have any

Cause: a cold host's budget rests on what a part costs (`Pace::least`), which stood at 0.3 of the aim until a class had eight answers, and the dearest class ruled, also one that nobody asks for. Where all hosts start cold that share (two parts in some ten seconds, at aims of 1.5 s) does not bring eight answers: the module waited for evidence that its own budget kept away.

Change: below eight answers the longest of them counts, never more than before, and classes without answers count only while none has any.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -560,12 +560,10 @@
             touched.insert(sent.server);
             server.judged = (server.judged + 1.0).min(JUDGED);
         }
-        match outcome {
-            Outcome::Ok => server.errors -= SAMPLE * server.errors,
-            Outcome::Error | Outcome::Full => {
-                (server.errors, server.erred) = (server.errors + SAMPLE * (1.0 - server.errors), now);
-            }
-            _ => {}
+        let failed = matches!(outcome, Outcome::Error | Outcome::Full);
+        server.erred = if failed { now } else { server.erred };
+        if failed || outcome == Outcome::Ok {
+            server.errors += SAMPLE * (f64::from(u8::from(failed)) - server.errors);
         }
         let sample = match outcome {
             Outcome::Ok => {
@@ -788,24 +786,24 @@
         server.cold_from.is_none_or(|from| from + self.settings.ramp <= self.now)
     }
 
-    /// A cold server's told budget over the told time: of what a warm server bears from this aggregator, which holds
-    /// for each of many alike, on average or at the best, or if more of one core, as none is told, shared by all.
+    /// A cold server's told budget over the told time: of what a warm one bears from this aggregator (alike for each of
+    /// many), on average or at best, or of one core's share at the dearest class with answers, before any at all classes'.
     fn cold_room(&self, server: &Server) -> bool {
         let s = &self.settings;
         let Some(from) = server.cold_from.filter(|_| s.fall > 0 && !self.is_warm(server)) else {
             return true;
         };
-        let age = self.now.saturating_sub(from) as f64 / s.ramp as f64;
-        let capacity = s.start_capacity + (1.0 - s.start_capacity) * age;
-        let work = self.pace.iter().map(|p| p.least).fold(1.0, f64::max) + s.call_work as f64;
+        let since = self.now.saturating_sub(from) as f64;
+        let capacity = s.start_capacity + (1.0 - s.start_capacity) * since / s.ramp as f64;
+        let least = self.pace.iter().map(|p| (!p.recent.is_empty(), p.least));
+        let work = least.fold((false, 1.0), |a, b| if b > a { b } else { a }).1 + s.call_work as f64;
         let warm = (1.0 / f64::from(s.aggregators) / work).max(self.borne());
         let parts = COLD_USED * s.tip_multiple * capacity * s.fall as f64 * warm;
         let most = if parts < 1.0 { COLD_SAVED } else { parts };
         let window = s.fall as f64 * most / parts;
         let recent = server.sent.iter().filter(|at| (self.now - **at) as f64 <= window).count();
         // With a share under one part aggregators take turns, or all would send theirs at the start.
-        let early =
-            parts < 1.0 && server.sent.is_empty() && age * (s.ramp as f64) < server.turn * window / most;
+        let early = parts < 1.0 && server.sent.is_empty() && since < server.turn * window / most;
         !early && recent as f64 + 1.0 <= most
     }
 
@@ -1052,12 +1050,14 @@
     fn add(&mut self, took: Time) {
         self.recent.push_front(took);
         self.recent.truncate(WINDOW);
-        if self.recent.len() >= WINDOW / 12 {
-            let mut sorted: Vec<Time> = self.recent.iter().copied().collect();
-            sorted.sort_unstable();
-            self.median = sorted[sorted.len() / 2].max(1) as f64;
-            self.p95 = sorted[sorted.len() * 95 / 100].max(1) as f64;
-            self.least = self.median.min(self.least * (1.0 + 0.1 / WINDOW as f64));
+        let mut sorted = Vec::from(self.recent.clone());
+        sorted.sort_unstable();
+        let at = |percent: usize| sorted[sorted.len() * percent / 100].max(1) as f64;
+        if sorted.len() < WINDOW / 12 {
+            self.least = self.p95.min(at(99)); // Too few for a usual time; a part costs the longest, at the most
+            return;
         }
+        (self.median, self.p95) = (at(50), at(95));
+        self.least = self.median.min(self.least * (1.0 + 0.1 / WINDOW as f64));
     }
 }
--- a/tests/second.rs
+++ b/tests/second.rs
@@ -276,3 +276,26 @@
         }
     }
 }
+
+/// All servers have just started, as after a loss of power, and parts are short against their aims: what the first of them
+/// cost says what the servers bear. Before, that was not known until eight answers of a class, which a cold server's share
+/// by the aim alone does not bring in seconds.
+#[test]
+fn the_first_answers_of_servers_that_all_start_cold_raise_what_each_is_sent() {
+    let mut world = World::new(|_, _| Takes::For(20 * MS));
+    let born = world.rig.now;
+    let cells = (0..CELLS).flat_map(|cell| [entry(100 + cell, cell), entry(200 + cell, cell)]);
+    let cold: Vec<Entry> = cells.map(|e| Entry { born, ..e }).collect();
+    world.turn(&[Event::List { kind: ListKind::Complete, entries: cold.into() }]);
+    world.run(5_000 * MS, 4.0);
+    assert!(world.answered(1) > 0.5, "{:?}", world.ends);
+    // Within any second no more than the stated multiple of what a server can do then, shared by three aggregators.
+    for sent in world.sent.values() {
+        for (at, from) in sent.iter().enumerate() {
+            let within = sent[at..].iter().take_while(|t| **t < from + 1_000 * MS).count() as f64;
+            let capacity = 0.18 + 0.82 * (from + 1_000 * MS - born) as f64 / (14_000 * MS) as f64;
+            let bears = 2.0 * capacity / 0.06 / 3.0;
+            assert!(within <= bears, "{within} parts within a second, {bears:.1} allowed");
+        }
+    }
+}
