A return takes back as much as index hosts are seen to bear, not only what a cold one must

Need: with the return by rule fewer queries were served whole than without. One cause: the ramp took the settings' least share (start_capacity) of a gatherer's own queries, whatever hosts bore of them: at six tenths of what warm hosts bear that uses a cold host to six tenths.

Never less than the settings' ramp; full service once everything is taken and borne.

The core notes ends only while a return is under way.

--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -64,6 +64,17 @@
     written: bool,
 }
 
+/// A query that has had its final answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ended {
+    /// When it came.
+    pub taken: Time,
+    /// The part of the time in which its class's answers are wanted that it took.
+    pub spent: f64,
+    /// Whether it was answered, and whole.
+    pub whole: bool,
+}
+
 /// The state between the wires and the module.
 pub struct Core {
     aggregator: Aggregator,
@@ -88,6 +99,8 @@
     actions: Vec<Action>,
     /// Final answers of this turn: they go out once all that they end has been given up.
     answers: Vec<(Caller, Answer)>,
+    /// Queries that ended since this was last asked for, where somebody asks.
+    ends: Option<Vec<Ended>>,
     last_turn: Time,
     next_id: u64,
 }
@@ -114,6 +127,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             answers: Vec::new(),
+            ends: None,
             last_turn: 0,
             next_id: 1,
         }
@@ -391,9 +405,8 @@
             && at <= now
         {
             self.deadlines.pop_first();
-            if let Some(query) = self.close(number) {
+            if let Some(query) = self.finish(number, Answer::Failed(Reason::TimeUp), now) {
                 tracing::warn!(query = &*query.name, "no decision in time");
-                self.answers.push((query.caller, Answer::Failed(Reason::TimeUp)));
                 self.events.push(Event::ClientLeft { id: QueryId(number) });
             }
         }
@@ -418,17 +431,12 @@
             }
             Action::Answer { query, whole } => self.answer(query.0, whole, now),
             Action::Refuse { query, hold_off } => {
-                if let Some(query) = self.close(query.0) {
+                if let Some(query) = self.finish(query.0, Answer::Refused { hold_off }, now) {
                     let held = now.saturating_sub(query.taken) / MS;
                     tracing::debug!(query = &*query.name, held, attempts = query.attempts, "refused");
-                    self.answers.push((query.caller, Answer::Refused { hold_off }));
-                }
-            }
-            Action::Fail { query } => {
-                if let Some(query) = self.close(query.0) {
-                    self.answers.push((query.caller, Answer::Failed(Reason::GivenUp)));
                 }
             }
+            Action::Fail { query } => drop(self.finish(query.0, Answer::Failed(Reason::GivenUp), now)),
             Action::WakeAt(at) => {
                 self.wakes.insert(at);
             }
@@ -510,9 +518,7 @@
         if within.is_empty() || weight + ROUNDING < floor {
             // An answer from less than the class's least share must never go out, whoever asked for it.
             tracing::error!(query = &*query.name, weight, "an answer from too few parts was held back");
-            if let Some(query) = self.close(number) {
-                self.answers.push((query.caller, Answer::Failed(Reason::GivenUp)));
-            }
+            self.finish(number, Answer::Failed(Reason::GivenUp), now);
             self.events.push(Event::ClientLeft { id: QueryId(number) });
             return;
         }
@@ -520,7 +526,8 @@
             self.second_step(number, within, honest, second_step);
             return;
         }
-        if let Some(query) = self.close(number) {
+        within.sort_by_key(|(shard, _)| *shard);
+        if let Some(query) = self.finish(number, Answer::Served { whole: honest, values: within }, now) {
             tracing::debug!(
                 query = &*query.name,
                 took = now.saturating_sub(query.taken) / MS,
@@ -528,8 +535,6 @@
                 attempts = query.attempts,
                 "answered"
             );
-            within.sort_by_key(|(shard, _)| *shard);
-            self.answers.push((query.caller, Answer::Served { whole: honest, values: within }));
         }
     }
 
@@ -556,6 +561,24 @@
         id
     }
 
+    /// Queries that ended since this was last asked, and whether they are to be noted from now on.
+    pub fn take_ends(&mut self, go_on: bool) -> Vec<Ended> {
+        std::mem::replace(&mut self.ends, go_on.then(Vec::new)).unwrap_or_default()
+    }
+
+    /// Ends a query with its final answer, which goes out at the end of the turn.
+    fn finish(&mut self, number: u64, answer: Answer, now: Time) -> Option<Query> {
+        let query = self.close(number)?;
+        if let Some(ends) = &mut self.ends {
+            let whole = matches!(answer, Answer::Served { whole: true, .. });
+            let aim = self.settings.classes[query.class].aim.max(1);
+            let spent = now.saturating_sub(query.taken) as f64 / aim as f64;
+            ends.push(Ended { taken: query.taken, spent, whole });
+        }
+        self.answers.push((query.caller, answer));
+        Some(query)
+    }
+
     fn close(&mut self, number: u64) -> Option<Query> {
         let query = self.queries.remove(&number)?;
         self.callers.remove(&query.caller);
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -93,7 +93,7 @@
                 let world = &mut *cx.world;
                 let ask = query::parse(head, body, caller, cx.since, &world.core, cx.now, &world.limits);
                 if let (Ok(ask), Some(returning)) = (&ask, &mut world.returning)
-                    && let Turn::Later(wait) = returning.admit(ask.class, cx.now)
+                    && let Turn::Later(wait) = returning.admit(ask.class, ask.arrived)
                 {
                     // Where no time to return may be told, none is.
                     let hold_off = wait.min(world.core.longest_hold_off());
--- a/bitternsill/src/recovery/mod.rs
+++ b/bitternsill/src/recovery/mod.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::net::Net;
 use ::recovery::Time;
+use ::recovery::bearing::Came;
 use ::recovery::phase::{Phase, Plan, Recovery};
 use ::recovery::ramp::{Ramp, Turn};
 use bramblestair::interface::{ListKind, Settings};
@@ -63,7 +64,8 @@
         let ramp = Ramp::new(settings.start_capacity, settings.ramp, most, &worth);
         let ms = Limits::ms;
         let (ask_for, together) = (ms(setup.ask_ms), ms(setup.together_s.saturating_mul(1_000)));
-        let plan = Plan { ask_for, list_for, together, ramp };
+        let ends_within = settings.classes.iter().map(|class| class.aim).max().unwrap_or(0);
+        let plan = Plan { ask_for, list_for, together, ramp, ends_within };
         for (peer, address) in peers {
             net.open(Box::new(questions::Question::new(*peer, *address)));
         }
@@ -82,9 +84,9 @@
         &mut self.recovery
     }
 
-    /// Whether a query is taken now, and if not when it should come again.
-    pub fn admit(&mut self, class: usize, now: Time) -> Turn {
-        self.recovery.admit(class, self.rng.f64(), now)
+    /// Whether a query that came then is taken, and if not when it should come again.
+    pub fn admit(&mut self, class: usize, came: Time) -> Turn {
+        self.recovery.admit(class, self.rng.f64(), came)
     }
 
     /// Carries out what time has brought. Gives the list from before once it may be used.
@@ -110,6 +112,13 @@
 impl Gatherer {
     /// The return goes on, where there is one.
     pub fn go_on_returning(&mut self, net: &mut Net<Self>, now: Time) {
+        if let Some(Return { recovery, .. }) = &mut self.returning {
+            // What comes of queries is noted only while something hangs on it.
+            let ends = self.core.take_ends(recovery.phase() == Phase::Returning);
+            for end in ends {
+                recovery.ended(end.taken, Came::after(end.spent, end.whole), now);
+            }
+        }
         let Some(kept) = self.returning.as_mut().and_then(|returning| returning.turn(now)) else { return };
         let told = self.returning.as_ref().is_some_and(|returning| returning.recovery.is_confirmed());
         // What discovery has told meanwhile is newer.
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod bearing;
 pub mod phase;
 pub mod ramp;
 
--- a/recovery/src/phase.rs
+++ b/recovery/src/phase.rs
@@ -1,6 +1,7 @@
 //! The phases, and what leads from one to the next.
 
 use crate::Time;
+use crate::bearing::{Bearing, Came};
 use crate::ramp::{Ramp, Turn};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -58,6 +59,8 @@
     NobodyAnswered,
     /// The index hosts that started anew are warm.
     Warm,
+    /// All that clients ask was taken, and answered whole in its time.
+    Borne,
 }
 
 impl fmt::Display for Reason {
@@ -71,6 +74,7 @@
             Reason::AloneAway => f.write_str("a peer serves in full: this gatherer alone was away"),
             Reason::NobodyAnswered => f.write_str("no peer answered: held to be a loss of power"),
             Reason::Warm => f.write_str("the index hosts have had their time to warm up"),
+            Reason::Borne => f.write_str("all that clients ask was taken, and answered whole in its time"),
         }
     }
 }
@@ -86,6 +90,8 @@
     pub together: Time,
     /// How index hosts warm up and what classes are worth.
     pub ramp: Ramp,
+    /// Every query has its answer within this time.
+    pub ends_within: Time,
 }
 
 /// What a peer answers.
@@ -124,6 +130,8 @@
     confirmed: bool,
     /// Whether all return: what is served is ramped.
     together: bool,
+    /// What index hosts were seen to bear since the return began.
+    bearing: Bearing,
     why: Vec<Reason>,
     changes: Vec<Change>,
 }
@@ -132,6 +140,7 @@
     /// A gatherer that starts now, with these peers.
     pub fn new(plan: Plan, peers: impl IntoIterator<Item = u64>, now: Time) -> Recovery {
         let mut recovery = Recovery {
+            bearing: Bearing::new(plan.ramp.start, plan.ends_within, now),
             plan,
             phase: Phase::Asking,
             started: now,
@@ -197,7 +206,10 @@
         match self.phase {
             Phase::Asking => Some(self.started.saturating_add(self.plan.ask_for)),
             Phase::Listing if self.listed => Some(self.started.saturating_add(self.plan.list_for)),
-            Phase::Returning => Some(self.since.saturating_add(self.plan.ramp.lasts)),
+            Phase::Returning => {
+                let warm = self.since.saturating_add(self.plan.ramp.lasts);
+                Some(self.bearing.due().map_or(warm, |due| due.min(warm)))
+            }
             Phase::Listing | Phase::Full => None,
         }
     }
@@ -223,14 +235,30 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Time) {
+        if self.phase == Phase::Returning {
+            self.bearing.judge(now);
+        }
         self.settle(now);
     }
 
     /// Whether a query of a class is taken; if not, after how long it should come again. `draw` is from 0 to 1, anew for each.
-    pub fn admit(&self, class: usize, draw: f64, now: Time) -> Turn {
-        match self.phase {
-            Phase::Returning => self.plan.ramp.admit(class, now.saturating_sub(self.since), draw),
-            _ => Turn::Taken,
+    pub fn admit(&mut self, class: usize, draw: f64, now: Time) -> Turn {
+        if self.phase != Phase::Returning {
+            return Turn::Taken;
+        }
+        let after = now.saturating_sub(self.since);
+        let turn = self.plan.ramp.admit(class, after, self.bearing.share(), draw);
+        if turn == Turn::Taken {
+            self.bearing.took(now);
+        }
+        turn
+    }
+
+    /// A query that was taken then has ended.
+    pub fn ended(&mut self, taken: Time, came: Came, now: Time) {
+        if self.phase == Phase::Returning {
+            self.bearing.ended(taken, came, now);
+            self.settle(now);
         }
     }
 
@@ -241,6 +269,7 @@
     fn go(&mut self, to: Phase, why: Vec<Reason>, now: Time) {
         let (from, lasted) = (self.phase, now.saturating_sub(self.since));
         (self.phase, self.since, self.why) = (to, now, why.clone());
+        self.bearing = Bearing::new(self.plan.ramp.start, self.plan.ends_within, now);
         self.changes.push(Change { from, lasted, to, why });
     }
 
@@ -267,6 +296,8 @@
         }
         if self.phase == Phase::Returning && now >= self.since.saturating_add(self.plan.ramp.lasts) {
             self.go(Phase::Full, vec![Reason::Warm], now);
+        } else if self.phase == Phase::Returning && self.bearing.is_proved() {
+            self.go(Phase::Full, vec![Reason::Borne], now);
         }
     }
 
@@ -302,7 +333,13 @@
 
     fn start(peers: &[u64]) -> Recovery {
         let ramp = Ramp::new(0.2, 10_000 * MS, 1_000 * MS, &[1.0, 5.0, 2.0]);
-        let plan = Plan { ask_for: 1_000 * MS, list_for: 1_500 * MS, together: 5_000 * MS, ramp };
+        let plan = Plan {
+            ask_for: 1_000 * MS,
+            list_for: 1_500 * MS,
+            together: 5_000 * MS,
+            ramp,
+            ends_within: 3_000 * MS,
+        };
         Recovery::new(plan, peers.iter().copied(), 100 * MS)
     }
 
--- a/recovery/src/ramp.rs
+++ b/recovery/src/ramp.rs
@@ -2,7 +2,8 @@
 //!
 //! What index hosts bear together grows from a stated share to all of it over a stated time, and each gatherer has its share of
 //! the clients, so the share of its own queries that may be taken is the same for each: nobody needs to know how many are up.
-//! Classes are taken back by what they are worth. Others are told when their turn is, not all for one moment.
+//! That is the least; where [`crate::bearing`] has seen them bear more, more is taken. Classes are taken back by what they are
+//! worth. Others are told when their turn is, not all for one moment.
 
 use crate::Time;
 
@@ -46,16 +47,17 @@
         self.start + (1.0 - self.start) * after as f64 / self.lasts as f64
     }
 
-    /// The part of a class's queries that are taken after so long.
-    pub fn part(&self, class: usize, after: Time) -> f64 {
+    /// The part of a class's queries that are taken where this share of all is.
+    pub fn part(&self, class: usize, share: f64) -> f64 {
         // A class that came with other settings goes last.
         let place = self.places.get(class).copied().unwrap_or(self.places.len().saturating_sub(1));
-        (self.share(after) * self.places.len().max(1) as f64 - place as f64).clamp(0.0, 1.0)
+        (share * self.places.len().max(1) as f64 - place as f64).clamp(0.0, 1.0)
     }
 
-    /// Whether a query of a class is taken after so long. `draw` is from 0 to 1, anew for each query.
-    pub fn admit(&self, class: usize, after: Time, draw: f64) -> Turn {
-        if draw < self.part(class, after) || after >= self.lasts {
+    /// Whether a query of a class is taken after so long, where index hosts were seen to bear a share of all queries. `draw` is
+    /// from 0 to 1, anew for each query.
+    pub fn admit(&self, class: usize, after: Time, borne: f64, draw: f64) -> Turn {
+        if draw < self.part(class, self.share(after).max(borne)) || after >= self.lasts {
             return Turn::Taken;
         }
         // When half of its queries are taken, at the latest; spread, so that not all come at that moment.
@@ -76,7 +78,7 @@
     #[test]
     fn classes_come_back_by_worth_and_no_more_is_taken_than_hosts_bear() {
         let ramp = Ramp::new(0.2, 10 * S, 4 * S, &[1.0, 5.0, 2.0]);
-        let parts = |after| [1, 2, 0].map(|class| ramp.part(class, after));
+        let parts = |after| [1, 2, 0].map(|class| ramp.part(class, ramp.share(after)));
         assert_eq!(parts(0), [0.6000000000000001, 0.0, 0.0]);
         for tenth in 0..100 {
             let after = tenth * S / 10;
@@ -87,7 +89,7 @@
             assert!((taken - ramp.share(after)).abs() < 1e-9);
         }
         assert_eq!(parts(10 * S), [1.0; 3]);
-        assert_eq!(ramp.part(7, 0), 0.0, "a class that nobody knew goes last");
+        assert_eq!(ramp.part(7, 0.2), 0.0, "a class that nobody knew goes last");
     }
 
     #[test]
@@ -97,7 +99,7 @@
         let mut waits = Vec::new();
         for _ in 0..1000 {
             // A draw that is refused lies above the part that is taken.
-            match ramp.admit(0, S, rng.f64()) {
+            match ramp.admit(0, S, 0.0, rng.f64()) {
                 Turn::Later(wait) => waits.push(wait),
                 Turn::Taken => panic!("the least class has no turn yet"),
             }
@@ -106,7 +108,8 @@
         assert!(waits[0] >= 2 * S && waits[999] <= 4 * S);
         let most_in_a_tenth = waits.windows(150).map(|w| w[149] - w[0]).min().unwrap();
         assert!(most_in_a_tenth > S / 5, "150 of 1000 within {most_in_a_tenth} ns");
-        assert_eq!(ramp.admit(1, 3 * S, 0.99), Turn::Taken);
-        assert_eq!(Ramp::new(1.0, 0, S, &[1.0]).admit(0, 0, 0.99), Turn::Taken);
+        assert_eq!(ramp.admit(1, 3 * S, 0.0, 0.99), Turn::Taken);
+        assert_eq!(ramp.admit(0, S, 1.0, 0.99), Turn::Taken, "seen to be borne");
+        assert_eq!(Ramp::new(1.0, 0, S, &[1.0]).admit(0, 0, 0.0, 0.99), Turn::Taken);
     }
 }
--- a/recovery/tests/fleet.rs
+++ b/recovery/tests/fleet.rs
@@ -23,7 +23,7 @@
 
 fn plan() -> Plan {
     let ramp = Ramp::new(0.2, RAMP, 2_000 * MS, &[1.0, 3.0]);
-    Plan { ask_for: ASK, list_for: LIST, together: 3_000 * MS, ramp }
+    Plan { ask_for: ASK, list_for: LIST, together: 3_000 * MS, ramp, ends_within: 2_000 * MS }
 }
 
 /// Plays a fleet; what was wrong.
