A dead server uses up no part's attempts, and a query is as wide as the servers it meets

The other server of the set had no room, so idle servers left out as sick were taken (`other`), and what refuses connections is idle always. The guard against what fails at once (`failing`) counted errors and full servers alone. Ruled out: attempts at silent servers (4 time-outs), scouts (their parts were answered). Second cause: a query's width was counted in parts (`share`), also where several parts go to one server: on P ten parts on five sets passed for ten of ten servers, and above two fifths the rest waited for the scout's whole answer.

Change: a refused connection counts as a failure at once, unless most servers are found slow or failing, which is this gatherer's own trouble.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -300,8 +300,7 @@
         carry(&mut self.tries, new.tries, from);
         carry(&mut self.usual, new.usual, from);
         carry(&mut self.peers, new.peers, from);
-        let anew = vec![(1.0, 0); from.len()];
-        self.servers.values_mut().for_each(|s| carry(&mut s.slowness, anew.clone(), from));
+        self.servers.values_mut().for_each(|s| carry(&mut s.slowness, vec![(1.0, 0); from.len()], from));
         (self.aim, self.settings) = (new.aim, new.settings);
     }
 
@@ -552,7 +551,7 @@
 
     /// What an ended attempt says of its server.
     fn judge(&mut self, sent: &Sent, outcome: Outcome, took: Time) {
-        let (aim, now) = (self.settings.classes[sent.class].aim, self.now);
+        let (aim, now, common) = (self.settings.classes[sent.class].aim, self.now, self.peers[sent.class]);
         let ratio = (took as f64 / self.pace[sent.class].median).min(FAILURE);
         let Some(server) = self.servers.get_mut(&sent.server) else { return };
         server.answered = if matches!(outcome, Outcome::Ok | Outcome::Error) { now } else { server.answered };
@@ -560,7 +559,8 @@
             touched.insert(sent.server);
             server.judged = (server.judged + 1.0).min(JUDGED);
         }
-        let failed = matches!(outcome, Outcome::Error | Outcome::Full);
+        let refused = outcome == Outcome::ConnectFailed && common < SICK; // Where none can be made, no server's fault
+        let failed = refused || matches!(outcome, Outcome::Error | Outcome::Full);
         server.erred = if failed { now } else { server.erred };
         if failed || outcome == Outcome::Ok {
             server.errors += SAMPLE * (f64::from(u8::from(failed)) - server.errors);
@@ -853,7 +853,7 @@
         for (_, _, _, number) in order {
             let query = &self.queries[&number];
             // A deadly query kills as its part begins: a scout that lives on proves it. Haste allows none.
-            let share = query.parts.len() as f64 / self.ready.max(1) as f64;
+            let share = query.parts.len().min(self.settings.cells as usize) as f64 / self.ready.max(1) as f64;
             let enough = (SCOUT_WAIT * share * self.pace[query.class].median) as Time;
             let calm = self.now >= self.doubt_until && share <= COMMON;
             // One whose server has fallen silent proves nothing any more.
--- a/tests/second.rs
+++ b/tests/second.rs
@@ -299,3 +299,38 @@
         }
     }
 }
+
+/// Followed on a day with dead servers and no list that says so: a part went three times in 15 ms to the one of its set that
+/// refuses connections, as the other had no room, and its query was refused. Such a server is idle always.
+#[test]
+fn a_server_that_refuses_connections_uses_up_no_attempts_while_the_other_of_its_set_is_busy() {
+    let dead = |server: ServerId, _| match server.0 {
+        100 => Takes::Refuses,
+        200 => Takes::For(600 * MS),
+        _ => Takes::For(PART),
+    };
+    let mut world = World::new(dead);
+    world.run(30_000 * MS, 5.0);
+    // One try in each quarter of the least aim, and some before it is known.
+    let sent = world.sent[&ServerId(100)].len();
+    assert!(sent <= 90, "{sent} sends to what is dead");
+    assert!((0..3).all(|class| world.answered(class) > 0.5), "{:?}", world.ends);
+}
+
+/// Twelve parts on six sets of three servers each go to six servers of eighteen, and not to two thirds of them: a query that
+/// kills what it meets can kill no more, so its scout is trusted after a part of a median and need not answer first.
+#[test]
+fn a_wide_query_is_as_wide_as_the_servers_that_it_meets() {
+    let mut rig = Rig::new(settings());
+    let more = (0..CELLS).flat_map(|cell| [entry(200 + cell, cell), entry(300 + cell, cell)]);
+    rig.turn(MS, &[Event::List { kind: ListKind::Partial, entries: more.collect() }]);
+    rig.warm_up(PART, &[0, 1, 2, 3, 4, 5]);
+    let shards: Vec<u32> = (0..12).collect();
+    let (_, events) = rig.query(1, 6000 * MS, &shards);
+    rig.turn(2000 * MS, &events);
+    assert_eq!(rig.sends().len(), 1, "a scout goes ahead");
+    rig.turn(PART / 4, &[Event::Wake]);
+    assert_eq!(rig.sends().len(), 0, "it is not trusted yet");
+    rig.turn(PART * 3 / 4, &[Event::Wake]);
+    assert_eq!(rig.sends().len(), 11, "nothing died of it");
+}
