--- /dev/null
+++ b/versions/src/audit.rs
@@ -0,0 +1,367 @@
+//! Whether anything was done under a version that was not in force any more, by each gatherer's own trail.
+//!
+//! Each trail is judged on its own clock alone, as clocks of other machines say nothing: acts under a version are within the
+//! bound for as long as the validity lasts from a moment at which the gatherer *asked* and was told that this one is active.
+
+use crate::standing::Standing;
+use crate::trail::{Broken, Entry, Mark, read};
+use crate::{Time, Version};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Something found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Finding {
+    /// Queries were taken under a version longer after its last proof than the validity, by one that may not go on so.
+    Beyond {
+        /// The version.
+        version: Version,
+        /// The class.
+        class: String,
+        /// So much later than the bound the last one was.
+        by: Time,
+        /// How many may have been, at the most.
+        count: u64,
+    },
+    /// The same by one of those that go on without a store.
+    Kept {
+        /// The version.
+        version: Version,
+        /// The last one, after the bound.
+        by: Time,
+        /// How many may have been, at the most.
+        count: u64,
+    },
+    /// It says that the store told it of a version that the store never had.
+    NeverActive(Version),
+    /// It says that it was told of an earlier version after a later one.
+    WentBack(Version, Version),
+    /// Its trail does not hold from here on: what came then is not known.
+    Broken(Broken),
+    /// There is no trail of it: nothing is known.
+    NoTrail,
+}
+
+impl Finding {
+    /// Whether it means that something was done that must not have been; `None` where that is not known.
+    pub fn is_wrong(&self) -> Option<bool> {
+        match self {
+            Finding::Beyond { .. } | Finding::NeverActive(_) | Finding::WentBack(..) => Some(true),
+            Finding::Kept { .. } => Some(false),
+            Finding::Broken(_) | Finding::NoTrail => None,
+        }
+    }
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = |time: &Time| time / 1_000_000;
+        match self {
+            Finding::Beyond { version, class, by, count } => {
+                let by = ms(by);
+                write!(f, "up to {count} queries of {class} under version {version}, {by} ms beyond its end")
+            }
+            Finding::Kept { version, by, count } => {
+                let by = ms(by);
+                write!(
+                    f,
+                    "kept in service: up to {count} queries under version {version}, {by} ms beyond its end"
+                )
+            }
+            Finding::NeverActive(version) => {
+                write!(f, "was told of version {version}, which never was active")
+            }
+            Finding::WentBack(from, to) => write!(f, "was told of version {to} after {from}"),
+            Finding::Broken(broken) => write!(f, "its trail does not hold: {broken}"),
+            Finding::NoTrail => f.write_str("there is no trail of it: not known"),
+        }
+    }
+}
+
+/// A stretch over which a gatherer acted on a version, on its own clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Span {
+    /// The life.
+    pub life: u64,
+    /// The wall clock at the life's begin, less its own clock then: what makes of its times moments for people.
+    pub wall_ms: i64,
+    /// The version.
+    pub version: Version,
+    /// When the first and the last query was taken.
+    pub taken: (Time, Time),
+    /// How many.
+    pub count: u64,
+}
+
+/// What is known of one gatherer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Report {
+    /// What it acted on, in order.
+    pub spans: Vec<Span>,
+    /// What was found.
+    pub findings: Vec<Finding>,
+}
+
+/// Judges one gatherer's trail, with every version that the store ever made active.
+pub fn judge(entries: &[Entry], broken: Option<Broken>, active: &BTreeSet<Version>) -> Report {
+    let mut report = Report::default();
+    let (mut life, mut wall_ms, mut validity) = (0, 0, 0);
+    // By version: when it was last asked for with that answer; and which of them it goes on under without a store.
+    let (mut proofs, mut kept) = (BTreeMap::<Version, Time>::new(), BTreeSet::<Version>::new());
+    let (mut told, mut runs, mut stands_kept) = (0, 0, false);
+    for Entry { at, mark } in entries {
+        match mark {
+            Mark::Began { life: new, wall, validity: of, .. } => {
+                (life, validity) = (*new, *of);
+                wall_ms = *wall as i64 - (*at / 1_000_000) as i64;
+                (proofs, kept) = (BTreeMap::new(), BTreeSet::new());
+                (told, runs, stands_kept) = (0, 0, false);
+            }
+            Mark::Proved { asked, version } => {
+                let proof = proofs.entry(*version).or_insert(*asked);
+                *proof = (*proof).max(*asked);
+                if *version != 0 && !active.contains(version) {
+                    report.findings.push(Finding::NeverActive(*version));
+                }
+                if *version < told {
+                    report.findings.push(Finding::WentBack(told, *version));
+                }
+                told = told.max(*version);
+            }
+            Mark::Runs { version, keeper } => {
+                if *keeper {
+                    kept.insert(*version);
+                } else {
+                    kept.remove(version);
+                }
+                // It came to be active after the last moment for which the former was proved.
+                let former = proofs.get(&std::mem::replace(&mut runs, *version)).copied();
+                if let Some(former) = former {
+                    let proof = proofs.entry(*version).or_insert(former);
+                    *proof = (*proof).max(former);
+                }
+            }
+            Mark::Stands { standing } => stands_kept |= *standing == Standing::Kept,
+            Mark::Acts { version, class, taken, count, .. } => {
+                let ends = proofs.get(version).map_or(0, |asked| asked.saturating_add(validity));
+                if taken.1 >= ends {
+                    let by = taken.1 - ends;
+                    let (version, count, class) = (*version, *count, class.clone());
+                    // Whoever goes on so has said that it does.
+                    let may = kept.contains(&version) && stands_kept;
+                    let beyond = Finding::Beyond { version, class, by, count };
+                    report.findings.push(if may { Finding::Kept { version, by, count } } else { beyond });
+                }
+                match report.spans.last_mut().filter(|s| s.life == life && s.version == *version) {
+                    Some(span) => {
+                        span.taken = (span.taken.0.min(taken.0), span.taken.1.max(taken.1));
+                        span.count += count;
+                    }
+                    None => {
+                        let (version, taken, count) = (*version, *taken, *count);
+                        report.spans.push(Span { life, wall_ms, version, taken, count });
+                    }
+                }
+            }
+            Mark::Called { .. } | Mark::Follows { .. } => {}
+        }
+    }
+    report.findings.extend(broken.map(Finding::Broken));
+    report
+}
+
+/// What the store was told of a trail: so many lines of a segment, and the hash of the last of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Digest {
+    /// The segment.
+    pub segment: u64,
+    /// Lines.
+    pub length: u64,
+    /// The hash.
+    pub hash: String,
+}
+
+/// Puts segments of one trail together, from the oldest that is left on: what holds, and where it holds no longer. A segment
+/// that does not follow from the one before it, and a trail that is shorter than the store was told, are broken too.
+///
+/// `told` has each trail that the gatherer ever had, by its number.
+pub fn join(segments: &BTreeMap<u64, String>, told: &BTreeMap<u64, Digest>) -> (Vec<Entry>, Option<Broken>) {
+    let (mut all, mut before) = (Vec::new(), None::<(u64, String)>);
+    let first = segments.values().next().and_then(|text| read(text).0.into_iter().next());
+    let own = match first {
+        Some(Entry { mark: Mark::Follows { trail, .. }, .. }) => Some(trail),
+        _ => None,
+    };
+    let digest = own.and_then(|own| told.get(&own));
+    for (number, text) in segments {
+        let (entries, chain, broken) = read(text);
+        let line = entries.len();
+        if let Some(Entry { mark: Mark::Follows { segment, hash, .. }, .. }) = entries.first() {
+            let follows = before.as_ref().is_none_or(|(at, last)| at + 1 == *number && last == hash);
+            if segment != number || !follows {
+                return (
+                    all,
+                    Some(Broken { line: 1, why: "its segment does not follow from the one before it" }),
+                );
+            }
+        }
+        all.extend(entries);
+        if let Some(broken) = broken {
+            return (all, Some(broken));
+        }
+        let told = digest.filter(|digest| digest.segment == *number);
+        if told.is_some_and(|told| hash_at(text, told.length) != Some(told.hash.as_str())) {
+            return (all, Some(Broken { line, why: "it is not what the store was told of it" }));
+        }
+        before = Some((*number, chain.hash));
+    }
+    let last = segments.last_key_value().map(|(number, _)| *number);
+    if told.keys().any(|trail| Some(*trail) != own) {
+        return (all, Some(Broken { line: 0, why: "an earlier trail that the store was told of is gone" }));
+    }
+    if digest.is_some_and(|digest| last.is_none_or(|last| last < digest.segment)) {
+        return (all, Some(Broken { line: 0, why: "segments that the store was told of are missing" }));
+    }
+    (all, None)
+}
+
+/// The hash that a line, counted from 1, begins with.
+fn hash_at(text: &str, line: u64) -> Option<&str> {
+    let at = usize::try_from(line).ok()?.checked_sub(1)?;
+    text.lines().nth(at)?.split_once(' ').map(|(hash, _)| hash)
+}
+
+/// How long two versions were acted on at one time, in milliseconds of the wall clocks that the gatherers told: for people.
+pub fn overlaps(reports: &BTreeMap<String, Report>) -> BTreeMap<(Version, Version), u64> {
+    let ms = |span: &Span| {
+        let at = |time: Time| span.wall_ms + (time / 1_000_000) as i64;
+        (at(span.taken.0), at(span.taken.1))
+    };
+    let mut whole: BTreeMap<Version, (i64, i64)> = BTreeMap::new();
+    for span in reports.values().flat_map(|report| &report.spans) {
+        let (from, to) = ms(span);
+        let all = whole.entry(span.version).or_insert((from, to));
+        *all = (all.0.min(from), all.1.max(to));
+    }
+    let mut overlaps = BTreeMap::new();
+    for (one, (_, last)) in &whole {
+        for (other, (first, _)) in whole.range(one + 1..) {
+            if last > first {
+                overlaps.insert((*one, *other), (last - first) as u64);
+            }
+        }
+    }
+    overlaps
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::trail::Chain;
+
+    const MS: Time = 1_000_000;
+
+    fn entries(marks: Vec<(u64, Mark)>) -> Vec<Entry> {
+        let began = Mark::Began { name: "g".to_owned(), life: 1, wall: 50_000, validity: 1000 * MS };
+        let first = Entry { at: 10 * MS, mark: began };
+        let rest = marks.into_iter().map(|(at, mark)| Entry { at: at * MS, mark });
+        [first].into_iter().chain(rest).collect()
+    }
+
+    fn acts(version: Version, first: u64, last: u64) -> Mark {
+        let (class, outcome) = ("page".to_owned(), "whole".to_owned());
+        Mark::Acts { version, class, outcome, taken: (first * MS, last * MS), count: 9 }
+    }
+
+    fn proved(asked: u64, version: Version) -> Mark {
+        Mark::Proved { asked: asked * MS, version }
+    }
+
+    fn found(marks: Vec<(u64, Mark)>) -> Vec<Finding> {
+        judge(&entries(marks), None, &BTreeSet::from([5, 9])).findings
+    }
+
+    #[test]
+    fn acts_within_the_validity_are_fine_and_each_beyond_it_is_named() {
+        let fine = vec![(20, proved(15, 5)), (900, proved(800, 5)), (1500, acts(5, 20, 1700))];
+        assert_eq!(found(fine), []);
+        // Told of the next version, it serves on under the former one until that one's validity is over.
+        let straggles = vec![(20, proved(15, 5)), (300, proved(300, 9)), (1100, acts(5, 20, 1014))];
+        assert_eq!(found(straggles), []);
+        let beyond = vec![(20, proved(15, 5)), (300, proved(300, 9)), (1100, acts(5, 20, 1015))];
+        let finding = Finding::Beyond { version: 5, class: "page".to_owned(), by: 0, count: 9 };
+        assert_eq!(found(beyond), [finding]);
+        // It switches before it has asked again: what held of the former holds of this.
+        let runs = |version| Mark::Runs { version, keeper: false };
+        let switches = vec![(20, proved(15, 5)), (21, runs(5)), (300, runs(9)), (1100, acts(9, 301, 1014))];
+        assert_eq!(found(switches), []);
+        let never = vec![(20, acts(5, 20, 21))];
+        assert_eq!(found(never)[0].is_wrong(), Some(true), "it was never told");
+    }
+
+    #[test]
+    fn one_that_goes_on_without_a_store_is_named_and_must_have_said_so() {
+        let runs = Mark::Runs { version: 5, keeper: true };
+        let kept = Mark::Stands { standing: Standing::Kept };
+        let go_on = vec![(20, proved(15, 5)), (21, runs.clone()), (1020, kept), (2000, acts(5, 20, 1990))];
+        assert_eq!(found(go_on), [Finding::Kept { version: 5, by: 975 * MS, count: 9 }]);
+        let silent = vec![(20, proved(15, 5)), (21, runs), (2000, acts(5, 20, 1990))];
+        assert_eq!(found(silent)[0].is_wrong(), Some(true));
+    }
+
+    #[test]
+    fn what_the_store_never_said_is_a_lie_and_what_is_missing_is_not_known() {
+        assert_eq!(found(vec![(20, proved(15, 7))]), [Finding::NeverActive(7)]);
+        assert_eq!(found(vec![(20, proved(15, 9)), (30, proved(25, 5))]), [Finding::WentBack(9, 5)]);
+        let broken = Broken { line: 3, why: "it is cut short" };
+        let report = judge(&entries(vec![]), Some(broken), &BTreeSet::new());
+        assert_eq!(report.findings[0].is_wrong(), None);
+    }
+
+    #[test]
+    fn segments_that_are_missing_and_trails_shorter_than_the_store_was_told_are_broken() {
+        let mut segments = BTreeMap::new();
+        let mut hash = String::new();
+        for segment in 0..3 {
+            let mut chain = Chain::default();
+            let mark = Mark::Follows { trail: 77, segment, hash: hash.clone() };
+            let begins = Entry { at: segment, mark };
+            let acts = Entry { at: 10 + segment, mark: acts(5, 1, 2) };
+            let text = chain.line(&begins) + "\n" + &chain.line(&acts) + "\n";
+            hash = chain.hash;
+            segments.insert(segment, text);
+        }
+        let digest = Digest { segment: 2, length: 2, hash };
+        let mut told = BTreeMap::from([(77, digest)]);
+        assert_eq!(join(&segments, &told).1, None);
+        let without = |gone: u64| {
+            let mut left = segments.clone();
+            left.remove(&gone);
+            join(&left, &told)
+        };
+        assert_eq!(without(0).1, None, "the oldest may have been let go");
+        assert_eq!(without(1).1.map(|broken| broken.line), Some(1));
+        assert_eq!(without(2).1.unwrap().why, "segments that the store was told of are missing");
+        let mut cut = segments.clone();
+        cut.insert(2, segments[&2].split_inclusive('\n').next().unwrap().to_owned());
+        let (held, broken) = join(&cut, &told);
+        assert_eq!((held.len(), broken.unwrap().why), (5, "it is not what the store was told of it"));
+        assert_eq!(join(&BTreeMap::new(), &BTreeMap::new()), (vec![], None));
+        assert!(join(&BTreeMap::new(), &told).1.is_some(), "all of it is gone");
+        told.insert(78, Digest { segment: 0, length: 1, hash: String::new() });
+        assert_eq!(
+            join(&segments, &told).1.unwrap().why,
+            "an earlier trail that the store was told of is gone"
+        );
+    }
+
+    #[test]
+    fn versions_that_were_acted_on_at_one_time_are_told() {
+        let of = |marks| judge(&entries(marks), None, &BTreeSet::from([5, 9]));
+        let early = of(vec![(20, proved(15, 9)), (600, acts(9, 400, 590))]);
+        let late = of(vec![(20, proved(15, 5)), (600, acts(5, 20, 550)), (650, acts(9, 560, 640))]);
+        assert_eq!(late.spans.len(), 2);
+        let reports = BTreeMap::from([("a".to_owned(), early), ("b".to_owned(), late)]);
+        assert_eq!(overlaps(&reports), BTreeMap::from([((5, 9), 150)]));
+    }
+}
--- /dev/null
+++ b/versions/src/trail.rs
@@ -0,0 +1,287 @@
+//! What a gatherer notes of its own acts: each line carries the hash of all before it, so that a trail that was cut or altered
+//! shows where. Acts are counted over stretches of time by version, class and outcome; what changes stands by itself.
+
+use crate::standing::Standing;
+use crate::{Time, Version};
+use serde_json::{Value as Json, json};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::fmt::{self, Write as _};
+
+/// Something noted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Mark {
+    /// A segment of the trail begins.
+    Follows {
+        /// A random number that the trail has had from its first segment on: one that was lost is not taken for the next.
+        trail: u64,
+        /// Which one, counted from 0.
+        segment: u64,
+        /// The hash of the last line of the one before it; empty where there was none.
+        hash: String,
+    },
+    /// A life of the gatherer began, at this wall clock (milliseconds; for people, nothing is judged by it).
+    Began {
+        /// Its name.
+        name: String,
+        /// A random number that tells this life from others.
+        life: u64,
+        /// The wall clock.
+        wall: u64,
+        /// How long what it is told holds.
+        validity: Time,
+    },
+    /// The store answered what was asked then: this version is active.
+    Proved {
+        /// When it was asked.
+        asked: Time,
+        /// The version.
+        version: Version,
+    },
+    /// It runs this version from now on; whether it goes on under it without a store.
+    Runs {
+        /// The version.
+        version: Version,
+        /// Whether it is a keeper.
+        keeper: bool,
+    },
+    /// Its standing changed.
+    Stands {
+        /// The new one.
+        standing: Standing,
+    },
+    /// So many queries of a class ended so, all taken under this version, between two moments.
+    Acts {
+        /// The version under which they were taken.
+        version: Version,
+        /// The class.
+        class: String,
+        /// What became of them.
+        outcome: String,
+        /// When the first and the last of them was taken.
+        taken: (Time, Time),
+        /// How many.
+        count: u64,
+    },
+    /// An operator's call was carried out under this version.
+    Called {
+        /// The version.
+        version: Version,
+        /// The call.
+        call: String,
+    },
+}
+
+/// A mark and when it was made, on the gatherer's own clock.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// When.
+    pub at: Time,
+    /// What.
+    pub mark: Mark,
+}
+
+const STANDINGS: [Standing; 5] =
+    [Standing::Current, Standing::Behind, Standing::Straggler, Standing::Kept, Standing::ShutOut];
+
+impl Entry {
+    fn json(&self) -> Json {
+        let mut json = match &self.mark {
+            Mark::Follows { trail, segment, hash } => {
+                json!({"trail": trail, "segment": segment, "follows": hash})
+            }
+            Mark::Began { name, life, wall, validity } => {
+                json!({"began": name, "life": life, "wall": wall, "validity": validity})
+            }
+            Mark::Proved { asked, version } => json!({"proved": version, "asked": asked}),
+            Mark::Runs { version, keeper } => json!({"runs": version, "keeper": keeper}),
+            Mark::Stands { standing } => json!({"stands": standing.to_string()}),
+            Mark::Acts { version, class, outcome, taken, count } => {
+                json!({"acts": version, "class": class, "outcome": outcome, "taken": [taken.0, taken.1], "count": count})
+            }
+            Mark::Called { version, call } => json!({"called": call, "version": version}),
+        };
+        json["at"] = self.at.into();
+        json
+    }
+
+    fn read(json: &Json) -> Option<Entry> {
+        let number = |key: &str| json[key].as_u64();
+        let text = |key: &str| json[key].as_str().map(str::to_owned);
+        let mark = if let Some(hash) = text("follows") {
+            Mark::Follows { trail: number("trail")?, segment: number("segment")?, hash }
+        } else if let Some(name) = text("began") {
+            Mark::Began { name, life: number("life")?, wall: number("wall")?, validity: number("validity")? }
+        } else if let Some(version) = number("proved") {
+            Mark::Proved { asked: number("asked")?, version }
+        } else if let Some(version) = number("runs") {
+            Mark::Runs { version, keeper: json["keeper"].as_bool()? }
+        } else if let Some(word) = text("stands") {
+            let standing = STANDINGS.into_iter().find(|standing| standing.to_string() == word)?;
+            Mark::Stands { standing }
+        } else if let Some(version) = number("acts") {
+            let taken = (json["taken"][0].as_u64()?, json["taken"][1].as_u64()?);
+            let (class, outcome) = (text("class")?, text("outcome")?);
+            Mark::Acts { version, class, outcome, taken, count: number("count")? }
+        } else {
+            Mark::Called { version: number("version")?, call: text("called")? }
+        };
+        Some(Entry { at: number("at")?, mark })
+    }
+}
+
+/// What the next line of a trail is bound to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Chain {
+    /// Lines so far.
+    pub length: u64,
+    /// The hash of the last one; empty before the first.
+    pub hash: String,
+}
+
+impl Chain {
+    /// The line of an entry, without its end.
+    pub fn line(&mut self, entry: &Entry) -> String {
+        let text = entry.json().to_string();
+        self.bind(&text);
+        format!("{} {text}", self.hash)
+    }
+
+    fn bind(&mut self, text: &str) {
+        let mut hash = Sha256::new();
+        hash.update(self.hash.as_bytes());
+        hash.update(self.length.to_le_bytes());
+        hash.update(text.as_bytes());
+        // Half of it is plenty to tell a change by, and half of the bytes.
+        self.hash = hash.finalize()[..16].iter().fold(String::new(), |mut hex, byte| {
+            let _ = write!(hex, "{byte:02x}");
+            hex
+        });
+        self.length += 1;
+    }
+}
+
+/// Where a trail does not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    /// The line, counted from 1.
+    pub line: usize,
+    /// What is wrong with it.
+    pub why: &'static str,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.why)
+    }
+}
+
+/// Reads a trail from its first line on: as much as holds, what the next line is bound to, and where it holds no longer.
+pub fn read(text: &str) -> (Vec<Entry>, Chain, Option<Broken>) {
+    let (mut entries, mut chain) = (Vec::new(), Chain::default());
+    for (at, line) in text.split_inclusive('\n').enumerate() {
+        let broken = |why| Some(Broken { line: at + 1, why });
+        let Some(whole) = line.strip_suffix('\n') else {
+            return (entries, chain, broken("it is cut short"));
+        };
+        let Some((hash, json)) = whole.split_once(' ') else {
+            return (entries, chain, broken("it has no hash"));
+        };
+        let mut next = chain.clone();
+        next.bind(json);
+        if next.hash != hash {
+            return (entries, chain, broken("it does not follow from those before it"));
+        }
+        let entry = serde_json::from_str(json).ok().and_then(|json| Entry::read(&json));
+        let Some(entry) = entry else { return (entries, chain, broken("it makes no sense")) };
+        entries.push(entry);
+        chain = next;
+    }
+    (entries, chain, None)
+}
+
+/// Acts counted since they were last noted.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    acts: BTreeMap<(Version, String, &'static str), (Time, Time, u64)>,
+}
+
+impl Ledger {
+    /// A query of a class that was taken then, under this version, has ended so.
+    pub fn count(&mut self, version: Version, class: &str, outcome: &'static str, taken: Time) {
+        // No key is made for what is there already: this is on the way of each query.
+        let known = self
+            .acts
+            .iter_mut()
+            .find(|((of, name, how), _)| *of == version && name == class && *how == outcome);
+        match known {
+            Some((_, (first, last, count))) => {
+                (*first, *last, *count) = ((*first).min(taken), (*last).max(taken), *count + 1);
+            }
+            None => drop(self.acts.insert((version, class.to_owned(), outcome), (taken, taken, 1))),
+        }
+    }
+
+    /// What was counted, and nothing is any more.
+    pub fn take(&mut self, at: Time) -> Vec<Entry> {
+        let acts = std::mem::take(&mut self.acts).into_iter();
+        acts.map(|((version, class, outcome), (first, last, count))| {
+            let (outcome, taken) = (outcome.to_owned(), (first, last));
+            Entry { at, mark: Mark::Acts { version, class, outcome, taken, count } }
+        })
+        .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn trail() -> (Vec<Entry>, String) {
+        let marks = [
+            Mark::Began { name: "g1".to_owned(), life: 7, wall: 1, validity: 8 },
+            Mark::Runs { version: 5, keeper: true },
+            Mark::Proved { asked: 3, version: 5 },
+            Mark::Stands { standing: Standing::Kept },
+            Mark::Called { version: 5, call: "exclude s-1".to_owned() },
+        ];
+        let mut entries: Vec<Entry> =
+            marks.into_iter().zip(10..).map(|(mark, at)| Entry { at, mark }).collect();
+        let mut ledger = Ledger::default();
+        [12, 19, 14].into_iter().for_each(|taken| ledger.count(5, "page", "whole", taken));
+        ledger.count(4, "page", "whole", 2);
+        entries.extend(ledger.take(20));
+        assert_eq!(ledger.take(21), []);
+        let mut chain = Chain::default();
+        let text = entries.iter().fold(String::new(), |text, entry| text + &chain.line(entry) + "\n");
+        (entries, text)
+    }
+
+    #[test]
+    fn a_trail_says_what_was_noted_and_where_it_was_cut_or_altered() {
+        let (entries, text) = trail();
+        let (read_back, chain, broken) = read(&text);
+        assert_eq!((&read_back, chain.length, broken), (&entries, 7, None));
+        let Mark::Acts { taken, count, .. } = &entries[6].mark else { panic!("{entries:?}") };
+        assert_eq!((*taken, *count), ((12, 19), 3));
+        // Any byte altered, in any line: everything before it holds, and nothing from there on.
+        for at in 0..text.len() {
+            let mut altered = text.clone().into_bytes();
+            altered[at] = if altered[at] == b'0' { b'1' } else { b'0' };
+            let altered = String::from_utf8(altered).unwrap();
+            let line = text[..at].matches('\n').count();
+            let (held, _, broken) = read(&altered);
+            assert_eq!(held, entries[..line], "byte {at}");
+            assert_eq!(broken.expect("it is seen").line, line + 1, "byte {at}");
+        }
+        // A line left out, or the end.
+        let lines: Vec<&str> = text.split_inclusive('\n').collect();
+        let without: String = lines[..3].iter().chain(&lines[4..]).copied().collect();
+        assert_eq!(
+            read(&without).2,
+            Some(Broken { line: 4, why: "it does not follow from those before it" })
+        );
+        let cut = &text[..text.len() - 3];
+        assert_eq!(read(cut).2.unwrap().why, "it is cut short");
+    }
+}
