--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -3,10 +3,10 @@
 use crate::admin::cli::{self as admin, Admin};
 use crate::conform::{self, Format, Protocol, Target};
 use crate::core::settings;
+use crate::fleet::{self, FleetCall};
 use crate::front::catalogue::setup::{self, Beside};
 use crate::learned::cli::{self as learned, Learned};
 use crate::limits::Limits;
-use crate::recovery::cli::{self as fleet, FleetCall};
 use crate::store::cli::{self as store_file, StoreCall};
 use crate::{config, describe, serve};
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -71,7 +71,7 @@
     /// Look at the file of a store's member.
     #[command(subcommand)]
     Store(StoreCall),
-    /// Ask a fleet how far it has come after a start.
+    /// Ask a fleet: how far it has come after a start, which versions it runs, who acted on which.
     #[command(subcommand)]
     Fleet(FleetCall),
     /// Call a running gatherer's door, as operators do by hand.
@@ -206,7 +206,10 @@
         }
         // A set-up says where to listen; what goes beside the platform's configuration does not.
         let problem = match json.get("listen") {
-            None if ["learning", "recovery", "store"].iter().any(|key| json.get(key).is_some()) => {
+            None if ["learning", "recovery", "store", "versions"]
+                .iter()
+                .any(|key| json.get(key).is_some()) =>
+            {
                 setup::read_operator(&json).err()
             }
             _ => setup::read(&json).err(),
--- a/bitternsill/src/core/classes.rs
+++ b/bitternsill/src/core/classes.rs
@@ -54,6 +54,11 @@
         found.max_by_key(|(_, slot)| strictness(&slot.class)).map(|(at, _)| at)
     }
 
+    /// The name that a slot's class has, or had last.
+    pub fn name(&self, slot: usize) -> &str {
+        self.slots.get(slot).map_or("", |slot| &slot.name)
+    }
+
     /// What the module is to work by: a class for each slot.
     pub fn table(&self) -> Vec<Class> {
         let retired = |s: &Slot| Class { retired: s.place.is_err(), ..s.class.clone() };
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -46,6 +46,8 @@
     opened: Option<(ServerId, Time)>,
     taken: Time,
     attempts: u32,
+    /// The version of the configuration under which it was taken.
+    version: u64,
 }
 
 struct Part {
@@ -73,6 +75,12 @@
     pub spent: f64,
     /// Whether it was answered, and whole.
     pub whole: bool,
+    /// Its class, by its slot.
+    pub class: usize,
+    /// What became of it, in a word.
+    pub outcome: &'static str,
+    /// The version of the configuration under which it was taken.
+    pub version: u64,
 }
 
 /// The state between the wires and the module.
@@ -101,6 +109,8 @@
     answers: Vec<(Caller, Answer)>,
     /// Queries that ended since this was last asked for, where somebody asks.
     ends: Option<Vec<Ended>>,
+    /// The version of the configuration that queries are taken under; 0 where there are none.
+    version: u64,
     last_turn: Time,
     next_id: u64,
 }
@@ -128,6 +138,7 @@
             actions: Vec::new(),
             answers: Vec::new(),
             ends: None,
+            version: 0,
             last_turn: 0,
             next_id: 1,
         }
@@ -157,6 +168,16 @@
         Some((class, self.settings.classes[class].effect == Effect::Keyed))
     }
 
+    /// Queries are taken under this version of the configuration from now on.
+    pub fn acts_on(&mut self, version: u64) {
+        self.version = version;
+    }
+
+    /// The name of a class, by its slot.
+    pub fn class_name(&self, slot: usize) -> &str {
+        self.classes.name(slot)
+    }
+
     /// What the program itself needs to know of the deployment.
     pub fn deployment(&self) -> &Deployment {
         &self.deployment
@@ -222,6 +243,7 @@
             opened: None,
             taken: ask.arrived,
             attempts: 0,
+            version: self.version,
         };
         self.queries.insert(number, query);
         Ok(())
@@ -570,10 +592,16 @@
     fn finish(&mut self, number: u64, answer: Answer, now: Time) -> Option<Query> {
         let query = self.close(number)?;
         if let Some(ends) = &mut self.ends {
-            let whole = matches!(answer, Answer::Served { whole: true, .. });
-            let aim = self.settings.classes[query.class].aim.max(1);
-            let spent = now.saturating_sub(query.taken) as f64 / aim as f64;
-            ends.push(Ended { taken: query.taken, spent, whole });
+            let outcome = match answer {
+                Answer::Served { whole: true, .. } => "whole",
+                Answer::Served { .. } => "partial",
+                Answer::Refused { .. } => "refused",
+                Answer::Failed(_) => "failed",
+            };
+            let Query { taken, class, version, .. } = query;
+            let aim = self.settings.classes[class].aim.max(1);
+            let spent = now.saturating_sub(taken) as f64 / aim as f64;
+            ends.push(Ended { taken, spent, whole: outcome == "whole", class, outcome, version });
         }
         self.answers.push((query.caller, answer));
         Some(query)
--- a/bitternsill/src/front/catalogue/setup.rs
+++ b/bitternsill/src/front/catalogue/setup.rs
@@ -6,6 +6,7 @@
 use crate::learned::LearningSetup;
 use crate::limits::MS;
 use crate::recovery::RecoverySetup;
+use crate::versions::VersionsSetup;
 use bramblestair::interface::{Settings, Time};
 use catalogue::session::{Access, Reader};
 use serde::Deserialize;
@@ -269,6 +270,7 @@
     learning: Option<LearningSetup>,
     store: Option<Store>,
     recovery: Option<RecoverySetup>,
+    versions: Option<VersionsSetup>,
 }
 
 /// What an installation has beside the platform's configuration.
@@ -280,6 +282,8 @@
     pub store: Option<StoreSetup>,
     /// How the gatherer returns after a start, where it does by rule.
     pub recovery: Option<RecoverySetup>,
+    /// Which version of the configuration it acts on, where the store has these.
+    pub versions: Option<VersionsSetup>,
 }
 
 /// Reads an operator's file for the platform's front.
@@ -290,7 +294,27 @@
     })?;
     let store = file.store.map(|store| read_store(json, store)).transpose()?;
     let recovery = read_recovery(json, file.recovery, store.as_ref())?;
-    Ok(Beside { learning: file.learning, store, recovery })
+    let versions = read_versions(json, file.versions, store.as_ref())?;
+    Ok(Beside { learning: file.learning, store, recovery, versions })
+}
+
+fn read_versions(
+    json: &Json,
+    versions: Option<VersionsSetup>,
+    store: Option<&StoreSetup>,
+) -> Result<Option<VersionsSetup>, SetupError> {
+    match &versions {
+        Some(_) if store.is_none() => {
+            Err(bad(json, "versions", "a `store` is wanted beside it: it has them"))
+        }
+        Some(setup) if !(1_000..=3_600_000).contains(&setup.validity_ms) => {
+            Err(bad(json, "versions.validity_ms", "allowed is 1000 to 3600000"))
+        }
+        Some(setup) if !(100..=600_000).contains(&setup.note_ms) => {
+            Err(bad(json, "versions.note_ms", "allowed is 100 to 600000"))
+        }
+        _ => Ok(versions),
+    }
 }
 
 fn read_recovery(
--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -18,6 +18,7 @@
 use crate::net::{Net, Token, World};
 use crate::recovery::Return;
 use crate::store::links::Shelf;
+use crate::versions::Versions;
 use bramblestair::interface::{ListKind, Outcome, ServerId, Time};
 use clients::ClientTable;
 use hosts::HostTable;
@@ -25,8 +26,10 @@
 use signals::Fresh;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use store::member::Write;
+use store::member::{Reply, Write};
 use turned::Turned;
+use versions::standing::Standing;
+use versions::trail::Entry;
 
 /// What connections are told.
 #[derive(Debug)]
@@ -55,8 +58,16 @@
     Write(Write),
     /// A line of the store, for a member or a watcher.
     Line(String),
-    /// When the store's timer is due.
+    /// When the store's timer is due, or another's.
     WakeAt(Time),
+    /// What came of something that was asked of the store.
+    Replied(Reply),
+    /// Keys of the store that this object is to be told of have changed.
+    StoreChanged,
+    /// A connection wants this gatherer's trail: which segment, and from which byte on.
+    TrailWanted(Token, u64, u64),
+    /// Entries for this gatherer's trail.
+    Noted(Vec<Entry>),
     /// The program is ending: take no more connections, close what is idle.
     Retire,
     /// The operators' door: a caller's connection has ended.
@@ -89,12 +100,16 @@
     NoHost,
     /// The gatherer returns, and has come no further than this.
     Returning(recovery::phase::Phase),
+    /// It may not act on the version that it runs, or an operator has it held back.
+    Version(Standing),
 }
 
 impl std::fmt::Display for Wait {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
             Wait::Returning(phase) => return write!(f, "the gatherer returns, and is {phase}"),
+            Wait::Version(Standing::ShutOut) => "the version that it runs is not known to be active",
+            Wait::Version(_) => "an operator has it held back",
             Wait::Ending => "the program has been told to end",
             Wait::SentAway => "clients are sent away by an operator",
             Wait::FirstList => "discovery has not told the list of index hosts yet",
@@ -131,6 +146,8 @@
     pub keeper: Option<Keeper>,
     /// The return after a start, where an operator's file asks for it.
     pub returning: Option<Return>,
+    /// Which version it acts on, where the store has these.
+    pub versions: Option<Versions>,
     /// When the program started.
     pub started: Time,
     /// What was turned away before it became a query.
@@ -155,6 +172,8 @@
             self.returning.as_ref().map(Return::state).filter(|state| !state.is_ready())
         {
             Some(Wait::Returning(state.phase()))
+        } else if let Some(versions) = self.versions.as_ref().filter(|versions| !versions.may_act(now)) {
+            Some(Wait::Version(versions.standing()))
         } else if self.ready_by.is_some_and(|by| by > now) {
             Some(Wait::FirstList)
         } else if !self.hosts.any_active() {
@@ -301,7 +320,11 @@
         let keeper = self.keeper.as_ref().map(Keeper::due);
         let waits = self.ready_by.filter(|_| self.said == Some(Wait::FirstList));
         let returning = self.returning.as_ref().and_then(|returning| returning.state().due());
-        [self.core.due(), phase, keeper, self.orders.due(), waits, returning].into_iter().flatten().min()
+        let noted = self.versions.as_ref().and_then(Versions::due);
+        [self.core.due(), phase, keeper, self.orders.due(), waits, returning, noted]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn turn(&mut self, net: &mut Net<Self>, now: Time) {
@@ -325,6 +348,7 @@
         if let Some(sweep) = self.orders.drain.sweep(now) {
             self.clients.sweep(net, sweep);
         }
+        self.note_ends(net, now);
         self.go_on_returning(net, now);
         self.advance(net, now);
         self.say_waits(now);
--- a/bitternsill/src/front/platform/client.rs
+++ b/bitternsill/src/front/platform/client.rs
@@ -92,6 +92,13 @@
                 let caller = Caller::only(cx.token.bits());
                 let world = &mut *cx.world;
                 let ask = query::parse(head, body, caller, cx.since, &world.core, cx.now, &world.limits);
+                // Asked with a clock read now: the process may have stood still since this round began.
+                if let (Ok(_), Some(versions)) = (&ask, &world.versions)
+                    && !versions.may_act(cx.net.now())
+                {
+                    let hold_off = world.core.longest_hold_off();
+                    return Handled::Done(query::respond(&Answer::Refused { hold_off }));
+                }
                 if let (Ok(ask), Some(returning)) = (&ask, &mut world.returning)
                     && let Turn::Later(wait) = returning.admit(ask.class, ask.arrived)
                 {
--- a/bitternsill/src/front/signals.rs
+++ b/bitternsill/src/front/signals.rs
@@ -115,8 +115,13 @@
             _ => return Err("with and without discovery: this takes a restart".into()),
         };
         // All that could fail has been read by now: the file is taken whole, or not at all.
-        if let Some(fresh) = settings {
-            cx.world.reconfigure(fresh, cx.now)?;
+        match settings {
+            // What the store has made active goes before the file of one gatherer.
+            Some(_) if cx.world.versions.as_ref().is_some_and(|versions| versions.runs() != 0) => {
+                tracing::warn!("the file's settings are not taken: the store's version is in force");
+            }
+            Some(fresh) => cx.world.reconfigure(fresh, cx.now)?,
+            None => {}
         }
         self.names = names;
         match (discovery, cx.world.directory) {
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -78,6 +78,16 @@
     pub store_log: usize,
     /// Keys that the store holds.
     pub store_keys: usize,
+    /// Sessions that the store holds.
+    pub store_sessions: usize,
+    /// Keys that one change names.
+    pub store_txn_keys: usize,
+    /// What is asked of the store through one member at once.
+    pub store_calls: usize,
+    /// Changes that are kept for those who watch from a revision on.
+    pub store_history: usize,
+    /// How long an answer of the store is waited for by those who ask in lines.
+    pub store_patience: Time,
     /// Between two heartbeats of the store's leader.
     pub store_heartbeat: Time,
     /// How long a member of the store waits for its leader, at the least.
@@ -232,7 +242,12 @@
             turn_step: MS / 5,
             turn_most: 5 * MS,
             store_log: 256,
-            store_keys: 64,
+            store_keys: 1_024,
+            store_sessions: 256,
+            store_txn_keys: 256,
+            store_calls: 256,
+            store_history: 1_024,
+            store_patience: 3_000 * MS,
             store_heartbeat: 150 * MS,
             store_election: 600 * MS,
             store_retry: 100 * MS,
--- a/bitternsill/src/recovery/cli.rs
+++ b/bitternsill/src/recovery/cli.rs
@@ -1,19 +1,12 @@
 //! `bitternsill fleet phase`: how far each gatherer has come, asked at the store's addresses.
 
-use clap::{Args, Subcommand, ValueEnum};
+use crate::store::client;
+use clap::{Args, ValueEnum};
 use serde_json::{Value as Json, json};
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-/// Ask a fleet.
-#[derive(Debug, Subcommand)]
-pub enum FleetCall {
-    /// Tell how far each gatherer has come after its start, and what it waits for. Exits with 0 if all have answered.
-    Phase(Phase),
-}
-
 /// Whom to ask.
 #[derive(Debug, Args)]
 pub struct Phase {
@@ -37,8 +30,7 @@
 }
 
 /// What is printed, and whether all have answered.
-pub fn run(call: &FleetCall) -> (String, bool) {
-    let FleetCall::Phase(call) = call;
+pub fn run(call: &Phase) -> (String, bool) {
     let patience = Duration::from_millis(call.patience);
     let asked: Vec<_> = call
         .at
@@ -46,7 +38,7 @@
         .map(|at| {
             (*at, {
                 let at = *at;
-                thread::spawn(move || ask(at, patience))
+                thread::spawn(move || client::line(at, super::ASK, patience))
             })
         })
         .collect();
@@ -97,16 +89,3 @@
     }
     line
 }
-
-fn ask(at: SocketAddr, patience: Duration) -> Result<Json, String> {
-    let late = |problem: std::io::Error| match problem.kind() {
-        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => "no answer in time".to_owned(),
-        _ => problem.to_string(),
-    };
-    let mut socket = TcpStream::connect_timeout(&at, patience).map_err(late)?;
-    socket.set_read_timeout(Some(patience)).map_err(late)?;
-    socket.write_all(format!("{}\n", super::ASK).as_bytes()).map_err(late)?;
-    let mut line = String::new();
-    BufReader::new(socket).read_line(&mut line).map_err(late)?;
-    serde_json::from_str(&line).map_err(|_| "the answer cannot be read; is it a gatherer's store?".to_owned())
-}
--- a/bitternsill/src/recovery/mod.rs
+++ b/bitternsill/src/recovery/mod.rs
@@ -9,7 +9,6 @@
 use crate::limits::Limits;
 use crate::net::Net;
 use ::recovery::Time;
-use ::recovery::bearing::Came;
 use ::recovery::phase::{Phase, Plan, Recovery};
 use ::recovery::ramp::{Ramp, Turn};
 use bramblestair::interface::{ListKind, Settings};
@@ -112,13 +111,6 @@
 impl Gatherer {
     /// The return goes on, where there is one.
     pub fn go_on_returning(&mut self, net: &mut Net<Self>, now: Time) {
-        if let Some(Return { recovery, .. }) = &mut self.returning {
-            // What comes of queries is noted only while something hangs on it.
-            let ends = self.core.take_ends(recovery.phase() == Phase::Returning);
-            for end in ends {
-                recovery.ended(end.taken, Came::after(end.spent, end.whole), now);
-            }
-        }
         let Some(kept) = self.returning.as_mut().and_then(|returning| returning.turn(now)) else { return };
         let told = self.returning.as_ref().is_some_and(|returning| returning.recovery.is_confirmed());
         // What discovery has told meanwhile is newer.
@@ -152,7 +144,8 @@
         let line = json!({
             "phase": state.map(|state| state.phase().to_string()), "why": state.map(why),
             "running_ms": now.saturating_sub(self.started) / 1_000_000, "ready": self.is_ready(now),
-            "waits_for": self.waits(now).map(|wait| wait.to_string()), "index_hosts": self.hosts.active(), "store": store
+            "waits_for": self.waits(now).map(|wait| wait.to_string()), "index_hosts": self.hosts.active(), "store": store,
+            "version": self.versions.as_ref().map(|versions| versions.line(now))
         });
         line.to_string() + "\n"
     }
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::recovery::{RecoverySetup, Return};
 use crate::store::disk::{Behaviour, Disk};
 use crate::store::links::{Incoming, Shelf};
+use crate::versions::{self, Prepare, Versions, VersionsSetup};
 use bramblestair::interface::{ListKind, Settings, Time};
 use catalogue::session;
 use learning::picture::Fleet;
@@ -57,6 +58,8 @@
     store: Option<StoreSetup>,
     learning: Option<LearningSetup>,
     recovery: Option<RecoverySetup>,
+    /// Which version it acts on, and what makes settings of a document.
+    versions: Option<(VersionsSetup, Prepare)>,
     /// What the store keeps of the front's set-up.
     setup: Json,
 }
@@ -85,6 +88,14 @@
         move |settings: &(Settings, Deployment)| Rc::new(limits(settings, sockets).with_memory(memory_mb));
     let limits = bounds(&settings);
     let accept: Accept = Box::new(|stream, world| HttpConnection::accept(Box::new(Platform), stream, world));
+    let fresh = move |json: &Json| -> Result<Fresh, ConfigError> {
+        let settings = settings::read(json).map_err(ConfigError::Settings)?;
+        let limits = bounds(&settings);
+        let connector = Box::new(FrameConnector { limits: limits.clone() });
+        let (settings, deployment) = settings;
+        Ok(Fresh { settings, deployment, limits, connector })
+    };
+    let prepare: Prepare = Box::new(move |json| fresh(json).map_err(|problem| problem.to_string()));
     run(Plan {
         name: config.name,
         settings,
@@ -96,18 +107,15 @@
         known: config.known,
         listeners: vec![(config.listen, accept)],
         reread: Box::new(move || {
-            let fresh = config::load(Some(config.path.clone()))?;
+            let (fresh, made) = (config::load(Some(config.path.clone()))?, fresh);
             fresh.shape.fits(&shape).map_err(ConfigError::Lacks)?;
-            let settings = settings::read(&fresh.settings).map_err(ConfigError::Settings)?;
-            let limits = bounds(&settings);
-            let connector = Box::new(FrameConnector { limits: limits.clone() });
-            let (settings, deployment) = settings;
-            let settings = Some(Fresh { settings, deployment, limits, connector });
+            let settings = Some(made(&fresh.settings)?);
             Ok(Reread { discovery: Some(fresh.discovery), members: Json::Null, settings })
         }),
         store: beside.store,
         learning: beside.learning,
         recovery: beside.recovery,
+        versions: beside.versions.map(|setup| (setup, prepare)),
         setup: json!({"front": "platform", "listen": config.listen.to_string()}),
     })
 }
@@ -184,6 +192,7 @@
         store: setup.store,
         learning: setup.learning,
         recovery: setup.recovery,
+        versions: None,
         setup: kept,
     })
 }
@@ -206,7 +215,15 @@
     now: Time,
 ) -> Result<Member, ServeError> {
     let pace = Pace { heartbeat: limits.store_heartbeat, election: limits.store_election };
-    let bounds = Bounds { log: limits.store_log, keys: limits.store_keys, value_bytes: limits.body_bytes };
+    let bounds = Bounds {
+        log: limits.store_log,
+        keys: limits.store_keys,
+        value_bytes: limits.body_bytes,
+        sessions: limits.store_sessions,
+        txn_keys: limits.store_txn_keys,
+        calls: limits.store_calls,
+        history: limits.store_history,
+    };
     let Some(setup) = setup else {
         let lone = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
         return Ok((Store::start(&lone, pace, bounds, seed, None, now), BTreeMap::new(), None));
@@ -246,6 +263,7 @@
         shelf: None,
         keeper,
         returning: None,
+        versions: None,
         started: now,
         turned: Turned::default(),
         // Before the first turn nobody is served.
@@ -293,6 +311,11 @@
     if gatherer.hosts.any_active() {
         gatherer.ready_by = None;
     }
+    if let Some((setup, prepare)) = plan.versions {
+        let life = random_seed();
+        gatherer.versions = Some(Versions::begin(setup, plan.name.clone(), life, prepare, net));
+        versions::connect(gatherer, net);
+    }
     gatherer.record("setup", &plan.setup.to_string(), net);
     gatherer.record_members(net);
     if let Some(address) = plan.discovery {
--- /dev/null
+++ b/bitternsill/src/store/client.rs
@@ -0,0 +1,130 @@
+//! A caller of the store from outside: an operator's command, at the addresses of its members.
+
+use serde_json::{Value as Json, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+use store::command::{Check, Expects, Txn};
+use store::packet::Change;
+use store::state::{Outcome, Refusal};
+
+/// What a read brought.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// The revision at which it is true.
+    pub revision: u64,
+    /// Each key with its value and the revision of its last change.
+    pub keys: BTreeMap<String, (String, u64)>,
+}
+
+impl Seen {
+    /// A key's value as JSON, with its revision.
+    pub fn json(&self, key: &str) -> Option<(Json, u64)> {
+        let (value, revision) = self.keys.get(key)?;
+        Some((serde_json::from_str(value).ok()?, *revision))
+    }
+
+    /// What has to be so for nothing to have changed of a key since.
+    pub fn unchanged(&self, key: &str) -> Check {
+        let expects = self.keys.get(key).map_or(Expects::Absent, |(_, revision)| Expects::At(*revision));
+        Check { key: key.to_owned(), expects }
+    }
+
+    /// The names behind a prefix.
+    pub fn names<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a str> {
+        self.keys.keys().filter_map(move |key| key.strip_prefix(prefix))
+    }
+}
+
+/// What came of a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Changed {
+    /// It was made at this revision.
+    Applied(u64),
+    /// It was not.
+    Refused(Refusal),
+    /// Nobody could be asked to the end: it may have been made.
+    Unknown,
+}
+
+/// The addresses, and how long an answer is waited for in all.
+#[derive(Debug, Clone)]
+pub struct Client {
+    /// Addresses of members.
+    pub at: Vec<SocketAddr>,
+    /// The longest for one call.
+    pub patience: Duration,
+}
+
+/// One line to an address, and one line back.
+pub fn line(at: SocketAddr, asked: &str, patience: Duration) -> Result<Json, String> {
+    let late = |problem: std::io::Error| match problem.kind() {
+        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut => "no answer in time".to_owned(),
+        _ => problem.to_string(),
+    };
+    let mut socket = TcpStream::connect_timeout(&at, patience).map_err(late)?;
+    socket.set_read_timeout(Some(patience)).map_err(late)?;
+    socket.write_all(format!("{asked}\n").as_bytes()).map_err(late)?;
+    let mut line = String::new();
+    BufReader::new(socket).read_line(&mut line).map_err(late)?;
+    serde_json::from_str(&line).map_err(|_| "the answer cannot be read; is it a gatherer's store?".to_owned())
+}
+
+impl Client {
+    /// Asks one member after the other until one has an answer.
+    fn ask(&self, asked: &Json) -> Result<Json, String> {
+        let (begun, mut problem) = (Instant::now(), "no address is told".to_owned());
+        let each = self.patience / 3;
+        loop {
+            for at in &self.at {
+                match line(*at, &asked.to_string(), each) {
+                    Ok(answer) if answer["unknown"] == true => {
+                        problem = format!("{at}: the store has no majority that answers");
+                    }
+                    Ok(answer) => return Ok(answer),
+                    Err(why) => problem = format!("{at}: {why}"),
+                }
+                if begun.elapsed() >= self.patience {
+                    return Err(problem);
+                }
+            }
+            thread::sleep(Duration::from_millis(50));
+            if begun.elapsed() >= self.patience {
+                return Err(problem);
+            }
+        }
+    }
+
+    /// Keys that begin so, as new as anything that anybody was told.
+    pub fn read(&self, prefix: &str) -> Result<Seen, String> {
+        let answer = self.ask(&json!({"ask": "read", "prefix": prefix}))?;
+        seen(&answer).ok_or_else(|| format!("no answer to a read: {answer}"))
+    }
+
+    /// Makes a change, at most once, whatever is lost on the way.
+    pub fn change(&self, checks: Vec<Check>, sets: Vec<Change>) -> Result<Changed, String> {
+        let opened = self.ask(&json!({"ask": "open"}))?;
+        let session = opened["opened"].as_u64().ok_or_else(|| format!("no session: {opened}"))?;
+        let txn = Txn { session, request: 1, checks, sets };
+        match self.ask(&json!({"ask": "txn", "txn": txn.json()})) {
+            Ok(answer) => match Outcome::read(&answer["made"]) {
+                Some(Outcome::Applied(revision)) => Ok(Changed::Applied(revision)),
+                Some(Outcome::Refused(why)) => Ok(Changed::Refused(why)),
+                None => Err(format!("no answer to a change: {answer}")),
+            },
+            Err(_) => Ok(Changed::Unknown),
+        }
+    }
+}
+
+/// What an answer to a read says.
+pub fn seen(answer: &Json) -> Option<Seen> {
+    let key = |key: &Json| {
+        let value = (key[1].as_str()?.to_owned(), key[2].as_u64()?);
+        Some((key[0].as_str()?.to_owned(), value))
+    };
+    let keys = answer["keys"].as_array()?.iter().map(key).collect::<Option<_>>()?;
+    Some(Seen { revision: answer["revision"].as_u64()?, keys })
+}
--- a/bitternsill/src/store/disk.rs
+++ b/bitternsill/src/store/disk.rs
@@ -165,9 +165,9 @@
         if voted {
             book.name(cluster).map_err(failed)?;
         }
-        let lines = std::fs::read(path).is_ok_and(|bytes| bytes.starts_with(b"{"));
-        if lines || read.whole < MAGIC.len() {
-            if lines {
+        let former = std::fs::read(path).is_ok_and(|bytes| !bytes.starts_with(MAGIC)) && read.whole > 0;
+        if former || read.whole < MAGIC.len() {
+            if former {
                 tracing::info!(file = %path.display(), records = read.records.len(), "brought to the present format");
             }
             book.replace(&read.records).map_err(failed)?;
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -1,5 +1,6 @@
 //! The store on the loop: its timer, its lines to and from other members, and those who watch it.
 
+use super::asks::{self, Asker, Line};
 use super::disk::Disk;
 use crate::front::{Gatherer, Message};
 use crate::net::{self, Attempt, Connection, Context, Input, Net, Ready, Stream, Token};
@@ -9,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use store::member::{Store, Write};
+use store::member::{CallId, Compacted, Store, Write};
 use store::packet::{self, Change, Packet};
 use store::rejoin::Standing;
 
@@ -22,6 +23,13 @@
     clock: Option<Token>,
     peers: BTreeMap<u64, Token>,
     watchers: Vec<Token>,
+    /// Those who watch from a revision on, and are told each change with its own.
+    followers: Vec<Token>,
+    /// Who waits for what was asked, by its number, and the last number given.
+    pub(super) waiting: BTreeMap<CallId, Asker>,
+    calls: CallId,
+    /// Who is told of each change of a key that begins so.
+    told_of: Option<(Token, &'static str)>,
     /// Who writes the member's file, where it has one.
     pages: Option<Token>,
     /// What was last told of the member's standing, and when it is told again that it waits.
@@ -40,16 +48,47 @@
         told_again: Time,
         net: &mut Net<Gatherer>,
     ) -> Shelf {
-        let clock = (!peers.is_empty()).then(|| net.open(Box::new(Clock)));
+        let clock = (!peers.is_empty() || disk.is_some()).then(|| net.open(Box::new(Clock)));
         let open = |(id, address): (&u64, &SocketAddr)| (*id, net.open(Box::new(Peer::new(*address))));
         let peers = peers.iter().map(open).collect();
         let pages = disk.map(|disk| net.open(Box::new(Pages { disk, waiting: VecDeque::new() })));
-        let mut shelf =
-            Shelf { store, name, clock, peers, watchers: Vec::new(), pages, told: (None, 0), told_again };
+        let mut shelf = Shelf {
+            store,
+            name,
+            clock,
+            peers,
+            watchers: Vec::new(),
+            followers: Vec::new(),
+            waiting: BTreeMap::new(),
+            calls: 0,
+            told_of: None,
+            pages,
+            told: (None, 0),
+            told_again,
+        };
         shelf.pump(net);
         shelf
     }
 
+    /// The member.
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    pub(super) fn store_mut(&mut self) -> &mut Store {
+        &mut self.store
+    }
+
+    pub(super) fn next_call(&mut self) -> CallId {
+        self.calls += 1;
+        self.calls
+    }
+
+    /// Has an object told, by a message, whenever a key that begins so has changed.
+    pub fn tell_of(&mut self, prefix: &'static str, token: Token) {
+        self.told_of = Some((token, prefix));
+    }
+
     /// Records something of this gatherer under its name.
     pub fn record(&mut self, what: &str, value: &str, net: &mut Net<Gatherer>) {
         let key = format!("{what}/{}", self.name);
@@ -59,6 +98,17 @@
         self.pump(net);
     }
 
+    /// Wants a key to have a value; it is proposed until it does.
+    pub fn want(&mut self, key: &str, value: &str, net: &mut Net<Gatherer>) {
+        if self.store.state().get(key) == Some(value) {
+            return;
+        }
+        if self.store.put(key, value, net.now()).is_err() {
+            tracing::warn!(key, "the store does not take this much");
+        }
+        self.pump(net);
+    }
+
     /// What the member may do, and what it waits for before it votes and counts.
     pub fn standing(&self) -> (Standing, Option<String>) {
         (self.store.standing(), self.store.waits_for())
@@ -88,7 +138,7 @@
     }
 
     /// Passes on what the store has for others.
-    fn pump(&mut self, net: &mut Net<Gatherer>) {
+    pub(super) fn pump(&mut self, net: &mut Net<Gatherer>) {
         self.tell_standing(net.now());
         for write in self.store.take_writes() {
             if let Some(token) = self.pages {
@@ -100,11 +150,24 @@
                 net.post(*token, Message::Line(packet.write()));
             }
         }
-        for (_, change) in self.store.take_committed() {
+        let mut changed = false;
+        for (revision, change) in self.store.take_committed() {
             let line = watch_line(&change);
             for token in &self.watchers {
                 net.post(*token, Message::Line(line.clone()));
             }
+            for token in &self.followers {
+                net.post(*token, Message::Line(asks::watch_line(revision, &change)));
+            }
+            changed |= self.told_of.is_some_and(|(_, prefix)| change.key.starts_with(prefix));
+        }
+        if let Some((token, _)) = self.told_of.filter(|_| changed) {
+            net.post(token, Message::StoreChanged);
+        }
+        for (id, reply) in self.store.take_replies() {
+            if let Some(asker) = self.waiting.remove(&id) {
+                self.tell(&asker, reply, net);
+            }
         }
         if let (Some(token), Some(at)) = (self.clock, self.store.due()) {
             net.post(token, Message::WakeAt(at));
@@ -295,8 +358,8 @@
                 && !std::mem::replace(&mut self.watches, true)
             {
                 shelf.watchers.push(cx.token);
-                for (key, value) in shelf.store.state() {
-                    let change = Change { key: key.clone(), value: value.clone() };
+                for (key, held) in shelf.store.state().keys() {
+                    let change = Change { key: key.to_owned(), value: Some(held.value.clone()) };
                     self.stream.push(watch_line(&change).as_bytes());
                 }
             }
@@ -306,6 +369,9 @@
             self.stream.push(cx.world.phase_line(cx.now).as_bytes());
             return Ok(());
         }
+        if let Some(asked) = serde_json::from_slice(line).ok().and_then(|json| asks::read(&json, cx.token)) {
+            return self.asked(cx, asked.map_err(packet::NoPacket)?);
+        }
         let packet = Packet::read(line)?;
         let known = cx.world.shelf.as_ref().is_some_and(|shelf| shelf.peers.contains_key(&packet.from));
         if !known {
@@ -319,6 +385,47 @@
         Ok(())
     }
 
+    /// Answers what a line asks, or has it answered.
+    fn asked(&mut self, cx: &mut Cx<'_>, line: Line) -> Result<(), packet::NoPacket> {
+        let patience = cx.world.limits.store_patience;
+        if let Line::Trail { token, segment, from } = line {
+            match cx.world.versions.as_ref().and_then(|versions| versions.trail()) {
+                Some(trail) => cx.net.post(trail, Message::TrailWanted(token, segment, from)),
+                None => self.stream.push(b"{\"trail\":null}\n"),
+            }
+            return Ok(());
+        }
+        let Some(shelf) = &mut cx.world.shelf else { return Err(packet::NoPacket("no store")) };
+        match line {
+            Line::Call(call, asker) => shelf.ask(call, asker, patience, cx.net),
+            Line::Stale(Asker::Line { id, prefix, .. }) => {
+                let answer = asks::stale(&id, &prefix, shelf.store.applied(), shelf.store.state());
+                self.stream.push(answer.as_bytes());
+            }
+            Line::Watch(from) if !std::mem::replace(&mut self.watches, true) => {
+                shelf.followers.push(cx.token);
+                match shelf.store.since(from) {
+                    Ok(changes) => {
+                        let lines = changes.map(|(revision, change)| asks::watch_line(*revision, change));
+                        lines.for_each(|line| self.stream.push(line.as_bytes()));
+                    }
+                    // What is missing cannot be told: everything is, as it is now.
+                    Err(Compacted(floor)) => {
+                        let line = json!({"compacted": floor, "revision": shelf.store.applied()});
+                        self.stream.push(format!("{line}\n").as_bytes());
+                        for (key, held) in shelf.store.state().keys() {
+                            let value = Some(held.value.clone());
+                            let change = Change { key: key.to_owned(), value };
+                            self.stream.push(asks::watch_line(held.revision, &change).as_bytes());
+                        }
+                    }
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
     fn write(&mut self, cx: &mut Cx<'_>) {
         // A watcher that does not read must not fill the memory.
         let over = self.stream.unwritten() > cx.world.limits.frame_bytes * 4;
@@ -368,6 +475,7 @@
     fn closed(&mut self, cx: &mut Cx<'_>) {
         if let Some(shelf) = &mut cx.world.shelf {
             shelf.watchers.retain(|token| *token != cx.token);
+            shelf.followers.retain(|token| *token != cx.token);
         }
         cx.world.clients.remove(cx.token);
     }
--- /dev/null
+++ b/bitternsill/tests/common/fleet.rs
@@ -0,0 +1,471 @@
+//! The rig for stories of whole fleets: programs, links between them that a test can fail one way, index hosts and discovery,
+//! clients and observers.
+
+use super::*;
+use lab::history::{History, Look};
+use lab::link::{Link, Way};
+use lab::timeline::Fault;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Discovery that tells whoever watches the whole list, whenever it has changed. One entry of it is counted up.
+pub struct Counter {
+    pub address: SocketAddr,
+    pub count: Arc<AtomicU64>,
+    /// Whoever calls hears nothing, and neither does whoever watches.
+    pub mute: Arc<AtomicBool>,
+}
+
+impl Counter {
+    pub fn start(hosts: &[FrameHost], boot_ms: u64) -> Counter {
+        let count: Arc<AtomicU64> = Arc::new(AtomicU64::new(1));
+        let entry = |(at, host): (usize, &FrameHost)| {
+            let mut entry = target(at, host.address, "active");
+            entry["boot_ms"] = boot_ms.into();
+            entry
+        };
+        let hosts: Vec<Value> = hosts.iter().enumerate().map(entry).collect();
+        let mute: Arc<AtomicBool> = Arc::default();
+        let (counted, silent) = (count.clone(), mute.clone());
+        let address = accept(move |mut socket| {
+            let mut line = String::new();
+            BufReader::new(socket.try_clone().unwrap()).read_line(&mut line).unwrap();
+            let mut told = 0;
+            while silent.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(10));
+            }
+            let mut text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+            while socket.write_all(text.as_bytes()).is_ok() {
+                thread::sleep(Duration::from_millis(10));
+                while silent.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+                let now = counted.load(Ordering::SeqCst);
+                let list = if now == told {
+                    "\n".to_owned()
+                } else {
+                    // Nothing is sent to one that leaves: its port says how far the count is.
+                    let entry = json!({"uid": "counted", "endpoint": format!("127.0.0.1:{}", 10_000 + now),
+                                       "pod_group": 0, "state": "leaving"});
+                    let targets: Vec<&Value> = hosts.iter().chain([&entry]).collect();
+                    json!({"rev": now, "all": true, "targets": targets}).to_string() + "\n"
+                };
+                told = now;
+                text = format!("{:x}\r\n{list}\r\n", list.len());
+            }
+        });
+        Counter { address, count, mute }
+    }
+}
+
+/// How far a list that the store keeps had counted.
+pub fn counted(value: &str) -> Option<u64> {
+    let list: Value = serde_json::from_str(value).ok()?;
+    let entry = list.as_array()?.iter().find(|entry| entry["uid"] == "counted")?;
+    let port: u64 = entry["endpoint"].as_str()?.rsplit(':').next()?.parse().ok()?;
+    port.checked_sub(10_000)
+}
+
+/// What became of clients' queries.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Asked {
+    pub whole: u32,
+    pub refused: u32,
+    pub closed: u32,
+    pub worst: Duration,
+}
+
+/// How the gatherers of a fleet are set up.
+pub struct Set {
+    pub settings: Value,
+    /// What stands under `recovery`, where anything does.
+    pub recovery: Option<Value>,
+    /// Whether they have the list of index hosts from before.
+    pub known: bool,
+    /// Since when the index hosts have been warming up, where they do: what they can do grows from a fifth over 10 s.
+    pub cold: Option<Instant>,
+    /// Whether discovery says nothing, from the begin.
+    pub mute: bool,
+    /// What stands under `versions`, where anything does: then each keeps its name and its trail over its lives.
+    pub versions: Option<Value>,
+}
+
+/// What a part costs a warm index host, which does one at a time.
+pub const WORK: Duration = Duration::from_millis(4);
+
+/// An index host that warms up as the settings say, and that falls as they say: given twice what it bears for a second it
+/// turns everything away for two, and is cold again.
+pub fn warming_host(since: Instant) -> FrameHost {
+    let (desk, state) = (Mutex::new(()), Mutex::new((since, VecDeque::<Instant>::new())));
+    let speed = |since: Instant| (0.2 + 0.8 * since.elapsed().as_secs_f64() / 10.0).min(1.0);
+    FrameHost::start(move |id| {
+        let since = {
+            let (since, met) = &mut *state.lock().unwrap();
+            met.push_back(Instant::now());
+            while met.front().is_some_and(|at| at.elapsed() > Duration::from_secs(1)) {
+                met.pop_front();
+            }
+            if *since <= Instant::now() && met.len() as f64 > 2.0 * speed(*since) / WORK.as_secs_f64() {
+                *since = Instant::now() + Duration::from_secs(2);
+            }
+            if *since > Instant::now() {
+                return Say::Later;
+            }
+            *since
+        };
+        let _turn = desk.lock().unwrap();
+        thread::sleep(WORK.div_f64(speed(since)));
+        Say::Good(1, format!("value of {id}"))
+    })
+}
+
+/// Some gatherers of the platform, each a member of the store, with a link for each that speaks to each.
+pub struct Fleet {
+    pub name: String,
+    pub stores: Vec<SocketAddr>,
+    pub fronts: Vec<SocketAddr>,
+    pub links: BTreeMap<(usize, usize), Link>,
+    pub programs: Vec<Option<Program>>,
+    pub lives: Vec<u32>,
+    pub files: Vec<PathBuf>,
+    pub counter: Counter,
+    pub hosts: Vec<FrameHost>,
+    pub set: Set,
+    pub history: Arc<Mutex<History>>,
+    pub over: Arc<AtomicBool>,
+    pub helpers: Vec<JoinHandle<()>>,
+    pub asked: Arc<Mutex<Asked>>,
+}
+
+impl Fleet {
+    pub fn start(name: &str, count: usize) -> Fleet {
+        Self::with(
+            name,
+            count,
+            Set {
+                settings: settings(),
+                recovery: None,
+                known: false,
+                cold: None,
+                mute: false,
+                versions: None,
+            },
+        )
+    }
+
+    pub fn with(name: &str, count: usize, set: Set) -> Fleet {
+        let host = |_| match set.cold {
+            Some(since) => warming_host(since),
+            None => FrameHost::start(|id| Say::Good(1, format!("value of {id}"))),
+        };
+        let hosts: Vec<FrameHost> = (0..3).map(host).collect();
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        let boot_ms = if set.cold.is_some() { now } else { 0 };
+        let stores: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
+        let pairs = (0..count).flat_map(|a| (0..count).filter(move |b| a != *b).map(move |b| (a, b)));
+        let file =
+            |i| std::env::temp_dir().join(format!("bitternsill-{name}-{}-{i}.store", std::process::id()));
+        let mut fleet = Fleet {
+            name: name.to_owned(),
+            links: pairs.map(|(a, b)| ((a, b), Link::to(stores[b]).unwrap())).collect(),
+            fronts: (0..count).map(|_| free_address()).collect(),
+            stores,
+            programs: (0..count).map(|_| None).collect(),
+            lives: vec![0; count],
+            files: (0..count).map(file).collect(),
+            counter: Counter::start(&hosts, boot_ms),
+            hosts,
+            set,
+            history: Arc::default(),
+            over: Arc::default(),
+            helpers: Vec::new(),
+            asked: Arc::default(),
+        };
+        fleet.clear();
+        fleet.counter.mute.store(fleet.set.mute, Ordering::SeqCst);
+        (0..count).for_each(|at| fleet.power_on(at));
+        if fleet.set.cold.is_none() {
+            for at in 0..count {
+                if fleet.set.versions.is_none() {
+                    fleet.observe(at);
+                }
+                fleet.ask(at);
+            }
+        }
+        fleet
+    }
+
+    pub fn clear(&self) {
+        for file in &self.files {
+            for end in ["store", "lock", "id", "new", "config", "beside", "log"] {
+                let _ = std::fs::remove_file(file.with_extension(end));
+            }
+            let _ = std::fs::remove_dir_all(file.with_extension("trail"));
+        }
+    }
+
+    /// Each life of a gatherer writes under a name of its own: what it wrote is written by nobody again.
+    pub fn key(&self, at: usize) -> String {
+        format!("members/{}", self.gatherer(at))
+    }
+
+    /// A gatherer's name.
+    pub fn gatherer(&self, at: usize) -> String {
+        if self.set.versions.is_some() { format!("g{at}") } else { format!("g{at}-{}", self.lives[at]) }
+    }
+
+    /// Where a gatherer keeps its trail.
+    pub fn trail(&self, at: usize) -> PathBuf {
+        self.files[at].with_extension("trail")
+    }
+
+    /// Calls `bitternsill fleet` with these words at these gatherers; what it prints and whether it exits with 0.
+    pub fn call(&self, words: &[&str], at: &[usize]) -> (String, bool) {
+        let output = Command::new(env!("CARGO_BIN_EXE_bitternsill"))
+            .arg("fleet")
+            .args(words)
+            .arg("--at")
+            .args(at.iter().map(|at| self.stores[*at].to_string()))
+            .output()
+            .unwrap();
+        (String::from_utf8(output.stdout).unwrap().trim_end().to_owned(), output.status.success())
+    }
+
+    pub fn power_on(&mut self, at: usize) {
+        self.lives[at] += 1;
+        let count = self.counter.count.load(Ordering::SeqCst);
+        self.history.lock().unwrap().writes(&self.key(at), count);
+        let members: serde_json::Map<String, Value> = (0..self.stores.len())
+            .map(|to| {
+                let address = self.links.get(&(at, to)).map_or(self.stores[at], |link| link.address);
+                (to.to_string(), json!(address.to_string()))
+            })
+            .collect();
+        let beside = self.files[at].with_extension("beside");
+        let mut installed = json!({"store": {"member": at, "members": members, "begins": at == 0,
+                                             "file": self.files[at], "test_sync_ms": 25}});
+        if let Some(recovery) = &self.set.recovery {
+            installed["recovery"] = recovery.clone();
+        }
+        if let Some(versions) = &self.set.versions {
+            installed["versions"] = versions.clone();
+            installed["versions"]["trail"] = json!(self.trail(at));
+        }
+        std::fs::write(&beside, installed.to_string()).unwrap();
+        let entry = |(cell, host): (usize, &FrameHost)| target(cell, host.address, "active");
+        let targets: Vec<Value> = self.hosts.iter().enumerate().map(entry).collect();
+        let known =
+            if self.set.known { json!({"rev": 1, "all": true, "targets": targets}) } else { Value::Null };
+        let config = json!({
+            "name": self.gatherer(at), "listen": self.fronts[at].to_string(),
+            "discovery": self.counter.address.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": self.set.settings
+        });
+        let log = self.files[at].with_extension("log");
+        let more = ["--operator".to_owned(), beside.display().to_string()];
+        let shell = format!("export BITTERNSILL_LOG=info; exec 2>>{}", log.display());
+        self.programs[at] = Some(Program::start_in(&shell, "--config", &config, &more));
+    }
+
+    /// Kills these at one moment, as far as signals are one.
+    pub fn power_off(&mut self, group: &BTreeSet<usize>) {
+        let off: Vec<Program> = group.iter().filter_map(|at| self.programs[*at].take()).collect();
+        if off.is_empty() {
+            return;
+        }
+        let pids = off.iter().map(|program| program.child.id().to_string());
+        assert!(Command::new("kill").arg("-KILL").args(pids).status().unwrap().success());
+    }
+
+    /// Notes what a member tells a watcher, for as long as the day goes on.
+    pub fn observe(&mut self, at: usize) {
+        let (address, over, history) = (self.stores[at], self.over.clone(), self.history.clone());
+        self.helpers.push(thread::spawn(move || {
+            for look in (at as Look * 1_000_000).. {
+                if over.load(Ordering::SeqCst) {
+                    return;
+                }
+                watch(address, Duration::from_millis(400), |key, value| {
+                    if let Some(value) = counted(value) {
+                        history.lock().unwrap().shows(at, look, key, value);
+                    }
+                    !over.load(Ordering::SeqCst)
+                });
+                thread::sleep(Duration::from_millis(5));
+            }
+        }));
+    }
+
+    /// Asks a gatherer one query after the other: each has one answer in its time, or its connection ends.
+    pub fn ask(&mut self, at: usize) {
+        let (address, over, asked) = (self.fronts[at], self.over.clone(), self.asked.clone());
+        self.helpers.push(thread::spawn(move || {
+            for number in 0.. {
+                if over.load(Ordering::SeqCst) {
+                    return;
+                }
+                let begun = Instant::now();
+                let answer = (|| {
+                    let mut socket = TcpStream::connect(address)?;
+                    socket.set_read_timeout(Some(Duration::from_secs(30)))?;
+                    let text = query(&format!("q{at}-{number}"), "page", &[0, 1, 2], "Connection: close\r\n");
+                    socket.write_all(text.as_bytes())?;
+                    let mut answer = String::new();
+                    socket.read_to_string(&mut answer)?;
+                    std::io::Result::Ok(answer)
+                })();
+                let text = answer.unwrap_or_default();
+                assert!(text.matches("HTTP/1.1 ").count() <= 1, "one answer: {text}");
+                let mut asked = asked.lock().unwrap();
+                match text.get(9..12) {
+                    Some("200") => {
+                        assert!(
+                            text.contains("\"total\":true")
+                                && text.contains(&format!("value of q{at}-{number}.2"))
+                        );
+                        asked.whole += 1;
+                        asked.worst = asked.worst.max(begun.elapsed());
+                    }
+                    Some(_) => asked.refused += 1,
+                    None => asked.closed += 1,
+                }
+                drop(asked);
+                thread::sleep(Duration::from_millis(4));
+            }
+        }));
+    }
+
+    /// Queries that have had their answer since this was last set to nothing.
+    pub fn answered(&self) -> u32 {
+        let asked = self.asked.lock().unwrap();
+        asked.whole + asked.refused
+    }
+
+    /// All gatherers that run are told one more.
+    pub fn count_up(&self) {
+        let next = self.counter.count.load(Ordering::SeqCst) + 1;
+        (0..self.lives.len()).for_each(|at| self.history.lock().unwrap().writes(&self.key(at), next));
+        self.counter.count.store(next, Ordering::SeqCst);
+    }
+
+    pub fn link(&self, from: usize, to: usize) -> &Link {
+        &self.links[&(from, to)]
+    }
+
+    /// All links are whole again.
+    pub fn heal(&self) {
+        self.links.values().for_each(|link| link.set(Way::Open, Way::Open));
+    }
+
+    pub fn befall(&mut self, fault: &Fault) {
+        match fault {
+            Fault::PowerOff(group) => self.power_off(group),
+            Fault::PowerOn(group) => group.iter().for_each(|at| self.power_on(*at)),
+            Fault::Stop(at) => self.programs[*at].as_ref().unwrap().signal("STOP"),
+            Fault::Continue(at) => self.programs[*at].as_ref().unwrap().signal("CONT"),
+            Fault::Cut(from, to) => self.link(*from, *to).set(Way::Stalled, Way::Open),
+            Fault::Slow(from, to, by) => {
+                self.link(*from, *to).set(Way::Late(Duration::from_millis(*by)), Way::Open);
+            }
+            Fault::Reset(one, other) => {
+                self.link(*one, *other).reset();
+                self.link(*other, *one).reset();
+            }
+            Fault::Heal => self.heal(),
+            Fault::LoseFile(at) => drop(std::fs::remove_file(&self.files[*at])),
+        }
+    }
+
+    /// What a member holds now.
+    pub fn held(&self, at: usize) -> BTreeMap<String, u64> {
+        let mut held = BTreeMap::new();
+        watch(self.stores[at], Duration::from_millis(150), |key, value| {
+            held.extend(counted(value).map(|value| (key.to_owned(), value)));
+            true
+        });
+        held
+    }
+
+    /// Whether every member holds at least what anyone was shown, and all the same.
+    pub fn is_one(&self) -> bool {
+        let shown = self.history.lock().unwrap().shown().clone();
+        let held: Vec<_> = (0..self.stores.len()).map(|at| self.held(at)).collect();
+        let enough = |held: &BTreeMap<String, u64>| {
+            shown.iter().all(|(key, value)| held.get(key).is_some_and(|held| held >= value))
+        };
+        held.iter().all(enough) && held.iter().all(|other| *other == held[0])
+    }
+
+    /// Waits until the last count of every gatherer that runs is held by all.
+    pub fn settle(&self) -> Result<(), String> {
+        self.count_up();
+        let now = self.counter.count.load(Ordering::SeqCst);
+        let until = Instant::now() + Duration::from_secs(30);
+        loop {
+            let all = |at: usize| {
+                let held = self.held(at);
+                (0..self.lives.len()).all(|of| held.get(&self.key(of)).is_some_and(|held| *held >= now))
+            };
+            if (0..self.lives.len()).all(all) && self.is_one() {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                let held: Vec<_> = (0..self.lives.len()).map(|at| self.held(at)).collect();
+                let shown = self.history.lock().unwrap().shown().clone();
+                return Err(format!("30 s after the last fault {held:?}; shown was {shown:?}; now {now}"));
+            }
+        }
+    }
+
+    /// Ends the day, and says what was wrong with it.
+    pub fn judge(mut self) -> Result<Asked, String> {
+        let settled = self.settle();
+        self.over.store(true, Ordering::SeqCst);
+        let held = (0..self.stores.len()).map(|at| (at, self.held(at))).collect();
+        for helper in self.helpers.drain(..) {
+            helper.join().map_err(|_| "a client or an observer saw what it must not".to_owned())?;
+        }
+        let history = std::mem::take(&mut *self.history.lock().unwrap());
+        let shown = history.shown().len();
+        let wrong = history.judge(&held);
+        settled?;
+        if !wrong.is_empty() {
+            return Err(wrong.iter().map(|wrong| format!("{wrong}; ")).collect());
+        }
+        assert!(shown >= self.stores.len(), "hardly anything was shown");
+        let asked = *self.asked.lock().unwrap();
+        self.programs.clear();
+        self.clear();
+        Ok(asked)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        // A process that stands still ends no sooner for that, but must not outlive the test.
+        self.programs.clear();
+        if thread::panicking() {
+            eprintln!("the files of {} are left beside their logs", self.name);
+        }
+    }
+}
+
+/// Hears a watcher's lines until the connection ends, nothing more comes for so long, or enough was heard.
+pub fn watch(address: SocketAddr, quiet: Duration, mut hear: impl FnMut(&str, &str) -> bool) {
+    let Ok(mut socket) = TcpStream::connect(address) else { return };
+    socket.set_read_timeout(Some(quiet)).unwrap();
+    if socket.write_all(b"watch\n").is_err() {
+        return;
+    }
+    for line in BufReader::new(socket).lines().map_while(Result::ok) {
+        let Ok(line) = serde_json::from_str::<Value>(&line) else { return };
+        // A key that is gone has no value.
+        let (Some(key), Some(value)) = (line["key"].as_str(), line["value"].as_str()) else { continue };
+        if !hear(key, value) {
+            return;
+        }
+    }
+}
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! The program as a process, and scripted peers on loopback sockets.
 #![allow(dead_code)] // each story uses its share
 
+pub mod fleet;
 pub mod standins;
 
 use serde_json::{Value, json};
--- /dev/null
+++ b/bitternsill/tests/fleet_versions.rs
@@ -0,0 +1,304 @@
+//! Versions of the configuration over a fleet of several programs, with links cut, processes that stand still, power and trails
+//! lost: who acted on which version, and how a straggler is brought up or stops by itself. `VERSIONS_SEEDS=200 cargo test
+//! --release -p bitternsill --test fleet_versions days -- --nocapture` plays as many days.
+
+mod common;
+
+use common::fleet::*;
+use common::*;
+use lab::link::Way;
+use lab::timeline::{self, Fault};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+const VALIDITY: Duration = Duration::from_millis(2_000);
+
+fn set() -> Set {
+    Set {
+        settings: settings(),
+        recovery: None,
+        known: true,
+        cold: None,
+        mute: false,
+        versions: Some(json!({"validity_ms": VALIDITY.as_millis() as u64, "steady_ms": 500, "note_ms": 200})),
+    }
+}
+
+/// The settings with one more class, of this name.
+fn with_class(name: &str) -> Value {
+    let mut settings = settings();
+    let mut class = settings["request_classes"][1].clone();
+    class["name"] = json!(name);
+    settings["request_classes"].as_array_mut().unwrap().push(class);
+    for (key, value) in [
+        ("class_fetch", json!(0)),
+        ("class_need", json!(1.0)),
+        ("floor_by_class", json!(1.0)),
+        ("short_worth", json!(0.9)),
+    ] {
+        settings["extra"][key].as_array_mut().unwrap().push(value);
+    }
+    settings
+}
+
+fn file(fleet: &Fleet, name: &str, settings: &Value) -> PathBuf {
+    let path =
+        std::env::temp_dir().join(format!("bitternsill-{}-{}-{name}.json", fleet.name, std::process::id()));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    path
+}
+
+/// Proposes settings with a class of this name, at some members.
+fn configure(fleet: &Fleet, class: &str, at: &[usize]) -> u64 {
+    let path = file(fleet, class, &with_class(class));
+    let (text, done) = fleet.call(&["configure", path.to_str().unwrap(), "--json", "--least", "0.34"], at);
+    assert!(done, "{text}");
+    let said: Value = serde_json::from_str(&text).unwrap_or_else(|_| panic!("{text}"));
+    said["proposal"].as_u64().unwrap()
+}
+
+/// Activates what is proposed; the version and who goes on without a store.
+fn activate(fleet: &Fleet, at: &[usize]) -> Result<(u64, BTreeSet<String>), String> {
+    let (text, done) = fleet.call(&["activate", "--json", "--wait", "3000"], at);
+    let said: Value = serde_json::from_str(&text).map_err(|_| text.clone())?;
+    assert!(done);
+    let keepers = said["keepers"].as_array().unwrap().iter().map(|one| one.as_str().unwrap().to_owned());
+    Ok((said["version"].as_u64().unwrap(), keepers.collect()))
+}
+
+/// What a gatherer answers a query of a class with: a status.
+fn ask(fleet: &Fleet, at: usize, class: &str) -> Option<String> {
+    let mut socket = TcpStream::connect(fleet.fronts[at]).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    let id = format!("v{}-{at}", Instant::now().elapsed().as_nanos() as u64 ^ fastrand::u64(..));
+    socket.write_all(query(&id, class, &[0], "Connection: close\r\n").as_bytes()).ok()?;
+    read_response(&mut socket).get(9..12).map(str::to_owned)
+}
+
+fn serves(fleet: &Fleet, at: usize, class: &str) -> bool {
+    ask(fleet, at, class).as_deref() == Some("200")
+}
+
+/// What a gatherer says of its version.
+fn version(fleet: &Fleet, at: usize) -> Value {
+    let (text, _) = fleet.call(&["phase", "--format", "json"], &[at]);
+    let said: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    said[0]["answer"]["version"].clone()
+}
+
+fn stands(fleet: &Fleet, at: usize, wanted: &str) -> bool {
+    version(fleet, at)["standing"] == wanted
+}
+
+/// What the audit says of all: its text, and whether nothing is wrong and all is known.
+fn audit(fleet: &Fleet) -> (String, bool) {
+    let all: Vec<usize> = (0..fleet.stores.len()).collect();
+    // What was done last is in the trails once it has been noted.
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.call(&["audit", "--patience", "4000"], &all)
+}
+
+fn cut_off(fleet: &Fleet, one: usize, ways: [Way; 2]) {
+    for other in (0..fleet.stores.len()).filter(|other| *other != one) {
+        fleet.link(one, other).set(ways[0], ways[1]);
+        fleet.link(other, one).set(ways[1], ways[0]);
+    }
+}
+
+fn current(fleet: &Fleet) -> bool {
+    (0..fleet.stores.len()).all(|at| stands(fleet, at, "current"))
+}
+
+#[test]
+fn all_switch_at_one_revision_no_query_is_lost_by_it_and_the_audit_tells_who_acted_on_what() {
+    let fleet = Fleet::with("rollout", 3, set());
+    eventually("all are current", || current(&fleet));
+    *fleet.asked.lock().unwrap() = Asked::default();
+    configure(&fleet, "extra", &[1]);
+    let (version, keepers) = activate(&fleet, &[2]).unwrap();
+    assert_eq!(keepers.len(), 2, "a third of three, and no less than a share says");
+    eventually("all serve the new class", || (0..3).all(|at| serves(&fleet, at, "extra")));
+    // One that cannot be used is named by everybody, and nothing changes.
+    let mut wrong = with_class("other");
+    wrong["limits"]["max_attempts"] = json!(2.5);
+    let (text, done) = fleet.call(&["configure", file(&fleet, "wrong", &wrong).to_str().unwrap()], &[0]);
+    assert!(!done, "{text}");
+    let second = configure(&fleet, "second", &[0]);
+    let (differs, _) = fleet.call(&["diff"], &[1]);
+    assert!(differs.contains("becomes"), "{differs}");
+    activate(&fleet, &[0]).unwrap();
+    eventually("all serve the second", || (0..3).all(|at| serves(&fleet, at, "second")));
+    eventually("the first is over", || !serves(&fleet, 0, "extra"));
+    // Back to the first, as a version of its own.
+    let first = fleet.call(&["versions", "--json"], &[0]).0;
+    assert!(first.contains(&second.to_string()), "{first}");
+    let (text, done) = fleet.call(&["hold", "g1"], &[0]);
+    assert!(done, "{text}");
+    eventually("one is held back", || ask(&fleet, 1, "page").as_deref() == Some("503"));
+    assert!(fleet.call(&["release", "g1"], &[2]).1);
+    eventually("and released", || serves(&fleet, 1, "page"));
+    let (text, sound) = audit(&fleet);
+    assert!(sound && text.contains(&format!("version {version} from")), "{text}");
+    let asked = *fleet.asked.lock().unwrap();
+    assert!(asked.closed == 0 && asked.whole > 100, "{asked:?}");
+}
+
+/// One is cut off before it could prepare: the activation names it, and can leave it out only once it has stopped by itself.
+/// Cut one way it is no better off: it hears and is not heard, or is heard and hears nothing.
+#[test]
+fn a_gatherer_that_is_cut_off_is_named_and_has_stopped_by_itself_before_it_can_be_left_out() {
+    for (name, ways) in [
+        ("cut", [Way::Stalled, Way::Stalled]),
+        ("unheard", [Way::Stalled, Way::Open]),
+        ("deaf", [Way::Open, Way::Stalled]),
+    ] {
+        let fleet = Fleet::with(name, 3, set());
+        eventually("all are current", || current(&fleet));
+        configure(&fleet, "first", &[0]);
+        let (_, keepers) = activate(&fleet, &[0]).unwrap();
+        let out = (0..3).find(|at| !keepers.contains(&format!("g{at}"))).expect("one is no keeper");
+        let rest: Vec<usize> = (0..3).filter(|at| *at != out).collect();
+        eventually("all serve the first", || (0..3).all(|at| serves(&fleet, at, "first")));
+        cut_off(&fleet, out, ways);
+        configure(&fleet, "second", &rest);
+        let refused = activate(&fleet, &rest).unwrap_err();
+        assert!(refused.contains(&format!("g{out}")), "{refused}");
+        // It has stopped meanwhile, or does so by its own clock.
+        assert!(fleet.call(&["leave-out", &format!("g{out}")], &rest).1);
+        let (_, keepers) = activate(&fleet, &rest).unwrap();
+        assert!(!serves(&fleet, out, "first"), "{name}: it serves under what has ended");
+        assert!(stands(&fleet, out, "shut out"));
+        assert!(!keepers.contains(&format!("g{out}")));
+        eventually("the others serve the second", || rest.iter().all(|at| serves(&fleet, *at, "second")));
+        fleet.heal();
+        eventually("it is brought up", || stands(&fleet, out, "current") && serves(&fleet, out, "second"));
+        let (text, sound) = audit(&fleet);
+        assert!(sound, "{text}");
+    }
+}
+
+/// A process that stands still over a switch takes nothing under the former version from its first turn on, though a query
+/// has waited for it all the while.
+#[test]
+fn a_process_that_slept_over_a_switch_takes_nothing_under_what_has_ended() {
+    let mut fleet = Fleet::with("slept-over", 3, set());
+    eventually("all are current", || current(&fleet));
+    configure(&fleet, "first", &[0]);
+    let (_, keepers) = activate(&fleet, &[0]).unwrap();
+    let out = (0..3).find(|at| !keepers.contains(&format!("g{at}"))).expect("one is no keeper");
+    let rest: Vec<usize> = (0..3).filter(|at| *at != out).collect();
+    eventually("all serve the first", || (0..3).all(|at| serves(&fleet, at, "first")));
+    fleet.befall(&Fault::Stop(out));
+    let mut waits = TcpStream::connect(fleet.fronts[out]).unwrap();
+    waits.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    waits.write_all(query("asleep", "first", &[0], "Connection: close\r\n").as_bytes()).unwrap();
+    configure(&fleet, "second", &rest);
+    assert!(fleet.call(&["leave-out", &format!("g{out}")], &rest).1);
+    activate(&fleet, &rest).unwrap();
+    fleet.befall(&Fault::Continue(out));
+    let answer = read_response(&mut waits);
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    eventually("it is brought up", || serves(&fleet, out, "second"));
+    let (text, sound) = audit(&fleet);
+    assert!(sound, "{text}");
+}
+
+/// The store has no majority: whoever was to go on without does, another stops by itself, and all are current again after.
+#[test]
+fn without_a_store_the_least_share_stays_in_service_and_says_so() {
+    let mut fleet = Fleet::with("storeless", 3, set());
+    eventually("all are current", || current(&fleet));
+    configure(&fleet, "first", &[0]);
+    let (_, keepers) = activate(&fleet, &[0]).unwrap();
+    eventually("all serve the first", || (0..3).all(|at| serves(&fleet, at, "first")));
+    let keeper = (0..3).find(|at| keepers.contains(&format!("g{at}"))).unwrap();
+    let other = (0..3).find(|at| !keepers.contains(&format!("g{at}"))).unwrap();
+    for (alone, wanted) in [(keeper, "kept"), (other, "shut out")] {
+        let off: BTreeSet<usize> = (0..3).filter(|at| *at != alone).collect();
+        fleet.befall(&Fault::PowerOff(off.clone()));
+        eventually(wanted, || stands(&fleet, alone, wanted));
+        assert_eq!(serves(&fleet, alone, "first"), wanted == "kept");
+        // Power lost to it as well: what it has on its disk is all that it goes by.
+        fleet.befall(&Fault::PowerOff(BTreeSet::from([alone])));
+        fleet.befall(&Fault::PowerOn(BTreeSet::from([alone])));
+        if wanted == "kept" {
+            eventually("it goes on by its own file", || serves(&fleet, alone, "first"));
+        }
+        fleet.befall(&Fault::PowerOn(off));
+        eventually("all are current", || current(&fleet) && (0..3).all(|at| serves(&fleet, at, "first")));
+    }
+    let (text, sound) = audit(&fleet);
+    assert!(sound && text.contains("kept in service"), "{text}");
+}
+
+/// A trail that was altered, and one that is gone, are not known; they are never good.
+#[test]
+fn a_trail_that_was_altered_or_lost_is_told_as_not_known() {
+    let mut fleet = Fleet::with("altered", 3, set());
+    eventually("all are current", || current(&fleet));
+    eventually("all serve", || (0..3).all(|at| serves(&fleet, at, "page")));
+    let (text, sound) = audit(&fleet);
+    assert!(sound, "{text}");
+    fleet.befall(&Fault::PowerOff(BTreeSet::from([1, 2])));
+    let segment = fleet.trail(1).join("g1.000000.trail");
+    let whole = std::fs::read_to_string(&segment).unwrap();
+    std::fs::write(&segment, whole.replacen("\"count\":", "\"count\":1", 1)).unwrap();
+    std::fs::remove_dir_all(fleet.trail(2)).unwrap();
+    fleet.befall(&Fault::PowerOn(BTreeSet::from([1, 2])));
+    eventually("all are current", || current(&fleet));
+    let (text, sound) = audit(&fleet);
+    assert!(!sound && text.matches("NOT KNOWN").count() == 2, "{text}");
+    assert!(text.contains("does not follow from those before it"), "{text}");
+}
+
+/// One day: rollouts one after the other while power, links and processes fail. In the end all run one version, and nothing
+/// was done under one that had ended.
+fn play(seed: u64) -> Result<u32, String> {
+    let count = 3;
+    let mut fleet = Fleet::with(&format!("versions{seed}"), count, set());
+    eventually("all are current", || current(&fleet));
+    let (begun, mut made) = (Instant::now(), 0);
+    let all: Vec<usize> = (0..count).collect();
+    for (number, (at, fault)) in timeline::draw(seed, count, 6_000).into_iter().enumerate() {
+        while begun.elapsed() < Duration::from_millis(at) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        // A member's lost file is its own story.
+        if !matches!(fault, Fault::LoseFile(_)) {
+            fleet.befall(&fault);
+        }
+        if number % 3 == 0 {
+            let path = file(&fleet, "day", &with_class(&format!("class{number}")));
+            let words = ["configure", path.to_str().unwrap(), "--least", "0.34", "--patience", "600"];
+            fleet.call(&words, &all);
+        } else if number % 3 == 1 && fleet.call(&["activate", "--wait", "300", "--patience", "600"], &all).1 {
+            made += 1;
+        }
+    }
+    let until = Instant::now() + Duration::from_secs(30);
+    // An activation whose caller gave up may yet be made: all have to be one after that.
+    let runs = || all.iter().map(|at| version(&fleet, *at)["runs"].as_u64()).collect::<BTreeSet<_>>();
+    while !(current(&fleet) && runs().len() == 1) {
+        if Instant::now() > until {
+            let said: Vec<Value> = all.iter().map(|at| version(&fleet, *at)).collect();
+            return Err(format!("30 s after the last fault they stand {said:?}"));
+        }
+    }
+    let (text, _) = audit(&fleet);
+    if text.contains("WRONG") || text.contains("no trail") { Err(text) } else { Ok(made) }
+}
+
+#[test]
+fn days_of_rollouts_under_faults_end_with_one_version_and_no_act_under_an_ended_one() {
+    let seeds = std::env::var("VERSIONS_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(2);
+    let first = std::env::var("VERSIONS_FIRST").ok().and_then(|n| n.parse().ok()).unwrap_or(0);
+    let mut made = 0;
+    for seed in first..first + seeds {
+        made += play(seed).unwrap_or_else(|problem| panic!("seed {seed}: {problem}"));
+    }
+    println!("{seeds} days from seed {first}: {made} activations");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -744,8 +744,7 @@
         for (&number, query) in &self.queries {
             let c = &self.settings.classes[query.class];
             let waiting = self.parts_of(query).filter(|p| p.1.held).count();
-            // A part that may not be sent again ends a query that needs it, at once.
-            let stuck = |p: &Part| !p.done && !p.held && p.live.is_empty();
+            let stuck = |p: &Part| !p.done && !p.held && p.live.is_empty(); // It may not be sent again
             let over = c_whole(c) && self.parts_of(query).any(|p| stuck(p.1));
             if over || waiting > 0 && self.late(query) {
                 lost.push(number);
@@ -853,7 +852,8 @@
         for (_, _, _, number) in order {
             let query = &self.queries[&number];
             // A deadly query kills as its part begins: a scout that lives on proves it. Haste allows none.
-            let share = query.parts.len().min(self.settings.cells as usize) as f64 / self.ready.max(1) as f64;
+            let calls = if self.settings.call_parts > 1 { self.settings.cells as usize } else { usize::MAX };
+            let share = query.parts.len().min(calls) as f64 / self.ready.max(1) as f64;
             let enough = (SCOUT_WAIT * share * self.pace[query.class].median) as Time;
             let calm = self.now >= self.doubt_until && share <= COMMON;
             // One whose server has fallen silent proves nothing any more.
--- a/store/src/kept.rs
+++ b/store/src/kept.rs
@@ -1,8 +1,10 @@
 //! What a member's file kept, read back in order.
 
-use crate::packet::{Change, Position, Snapshot};
+use crate::command::Command;
+use crate::packet::{Position, Snapshot};
 use crate::record::Record;
 use crate::rejoin::{Peer, Standing};
+use crate::state::Room;
 use raftbare::{Log, LogEntries, Node, NodeId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,7 +27,7 @@
     vote: Option<u64>,
     snapshot: Snapshot,
     log: Option<LogEntries>,
-    changes: BTreeMap<Position, Change>,
+    commands: BTreeMap<Position, Command>,
 }
 
 impl Kept {
@@ -68,9 +70,12 @@
         let (from, last) = (snapshot.position.index, self.last(&snapshot));
         // What a later leader replaced stands in the file, but not in the log.
         let positions = self.log.iter().flat_map(|log| log.iter_with_positions()).map(|(at, _)| at.into());
-        for change in positions.filter(|at: &Position| at.index > from).filter_map(|at| self.changes.get(&at))
-        {
-            snapshot.state.insert(change.key.clone(), change.value.clone());
+        // An operator's step takes whatever there is, bounds or not.
+        let room = Room { keys: usize::MAX, sessions: usize::MAX };
+        for at in positions.filter(|at: &Position| at.index > from) {
+            if let Some(command) = self.commands.get(&at) {
+                snapshot.state.apply(at.index, command, room);
+            }
         }
         (snapshot.position, snapshot.members) = (last, members.clone());
         vec![
@@ -117,7 +122,8 @@
                 self.snapshot = snapshot;
             }
             Record::Append(entries) => {
-                self.changes.extend(entries.changes().map(|(position, change)| (position, change.clone())));
+                self.commands
+                    .extend(entries.commands().map(|(position, command)| (position, command.clone())));
                 let log = self.log.get_or_insert_with(|| crate::member::after(Position::default()));
                 // Entries that begin inside the log replace its end.
                 let kept = entries.after.index.saturating_sub(log.prev_position().index.get());
@@ -130,18 +136,22 @@
     }
 
     /// The member as it was, its state at the snapshot, and what the log's entries say.
-    pub fn into_node(self, id: NodeId) -> (Node, Snapshot, BTreeMap<Position, Change>) {
+    pub fn into_node(self, id: NodeId) -> (Node, Snapshot, BTreeMap<Position, Command>) {
         let log = self.log.unwrap_or_else(|| crate::member::after(self.snapshot.position));
         let log = Log::new(self.snapshot.config(), log);
         let node = Node::restart(id, self.term.into(), self.vote.map(NodeId::new), log);
-        (node, self.snapshot, self.changes)
+        (node, self.snapshot, self.commands)
     }
 
     /// What `store show` prints.
     pub fn summary(&self) -> Vec<(&'static str, String)> {
         let last = self.last(&self.snapshot);
-        let mut keys: Vec<&str> = self.snapshot.state.keys().map(String::as_str).collect();
-        keys.extend(self.changes.values().map(|change| change.key.as_str()));
+        let mut keys: Vec<&str> = self.snapshot.state.keys().map(|(key, _)| key).collect();
+        keys.extend(self.commands.values().flat_map(|command| match command {
+            Command::Put(change) => vec![change.key.as_str()],
+            Command::Open(_) => Vec::new(),
+            Command::Txn(txn) => txn.sets.iter().map(|set| set.key.as_str()).collect(),
+        }));
         keys.sort_unstable();
         keys.dedup();
         vec![
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -6,11 +6,13 @@
 
 #![forbid(unsafe_code)]
 
+pub mod command;
 pub mod kept;
 pub mod member;
 pub mod packet;
 pub mod record;
 pub mod rejoin;
+pub mod state;
 
 /// A moment or a duration, in nanoseconds of a clock that only moves forward.
 pub type Time = u64;
--- a/store/src/member.rs
+++ b/store/src/member.rs
@@ -4,15 +4,20 @@
 //! committed: nothing is acknowledged, voted or shown that a loss of power could take back.
 
 use crate::Time;
+use crate::command::Command;
 use crate::kept::Kept;
 use crate::packet::{self, Body, Change, Packet, Position, Snapshot};
 use crate::record::Record;
 use crate::rejoin::{Rejoin, Standing};
-use raftbare::{Action, LogEntries, LogEntry, LogIndex, LogPosition, Node, NodeId, Role};
+use crate::state::{Room, State};
+use raftbare::{Action, LogEntries, LogEntry, LogIndex, LogPosition, Message, Node, NodeId, Role};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod calls;
 mod rejoining;
 
+pub use calls::{Call, CallId, Compacted, Reply, TooMany};
+
 /// How often a leader speaks, and how long a member waits for it (once to twice that long, at random).
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
@@ -42,6 +47,14 @@
     pub keys: usize,
     /// Bytes of one value.
     pub value_bytes: usize,
+    /// Sessions that are held.
+    pub sessions: usize,
+    /// Keys that one change names at the most.
+    pub txn_keys: usize,
+    /// What is asked through this member at once, and of a leader to be read.
+    pub calls: usize,
+    /// Changes that are kept for those who watch from a revision on.
+    pub history: usize,
 }
 
 /// Something that has to be on the disk before what follows it is told to anyone.
@@ -86,8 +99,8 @@
     bounds: Bounds,
     rng: fastrand::Rng,
     /// What the log's entries say, by their place.
-    changes: BTreeMap<Position, Change>,
-    state: BTreeMap<String, String>,
+    commands: BTreeMap<Position, Command>,
+    state: State,
     applied: u64,
     /// What this member wants to stand in the store, until it does.
     wanted: BTreeMap<String, String>,
@@ -100,12 +113,16 @@
     made: u64,
     /// The last write that is done.
     done: u64,
+    /// The last write of anything but entries of the log: a term, a vote, what this member is.
+    promised: u64,
     /// For writes that are not done: where the log ended when they were made.
     ends: VecDeque<(u64, u64)>,
     /// Up to where the log is on the disk.
     durable: u64,
     /// Packets, each behind the write that it waits for.
     outbox: VecDeque<(u64, u64, Packet)>,
+    /// To each member: in which term, and when, it was last sent what it lacked.
+    resent: BTreeMap<u64, (u64, Time)>,
     /// What came to be committed, each with its entry's place; of a snapshot each key with the snapshot's.
     committed: VecDeque<(u64, Change)>,
     due: Option<Time>,
@@ -119,6 +136,7 @@
     unvoted: bool,
     /// What a leader must have committed before this member counts again.
     bar: Option<(u64, Position)>,
+    calls: calls::Calls,
 }
 
 impl Store {
@@ -139,7 +157,7 @@
         let (count, begins, life) = (membership.members.len(), membership.begins, rng.u64(1..));
         let rejoin = Rejoin::new(standing, count, begins, life, kept.generation, kept.peers.clone());
         let unvoted = kept.joined || standing == Standing::Founding;
-        let (node, snapshot, changes) = match standing {
+        let (node, snapshot, commands) = match standing {
             Standing::Empty => (Node::start(id), Snapshot::default(), BTreeMap::new()),
             _ => kept.into_node(id),
         };
@@ -150,16 +168,18 @@
             pace,
             bounds,
             rng,
-            changes,
+            commands,
             wanted: BTreeMap::new(),
             cluster,
             start,
             writes: keeps.then(Vec::new),
             made: 0,
             done: 0,
+            promised: 0,
             ends: VecDeque::new(),
             durable: 0,
             outbox: VecDeque::new(),
+            resent: BTreeMap::new(),
             committed: VecDeque::new(),
             due: None,
             ask_at: None,
@@ -168,6 +188,7 @@
             joined: BTreeSet::new(),
             unvoted,
             bar: None,
+            calls: calls::Calls::new(snapshot.position.index),
         };
         // What the file gave back is on the disk.
         store.durable = store.end();
@@ -182,10 +203,27 @@
     }
 
     /// What is committed.
-    pub fn state(&self) -> &BTreeMap<String, String> {
+    pub fn state(&self) -> &State {
         &self.state
     }
 
+    /// The last value of a key that this member has seen, with its revision, be it committed yet or not: all that one has to go
+    /// by that has just started and hears of nobody.
+    pub fn foreseen(&self, key: &str) -> Option<(u64, &str)> {
+        let ahead = self.commands.range(Position { index: self.applied + 1, term: 0 }..).rev();
+        let set = ahead.filter_map(|(at, command)| {
+            let sets = match command {
+                Command::Put(change) => std::slice::from_ref(change),
+                Command::Txn(txn) => &txn.sets[..],
+                Command::Open(_) => &[],
+            };
+            let set = sets.iter().find(|set| set.key == key)?;
+            Some((at.index, set.value.as_deref()?))
+        });
+        let held = || self.state.held(key).map(|held| (held.revision, held.value.as_str()));
+        set.max().or_else(held)
+    }
+
     /// Whether this member leads.
     pub fn leads(&self) -> bool {
         self.node.role() == Role::Leader
@@ -195,7 +233,8 @@
     pub fn due(&self) -> Option<Time> {
         // A lone member has nobody to hear from.
         let due = self.due.filter(|_| self.takes_part() && !self.unvoted);
-        [due, self.ask_at].into_iter().flatten().min().filter(|_| self.members.len() > 1)
+        let others = [due, self.ask_at].into_iter().flatten().min().filter(|_| self.members.len() > 1);
+        [others, self.calls.due()].into_iter().flatten().min()
     }
 
     /// What this member may do.
@@ -244,8 +283,11 @@
 
     /// Packets for other members that wait for no write.
     pub fn take_outbox(&mut self) -> Vec<(u64, Packet)> {
-        let ready = self.outbox.iter().take_while(|(after, ..)| *after <= self.done).count();
-        self.outbox.drain(..ready).map(|(_, to, packet)| (to, packet)).collect()
+        let done = self.done;
+        let (ready, waits) = std::mem::take(&mut self.outbox).into_iter().partition(|p| p.0 <= done);
+        self.outbox = waits;
+        let ready: VecDeque<(u64, u64, Packet)> = ready;
+        ready.into_iter().map(|(_, to, packet)| (to, packet)).collect()
     }
 
     /// The place of the last entry that is applied.
@@ -260,7 +302,7 @@
 
     /// Wants a value to stand in the store; it is proposed again until it does, or is replaced here.
     pub fn put(&mut self, key: &str, value: &str, now: Time) -> Result<(), TooLarge> {
-        let full = !self.state.contains_key(key) && self.state.len() >= self.bounds.keys;
+        let full = self.state.get(key).is_none() && self.state.len() >= self.bounds.keys;
         if full || value.len() > self.bounds.value_bytes || key.len() > self.bounds.value_bytes {
             return Err(TooLarge);
         }
@@ -272,6 +314,7 @@
 
     /// The timer is due: the leader speaks, another member stands for election, one that waits for answers asks again.
     pub fn timer(&mut self, now: Time) {
+        self.press(now);
         if self.ask_at.is_some_and(|at| at <= now) {
             self.speak(now);
         }
@@ -324,11 +367,14 @@
             }
             // What follows is for members that vote and count.
             _ if !self.takes_part() => {}
-            Body::Put(change) => {
-                if self.leads() && change.value.len() <= self.bounds.value_bytes {
-                    self.propose(change);
+            Body::Propose(command) => {
+                if self.leads() && self.fits(&command) {
+                    self.hand_in(command);
                 }
             }
+            Body::Read { number, life } => self.begin_read(from, (number, life), now),
+            Body::ReadAt { number, life, index } if life == self.rejoin.life() => self.read_at(number, index),
+            Body::ReadAt { .. } => {}
             Body::Snapshot { snapshot, .. } => self.install(snapshot),
             mut body => {
                 if self.cluster == 0 && cluster != 0 {
@@ -342,10 +388,14 @@
                 let last = if let Body::Appended { last } = &body { Some(*last) } else { None };
                 self.rejoin.heard(from, starts, term, last);
                 if let Body::Append { entries, .. } = &body {
-                    for (position, change) in entries.changes() {
-                        self.changes.insert(position, change.clone());
+                    self.follow(from, term);
+                    for (position, command) in entries.commands() {
+                        self.commands.insert(position, command.clone());
                     }
                 }
+                if let Body::Appended { .. } = &body {
+                    self.heard(from, term, sequence);
+                }
                 if let Some(message) = body.into_message(from, term, sequence) {
                     self.node.handle_message(message);
                 }
@@ -365,39 +415,62 @@
         Position { index: if as_good { last.index.max(own.index) } else { 0 }, ..last }
     }
 
-    fn propose(&mut self, change: Change) {
-        if self.state.get(&change.key) == Some(&change.value) {
+    /// Hears the leader of this member's own term. In the library one that stands itself, or has voted for another in that
+    /// term, does not, and stands again later. As there is a leader in the term, what this vote is worth is over: that it goes to
+    /// the leader now elects nobody else.
+    fn follow(&mut self, leader: u64, term: u64) {
+        let (leader, own) = (NodeId::new(leader), self.node.current_term());
+        let elsewhere = self.node.voted_for().is_some_and(|vote| vote != leader);
+        if term == own.get() && elsewhere && self.node.role() != Role::Leader {
+            self.node = Node::restart(self.node.id(), own, Some(leader), self.node.log().clone());
+        }
+    }
+
+    fn propose(&mut self, command: Command) {
+        if let Command::Put(Change { key, value: Some(value) }) = &command
+            && self.state.get(key) == Some(value)
+        {
             return;
         }
         let position = self.node.propose_command();
         if !position.is_invalid() {
-            self.changes.insert(Position::from(position), change);
+            self.commands.insert(Position::from(position), command);
         }
     }
 
+    /// Whether something stands in the log and is not applied yet.
+    fn is_under_way(&self, command: &Command) -> bool {
+        let ahead = self.commands.range(Position { index: self.applied + 1, term: 0 }..);
+        ahead.map(|(_, ahead)| ahead).any(|ahead| ahead == command)
+    }
+
     /// Proposes what is wanted and not yet on its way, or hands it to the leader.
     fn propose_wanted(&mut self) {
         self.wanted.retain(|key, value| self.state.get(key) != Some(value));
-        let under_way = |key: &str, value: &str| {
-            let ahead = self.changes.range(Position { index: self.applied + 1, term: 0 }..);
-            ahead.map(|(_, change)| change).any(|c| c.key == key && c.value == value)
-        };
-        let wanted: Vec<Change> = self
-            .wanted
-            .iter()
-            .filter(|(key, value)| !under_way(key, value))
-            .map(|(key, value)| Change { key: key.clone(), value: value.clone() })
-            .collect();
+        let change =
+            |(key, value): (&String, &String)| Change { key: key.clone(), value: Some(value.clone()) };
+        let wanted: Vec<Command> = self.wanted.iter().map(change).map(Command::Put).collect();
+        wanted.into_iter().for_each(|command| self.hand_in(command));
+    }
+
+    /// Has something proposed, unless it is on its way already.
+    fn hand_in(&mut self, command: Command) {
+        if self.is_under_way(&command) {
+            return;
+        }
         if self.leads() {
-            wanted.into_iter().for_each(|change| self.propose(change));
-        } else if let Some(leader) = self.node.voted_for().filter(|id| *id != self.node.id()) {
-            for change in wanted {
-                let packet = self.packet(Body::Put(change));
-                self.outbox.push_back((self.made, leader.get(), packet));
-            }
+            self.propose(command);
+        } else if let Some(leader) = self.leader() {
+            let packet = self.packet(Body::Propose(command));
+            self.outbox.push_back((self.made, leader, packet));
         }
     }
 
+    /// The member that leads or may do so, where it is another one.
+    fn leader(&self) -> Option<u64> {
+        self.node.voted_for().filter(|id| *id != self.node.id()).map(NodeId::get)
+    }
+
     fn id(&self) -> u64 {
         self.node.id().get()
     }
@@ -437,17 +510,20 @@
                 }
                 Action::SaveVotedFor => self.keep(Record::Vote(self.node.voted_for().map(NodeId::get))),
                 Action::AppendLogEntries(entries) => {
-                    let record = Record::Append(packet::Entries::new(&entries, &self.changes));
+                    let record = Record::Append(packet::Entries::new(&entries, &self.commands));
                     self.keep(record);
                 }
                 Action::BroadcastMessage(message) => {
+                    self.calls.spoke(message.seqno().get());
                     let peers: Vec<u64> = self.node.peers().map(NodeId::get).collect();
-                    let packet = self.signed(Packet::from_message(&message, &self.changes));
-                    self.outbox.extend(peers.into_iter().map(|peer| (self.made, peer, packet.clone())));
+                    let (after, packet) = self.message(&message);
+                    self.outbox.extend(peers.into_iter().map(|peer| (after, peer, packet.clone())));
                 }
                 Action::SendMessage(to, message) => {
-                    let packet = self.signed(Packet::from_message(&message, &self.changes));
-                    self.outbox.push_back((self.made, to.get(), packet));
+                    let (after, packet) = self.message(&message);
+                    if !self.is_too_soon(to.get(), &packet, now) {
+                        self.outbox.push_back((after, to.get(), packet));
+                    }
                 }
                 Action::InstallSnapshot(to) => {
                     let snapshot = self.snapshot();
@@ -464,6 +540,43 @@
         self.apply();
     }
 
+    /// A message of the library, and the write that it waits for. Whatever says what this member has waits for all of them.
+    /// A leader's entries and heartbeats say only that it leads, and go out while its own disk is still at work: else a slow
+    /// disk has it lose the lead. What they call committed is no more than what is on that disk, as the library counts
+    /// the leader's own entries at once.
+    fn message(&self, message: &Message) -> (u64, Packet) {
+        let mut packet = self.signed(Packet::from_message(message, &self.commands));
+        match &mut packet.body {
+            Body::Append { commit, .. } => {
+                *commit = (*commit).min(self.on_disk());
+                (self.promised, packet)
+            }
+            _ => (self.made, packet),
+        }
+    }
+
+    /// Whether a member was just now sent what it lacks. The library sends that with every answer that lags, and under many changes
+    /// each does: each message would bring the next, for ever, and ever more of them. What is lost goes out again a part of
+    /// a heartbeat later.
+    fn is_too_soon(&mut self, to: u64, packet: &Packet, now: Time) -> bool {
+        let Body::Append { entries, .. } = &packet.body else { return false };
+        if entries.entries.is_empty() {
+            return false;
+        }
+        let last = self.resent.get(&to).is_some_and(|(term, at)| {
+            *term == packet.term && now < at.saturating_add(self.pace.heartbeat / 4)
+        });
+        if !last {
+            self.resent.insert(to, (packet.term, now));
+        }
+        last
+    }
+
+    /// Up to where the log is on the disk, where any is kept.
+    fn on_disk(&self) -> u64 {
+        if self.writes.is_some() { self.durable } else { u64::MAX }
+    }
+
     fn last(&self) -> Position {
         self.node.log().last_position().into()
     }
@@ -475,8 +588,7 @@
 
     /// Applies what is committed and on this member's own disk: a lone member's entry is committed as it is made.
     fn apply(&mut self) {
-        let durable = if self.writes.is_some() { self.durable } else { u64::MAX };
-        while self.applied < self.node.commit_index().get().min(durable) {
+        while self.applied < self.node.commit_index().get().min(self.on_disk()) {
             let index = LogIndex::new(self.applied + 1);
             let entries = self.node.log().entries();
             let (Some(entry), Some(term)) = (entries.get_entry(index), entries.get_term(index)) else {
@@ -484,12 +596,12 @@
             };
             if entry == LogEntry::Command {
                 let position = Position { index: index.get(), term: term.get() };
-                if let Some(change) = self.changes.get(&position) {
-                    let held = self.state.contains_key(&change.key) || self.state.len() < self.bounds.keys;
-                    if held {
-                        self.state.insert(change.key.clone(), change.value.clone());
-                        self.committed.push_back((position.index, change.clone()));
-                    }
+                if let Some(command) = self.commands.get(&position) {
+                    let room = Room { keys: self.bounds.keys, sessions: self.bounds.sessions };
+                    let (changes, done) = self.state.apply(position.index, command, room);
+                    self.calls.note(position.index, &changes, self.bounds.history);
+                    self.committed.extend(changes.into_iter().map(|change| (position.index, change)));
+                    self.calls.done(done);
                 }
             }
             self.applied += 1;
@@ -497,6 +609,7 @@
         if self.node.log().entries().len() > self.bounds.log {
             self.compact();
         }
+        self.calls.applied(self.applied);
     }
 
     fn snapshot(&self) -> Option<Snapshot> {
@@ -514,7 +627,7 @@
             return;
         };
         if self.node.handle_snapshot_installed(snapshot.position.into(), snapshot.config()) {
-            self.forget_changes();
+            self.forget_commands();
             self.rewrite(snapshot);
         }
     }
@@ -533,16 +646,17 @@
     fn take_state(&mut self, snapshot: Snapshot) {
         self.applied = snapshot.position.index;
         self.state = snapshot.state.clone();
-        let told = |(key, value): (&String, &String)| {
-            (snapshot.position.index, Change { key: key.clone(), value: value.clone() })
+        let told = |(key, held): (&str, &crate::state::Held)| {
+            (snapshot.position.index, Change { key: key.to_owned(), value: Some(held.value.clone()) })
         };
-        self.committed.extend(self.state.iter().map(told));
-        self.forget_changes();
+        self.committed.extend(self.state.keys().map(told));
+        self.calls.skipped(self.applied, &self.state);
+        self.forget_commands();
         self.rewrite(snapshot);
     }
 
-    fn forget_changes(&mut self) {
-        self.changes = self.changes.split_off(&Position { index: self.applied + 1, term: 0 });
+    fn forget_commands(&mut self) {
+        self.commands = self.commands.split_off(&Position { index: self.applied + 1, term: 0 });
     }
 
     fn keep(&mut self, record: Record) {
@@ -553,6 +667,9 @@
         let end = self.end();
         let Some(writes) = &mut self.writes else { return };
         self.made += 1;
+        if !matches!(records[..], [Record::Append(_)]) {
+            self.promised = self.made;
+        }
         self.ends.push_back((self.made, end));
         writes.push(Write { number: self.made, replaces, records });
     }
@@ -564,7 +681,7 @@
         records.extend(self.rejoin.peers().iter().map(|(id, peer)| Record::Peer(*id, *peer)));
         records.push(Record::Term(self.node.current_term().get()));
         records.push(Record::Vote(self.node.voted_for().map(NodeId::get)));
-        records.push(Record::Append(packet::Entries::new(self.node.log().entries(), &self.changes)));
+        records.push(Record::Append(packet::Entries::new(self.node.log().entries(), &self.commands)));
         match self.rejoin.standing() {
             Standing::Founding => records.push(Record::Founding(true)),
             Standing::Lost => records.push(Record::Lost),
--- a/store/src/member/rejoining.rs
+++ b/store/src/member/rejoining.rs
@@ -118,7 +118,7 @@
         let log = Log::new(snapshot.config(), after(snapshot.position));
         self.node = Node::restart(self.node.id(), snapshot.position.term.into(), None, log);
         (self.applied, self.state) = (snapshot.position.index, snapshot.state.clone());
-        self.changes.clear();
+        self.commands.clear();
         self.unvoted = true;
         self.rejoin.begins();
         self.rewrite(snapshot.clone());
--- a/store/src/packet.rs
+++ b/store/src/packet.rs
@@ -1,6 +1,8 @@
 //! What members of the store say to each other: one JSON object a line.
 
+use crate::command::Command;
 use crate::rejoin::{Ask, Past, Told, What};
+use crate::state::State;
 use raftbare::{ClusterConfig, LogEntries, LogEntry, LogIndex, Message, MessageHeader, MessageSeqNo, NodeId};
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,8 +22,8 @@
 pub struct Change {
     /// The key.
     pub key: String,
-    /// The value.
-    pub value: String,
+    /// The value; none where the key is gone.
+    pub value: Option<String>,
 }
 
 /// The state at a place in the log.
@@ -31,8 +33,8 @@
     pub position: Position,
     /// The members at that place.
     pub members: BTreeSet<u64>,
-    /// Every key and its value.
-    pub state: BTreeMap<String, String>,
+    /// Everything that the entries up to there made.
+    pub state: State,
 }
 
 impl Snapshot {
@@ -52,8 +54,8 @@
     Term(u64),
     /// The members.
     Members(BTreeSet<u64>),
-    /// A change of the state.
-    Change(Change),
+    /// Something for the state to do.
+    Command(Command),
 }
 
 /// A stretch of the log.
@@ -67,7 +69,7 @@
 
 impl Entries {
     /// A stretch of the library's log, with what its commands say.
-    pub fn new(log: &LogEntries, changes: &BTreeMap<Position, Change>) -> Entries {
+    pub fn new(log: &LogEntries, commands: &BTreeMap<Position, Command>) -> Entries {
         let mut stretch = Entries { after: log.prev_position().into(), entries: Vec::new() };
         for (position, entry) in log.iter_with_positions() {
             let entry = match entry {
@@ -75,8 +77,8 @@
                 LogEntry::ClusterConfig(config) => {
                     Entry::Members(config.voters.iter().map(|id| id.get()).collect())
                 }
-                LogEntry::Command => match changes.get(&Position::from(position)) {
-                    Some(change) => Entry::Change(change.clone()),
+                LogEntry::Command => match commands.get(&Position::from(position)) {
+                    Some(command) => Entry::Command(command.clone()),
                     // What is not known cannot be passed on; the rest goes when it is.
                     None => break,
                 },
@@ -95,21 +97,21 @@
                 Entry::Members(members) => LogEntry::ClusterConfig(
                     Snapshot { members: members.clone(), ..Snapshot::default() }.config(),
                 ),
-                Entry::Change(_) => LogEntry::Command,
+                Entry::Command(_) => LogEntry::Command,
             });
         }
         log
     }
 
-    /// The changes in it, each with its place.
-    pub fn changes(&self) -> impl Iterator<Item = (Position, &Change)> {
+    /// The commands in it, each with its place.
+    pub fn commands(&self) -> impl Iterator<Item = (Position, &Command)> {
         let mut term = self.after.term;
         self.entries.iter().zip(self.after.index + 1..).filter_map(move |(entry, index)| match entry {
             Entry::Term(new) => {
                 term = *new;
                 None
             }
-            Entry::Change(change) => Some((Position { index, term }, change)),
+            Entry::Command(command) => Some((Position { index, term }, command)),
             Entry::Members(_) => None,
         })
     }
@@ -147,8 +149,24 @@
         /// The life that asked for it; 0 where none did.
         restores: u64,
     },
-    /// A member wants the leader to propose a change.
-    Put(Change),
+    /// A member wants the leader to propose this.
+    Propose(Command),
+    /// A member asks the leader up to where it must have applied, to answer a read of this number.
+    Read {
+        /// The number.
+        number: u64,
+        /// The life of the member that asks.
+        life: u64,
+    },
+    /// The answer to that, once the leader is known to lead.
+    ReadAt {
+        /// The number.
+        number: u64,
+        /// The life that asked: a later one may have used the number again.
+        life: u64,
+        /// The place.
+        index: u64,
+    },
     /// A member that has just started asks what others know of it.
     Ask(Ask),
     /// The answer to that.
@@ -219,7 +237,9 @@
     ("append", "The leader's entries, or its heartbeat"),
     ("appended", "The answer to the leader"),
     ("snapshot", "The state in place of entries that the leader no longer has"),
-    ("put", "A member wants the leader to propose a change"),
+    ("put", "A member wants the leader to propose an entry"),
+    ("read", "A member asks the leader up to where it must have applied, to answer a read"),
+    ("read at", "The answer to that, once the leader is known to lead"),
     ("ask", "A member that has just started asks what others know of it"),
     ("told", "The answer to one that asks"),
     ("found", "A member that begins the store says that the receiver is part of it"),
@@ -253,7 +273,9 @@
             Body::Append { .. } => "append",
             Body::Appended { .. } => "appended",
             Body::Snapshot { .. } => "snapshot",
-            Body::Put(_) => "put",
+            Body::Propose(_) => "put",
+            Body::Read { .. } => "read",
+            Body::ReadAt { .. } => "read at",
             Body::Ask(_) => "ask",
             Body::Told(_) => "told",
             Body::Found { .. } => "found",
@@ -266,12 +288,12 @@
 
 impl Packet {
     /// The packet that carries a message of the library; who sends it is put in by the member.
-    pub fn from_message(message: &Message, changes: &BTreeMap<Position, Change>) -> Packet {
+    pub fn from_message(message: &Message, commands: &BTreeMap<Position, Command>) -> Packet {
         let body = match message {
             Message::RequestVoteCall { last_position, .. } => Body::Vote { last: (*last_position).into() },
             Message::RequestVoteReply { vote_granted, .. } => Body::Voted { granted: *vote_granted },
             Message::AppendEntriesCall { commit_index, entries, .. } => {
-                Body::Append { commit: commit_index.get(), entries: Entries::new(entries, changes) }
+                Body::Append { commit: commit_index.get(), entries: Entries::new(entries, commands) }
             }
             Message::AppendEntriesReply { last_position, .. } => {
                 Body::Appended { last: (*last_position).into() }
@@ -291,7 +313,9 @@
                 json["restores"] = (*restores).into();
                 json
             }
-            Body::Put(change) => json!({"key": change.key, "value": change.value}),
+            Body::Propose(command) => command.json(),
+            Body::Read { number, life } => json!({"number": number, "life": life}),
+            Body::ReadAt { number, life, index } => json!({"number": number, "life": life, "index": index}),
             Body::Ask(ask) => json!({
                 "life": ask.life, "past": word(PASTS, ask.past), "starts": ask.starts,
                 "asks_as": ask.generation, "last": write_position(ask.last)
@@ -343,7 +367,11 @@
                 snapshot: read_snapshot(&json).ok_or(NoPacket("snapshot"))?,
                 restores: json["restores"].as_u64().unwrap_or(0),
             },
-            "put" => Body::Put(read_change(&json).ok_or(NoPacket("put"))?),
+            "put" => Body::Propose(Command::read(&json).ok_or(NoPacket("put"))?),
+            "read" => Body::Read { number: number("number")?, life: number("life")? },
+            "read at" => {
+                Body::ReadAt { number: number("number")?, life: number("life")?, index: number("index")? }
+            }
             "ask" => Body::Ask(Ask {
                 life: number("life")?,
                 past: meant(PASTS, &json["past"]).ok_or(NoPacket("past"))?,
@@ -413,7 +441,7 @@
         .map(|entry| match entry {
             Entry::Term(term) => json!({"term": term}),
             Entry::Members(members) => json!({"members": members}),
-            Entry::Change(change) => json!({"key": change.key, "value": change.value}),
+            Entry::Command(command) => command.json(),
         })
         .collect();
     json!({"after": write_position(entries.after), "entries": list})
@@ -427,7 +455,7 @@
         } else if json["members"].is_array() {
             Some(Entry::Members(read_members(&json["members"])?))
         } else {
-            Some(Entry::Change(read_change(json)?))
+            Some(Entry::Command(Command::read(json)?))
         }
     };
     let entries = json["entries"].as_array()?.iter().map(entry).collect::<Option<_>>()?;
@@ -436,25 +464,16 @@
 
 /// A snapshot as JSON.
 pub fn write_snapshot(snapshot: &Snapshot) -> Json {
-    json!({"position": write_position(snapshot.position), "members": snapshot.members, "state": snapshot.state})
+    json!({"position": write_position(snapshot.position), "members": snapshot.members, "state": snapshot.state.json()})
 }
 
 /// A snapshot from JSON.
 pub fn read_snapshot(json: &Json) -> Option<Snapshot> {
-    let state = json["state"].as_object()?.iter();
-    let state =
-        state.map(|(key, value)| Some((key.clone(), value.as_str()?.to_owned()))).collect::<Option<_>>()?;
-    Some(Snapshot {
-        position: read_position(&json["position"])?,
-        members: read_members(&json["members"])?,
-        state,
-    })
+    let position = read_position(&json["position"])?;
+    let state = State::read(&json["state"], position.index)?;
+    Some(Snapshot { position, members: read_members(&json["members"])?, state })
 }
 
 fn read_members(json: &Json) -> Option<BTreeSet<u64>> {
     json.as_array()?.iter().map(Json::as_u64).collect()
 }
-
-fn read_change(json: &Json) -> Option<Change> {
-    Some(Change { key: json["key"].as_str()?.to_owned(), value: json["value"].as_str()?.to_owned() })
-}
--- a/store/src/record.rs
+++ b/store/src/record.rs
@@ -76,7 +76,9 @@
 }
 
 /// What a file begins with; the last byte is the version of its format.
-pub const MAGIC: &[u8; 8] = b"bittern\x02";
+pub const MAGIC: &[u8; 8] = b"bittern\x03";
+/// The format before, of which every record is one of this format too: it had no transactions and no sessions.
+const FORMER: &[u8; 8] = b"bittern\x02";
 
 /// Bytes of a record before its content: its length, its place, and the checksum of both.
 const HEAD: usize = 16;
@@ -132,9 +134,9 @@
 /// Reads a file of this format. Whatever its bytes, it gives its whole records, or says where it is damaged.
 pub fn read(bytes: &[u8]) -> Result<Read, Damage> {
     let mut read = Read { records: Vec::new(), whole: 0, torn: 0 };
-    let Some(rest) = bytes.strip_prefix(MAGIC) else {
+    let Some(rest) = bytes.strip_prefix(MAGIC).or_else(|| bytes.strip_prefix(FORMER)) else {
         // Nothing was promised in a file whose first bytes never came.
-        if MAGIC.starts_with(bytes) {
+        if MAGIC.starts_with(bytes) || FORMER.starts_with(bytes) {
             read.torn = bytes.len();
             return Ok(read);
         }
@@ -200,14 +202,15 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::command::Command;
     use crate::packet::{Change, Entry, Position};
     use proptest::prelude::*;
 
     fn records() -> Vec<Record> {
-        let change = Change { key: "members/m0".to_owned(), value: "ih-2".to_owned() };
+        let change = Change { key: "members/m0".to_owned(), value: Some("ih-2".to_owned()) };
         let entries = Entries {
             after: Position { index: 3, term: 2 },
-            entries: vec![Entry::Term(2), Entry::Change(change)],
+            entries: vec![Entry::Term(2), Entry::Command(Command::Put(change))],
         };
         let snapshot = Snapshot { position: Position { index: 3, term: 2 }, ..Snapshot::default() };
         vec![
@@ -253,6 +256,11 @@
         for at in 0..bytes.len() * 8 {
             let mut flipped = bytes.clone();
             flipped[at / 8] ^= 1 << (at % 8);
+            // The format's own number may become that of the one before, which says the same.
+            if flipped.starts_with(FORMER) {
+                assert_eq!(read(&flipped).unwrap().records, records());
+                continue;
+            }
             let damage = read(&flipped).expect_err("a flipped bit is no torn tail");
             assert!(damage.offset <= at / 8, "bit {at}: {damage}");
         }
@@ -270,8 +278,11 @@
         future[7] = 9;
         assert_eq!(
             read(&future).unwrap_err().to_string(),
-            "at byte 0: format 9; this program reads format 2"
+            "at byte 0: format 9; this program reads format 3"
         );
+        // The last format is read still.
+        let former = [FORMER, &bytes[8..]].concat();
+        assert_eq!(read(&former).unwrap().records, records());
         assert_eq!(read(b"something else").unwrap_err().to_string(), "at byte 0: this is no file of a store");
         assert_eq!(
             read_lines(b"{\"term\":2}\n{\"vote\":1}\n{\"te").unwrap().records,
--- /dev/null
+++ b/store/tests/load.rs
@@ -0,0 +1,89 @@
+//! A store under many changes beside slow disks, in virtual time: what that costs in commits, and in leaders.
+
+use std::collections::{BTreeMap, BTreeSet};
+use store::Time;
+use store::kept::Kept;
+use store::member::{Bounds, Membership, Pace, Store, Write};
+use store::packet::Packet;
+
+const MS: Time = 1_000_000;
+
+struct Member {
+    store: Store,
+    /// Writes that wait for the disk, and those that it is at until a moment: what waits shares one sync.
+    waiting: Vec<Write>,
+    syncing: Option<(Time, Vec<Write>)>,
+}
+
+/// What came of a stretch of time.
+#[derive(Debug, Default)]
+struct Seen {
+    committed: u64,
+    longest_gap: Time,
+    leaders: BTreeSet<u64>,
+    without_leader: Time,
+}
+
+/// Three members whose disks take so long over each sync, with so many changes a second put at them in turn.
+fn play(sync: Time, changes: u64, length: Time) -> Seen {
+    let pace = Pace { heartbeat: 150 * MS, election: 600 * MS };
+    let bounds =
+        Bounds { log: 256, keys: 64, value_bytes: 1000, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
+    let members = BTreeSet::from([1, 2, 3]);
+    let start = |id| {
+        let membership = Membership { id, members: members.clone(), begins: id == 1 };
+        let store = Store::start(&membership, pace, bounds, id, Some(Kept::default()), 0);
+        (id, Member { store, waiting: Vec::new(), syncing: None })
+    };
+    let mut all: BTreeMap<u64, Member> = (1..=3).map(start).collect();
+    let (mut wires, mut seen): (Vec<(Time, u64, Packet)>, Seen) = (Vec::new(), Seen::default());
+    let (mut now, mut number, mut last, settled) = (0, 0, 0, 5_000 * MS);
+    while now < settled + length {
+        now += MS;
+        if now == settled {
+            (seen, last) = (Seen::default(), now);
+        }
+        if now >= settled && now % (1_000 * MS / changes) < MS {
+            number += 1;
+            let store = &mut all.get_mut(&(1 + number % 3)).expect("a member").store;
+            store.put(&format!("k{}", number % 60), &number.to_string(), now).expect("it fits");
+        }
+        let due: Vec<_> = wires.iter().filter(|w| w.0 <= now).cloned().collect();
+        wires.retain(|w| w.0 > now);
+        for (_, to, packet) in due {
+            all.get_mut(&to).expect("a member").store.receive(packet, now).expect("one store");
+        }
+        for member in all.values_mut() {
+            member.store.timer(now);
+            if let Some((_, writes)) = member.syncing.take_if(|(at, _)| *at <= now) {
+                writes.last().into_iter().for_each(|write| member.store.written(write.number));
+            }
+            member.waiting.extend(member.store.take_writes());
+            if member.syncing.is_none() && !member.waiting.is_empty() {
+                member.syncing = Some((now + sync, std::mem::take(&mut member.waiting)));
+            }
+            wires.extend(member.store.take_outbox().into_iter().map(|(to, packet)| (now + MS, to, packet)));
+        }
+        let committed = all.get_mut(&1).expect("a member").store.take_committed().len() as u64;
+        if committed > 0 {
+            (seen.committed, seen.longest_gap, last) =
+                (seen.committed + committed, seen.longest_gap.max(now - last), now);
+        }
+        let leader = all.iter().find(|(_, member)| member.store.leads()).map(|(id, _)| *id);
+        seen.without_leader += if leader.is_none() { MS } else { 0 };
+        seen.leaders.extend(leader);
+    }
+    seen
+}
+
+/// Before, a leader's heartbeats waited behind its own writes: at 200 changes a second and 25 ms a sync it lost the lead again
+/// and again, and nothing was committed for a second and a half at a time.
+#[test]
+fn many_changes_beside_a_slow_disk_cost_no_lead_and_leave_no_gap() {
+    for (sync, changes) in [(25 * MS, 200), (100 * MS, 100)] {
+        let seen = play(sync, changes, 6_000 * MS);
+        println!("{} ms a sync, {changes} changes a second: {seen:?}", sync / MS);
+        assert_eq!((seen.leaders.len(), seen.without_leader), (1, 0), "{seen:?}");
+        assert!(seen.longest_gap < 10 * sync, "{seen:?}");
+    }
+}
--- /dev/null
+++ b/store/tests/world/mod.rs
@@ -0,0 +1,354 @@
+//! Members of a store in virtual time, by seed: packets late, lost, doubled and out of order; links cut; power and files lost.
+#![allow(dead_code)] // each simulation uses its share
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Mutex;
+use store::Time;
+use store::kept::Kept;
+use store::member::{Bounds, Membership, Pace, Store, Write};
+use store::packet::{Body, Change, Packet, Position, Snapshot};
+use store::record::{MAGIC, Record, encode, read};
+use store::rejoin::{Standing, Told, What};
+
+pub const MS: Time = 1_000_000;
+
+/// What the simulation does wrong on purpose, to see that it would be found.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Planted {
+    Nothing,
+    /// Writes are said to be done before they are: votes and acknowledgements go out ahead of the disk.
+    SaysBeforeSync,
+    /// A member whose file is lost votes again as if it had never voted: it takes itself for one that has just joined.
+    EmptyVotes,
+    /// A restart forgets the vote that its file has.
+    VoteForgotten,
+    /// A member that has lost its file counts again with whatever the first leader has committed.
+    NoBar,
+    /// Every candidate's log is taken to be as good as one's own.
+    VotesForAnyone,
+    /// A member that takes itself for the leader answers reads without asking whether it leads still.
+    UnaskedLeader,
+}
+
+/// How long something takes: mostly up to the first, now and then up to the second, in milliseconds.
+fn late(rng: &mut fastrand::Rng, usual: u64, seldom: u64) -> Time {
+    let most = if rng.u8(..) < 10 { seldom } else { usual };
+    rng.u64(0..=most) * MS
+}
+
+pub struct Member {
+    pub store: Option<Store>,
+    /// What is on the disk.
+    disk: Vec<Record>,
+    /// Writes under way, and when each is done.
+    pub writes: Vec<(Time, Write)>,
+    back_at: Time,
+    /// Which store a file beside the member's own says that it has voted in.
+    voted_in: u64,
+    /// Its file was lost, and it does not count again yet.
+    pub impaired: bool,
+}
+
+pub struct World {
+    pub rng: fastrand::Rng,
+    pub planted: Planted,
+    pub now: Time,
+    pub members: BTreeMap<u64, Member>,
+    wires: Vec<(Time, u64, u64, Packet)>,
+    /// Links that bring nothing, each in one direction.
+    cut: BTreeSet<(u64, u64)>,
+    /// What any member ever applied at each place.
+    log: BTreeMap<u64, Change>,
+    pub furthest: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, count: u64, planted: Planted) -> World {
+        let member = |id| {
+            let (disk, writes) = (Vec::new(), Vec::new());
+            (id, Member { store: None, disk, writes, back_at: 0, voted_in: 0, impaired: false })
+        };
+        World {
+            rng: fastrand::Rng::with_seed(seed),
+            planted,
+            now: 0,
+            members: (1..=count).map(member).collect(),
+            wires: Vec::new(),
+            cut: BTreeSet::new(),
+            log: BTreeMap::new(),
+            furthest: 0,
+        }
+    }
+
+    fn boot(&mut self, id: u64) {
+        let members: BTreeSet<u64> = self.members.keys().copied().collect();
+        let member = self.members.get_mut(&id).expect("a member");
+        // The disk's content goes through its bytes, with what a write cut short leaves behind.
+        let mut bytes = MAGIC.to_vec();
+        let places = (1..).zip(&member.disk);
+        places.for_each(|(place, record)| bytes.extend(encode(record, place)));
+        bytes.truncate(bytes.len());
+        bytes.extend(std::iter::repeat_n(0u8, self.rng.usize(0..15)));
+        let mut records = read(&bytes).expect("a torn tail is no damage").records;
+        if self.planted == Planted::VoteForgotten {
+            records.retain(|record| !matches!(record, Record::Vote(_)));
+        }
+        // What its settings say stays as it was at the first start.
+        let membership = Membership { id, members, begins: id == 1 };
+        let pace = Pace { heartbeat: 40 * MS, election: 160 * MS };
+        let bounds =
+            Bounds { log: 12, keys: 100, value_bytes: 100, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
+        let seed = self.rng.u64(..);
+        let gone = records.is_empty() && member.voted_in != 0 && self.planted != Planted::EmptyVotes;
+        let kept = if gone { Kept::gone(member.voted_in) } else { Kept::of(records) };
+        member.store = Some(Store::start(&membership, pace, bounds, seed, Some(kept), self.now));
+    }
+
+    /// Loses power: what is not synced is gone, and all that is in memory.
+    pub fn crash(&mut self, id: u64, for_: Time) {
+        let member = self.members.get_mut(&id).expect("a member");
+        (member.store, member.back_at) = (None, self.now + for_);
+        member.writes.clear();
+    }
+
+    /// Loses a member's file with its power, as long as fewer than half of them are without theirs.
+    fn lose_file(&mut self, id: u64, for_: Time) {
+        let impaired = self.members.values().filter(|member| member.impaired).count();
+        if impaired + 1 > (self.members.len() - 1) / 2 {
+            return;
+        }
+        self.crash(id, for_);
+        let keeps_beside = self.rng.bool();
+        let members = self.members.keys().copied().collect();
+        let member = self.members.get_mut(&id).expect("a member");
+        (member.disk, member.impaired) = (Vec::new(), true);
+        if self.planted == Planted::EmptyVotes && member.voted_in != 0 {
+            let snapshot = Snapshot { members, ..Snapshot::default() };
+            let (cluster, started) = (Record::Cluster(member.voted_in), Record::Start(1 << 20));
+            member.disk = vec![cluster, started, Record::Snapshot(snapshot), Record::Joined];
+        } else if !keeps_beside {
+            member.voted_in = 0;
+        }
+    }
+
+    pub fn step(&mut self) -> Result<(), String> {
+        self.now += MS;
+        let ids: Vec<u64> = self.members.keys().copied().collect();
+        for id in &ids {
+            let member = &self.members[id];
+            if member.store.is_none() && member.back_at <= self.now {
+                self.boot(*id);
+            }
+            let member = self.members.get_mut(id).expect("a member");
+            while member.writes.first().is_some_and(|(at, _)| *at <= self.now) {
+                let (_, write) = member.writes.remove(0);
+                if write.replaces {
+                    member.disk.clear();
+                }
+                if write.records.iter().any(|record| matches!(record, Record::Term(term) if *term > 0)) {
+                    member.voted_in = member.store.as_ref().map_or(0, Store::cluster);
+                }
+                member.disk.extend(write.records);
+                if let Some(store) = &mut member.store {
+                    store.written(write.number);
+                }
+            }
+            if let Some(store) = &mut member.store {
+                store.timer(self.now);
+                // What it has caught up with counts once it is on the disk.
+                member.impaired &= store.standing() != Standing::Sound || !member.writes.is_empty();
+            }
+        }
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.wires).into_iter().partition(|w| w.0 <= now);
+        self.wires = later;
+        for (_, from, to, packet) in due {
+            if !self.cut.contains(&(from, to))
+                && let Some(store) = self.members.get_mut(&to).and_then(|m| m.store.as_mut())
+            {
+                let mut packet =
+                    Packet::read(packet.write().as_bytes()).map_err(|problem| problem.to_string())?;
+                match (self.planted, &mut packet.body) {
+                    (Planted::NoBar, Body::Told(Told { last, .. })) if store.standing() == Standing::Lost => {
+                        (*last, packet.term) = (Position::default(), 0);
+                    }
+                    (Planted::EmptyVotes, Body::Told(Told { what, newer, .. }))
+                        if store.standing() == Standing::Unjudged =>
+                    {
+                        (*what, *newer) = (What::Whole, false);
+                    }
+                    (Planted::VotesForAnyone, Body::Vote { last }) => {
+                        *last = Position { index: last.index, term: u64::MAX };
+                    }
+                    _ => {}
+                }
+                if let (Planted::UnaskedLeader, Body::Read { number, life }, true) =
+                    (self.planted, &packet.body, store.leads())
+                {
+                    let body = Body::ReadAt { number: *number, life: *life, index: store.applied() };
+                    let told = Packet {
+                        from: to,
+                        cluster: packet.cluster,
+                        term: packet.term,
+                        body,
+                        ..Packet::default()
+                    };
+                    self.wires.push((now + MS, to, from, told));
+                }
+                // A store that never came to be may still be spoken of by who had begun it.
+                let _ = store.receive(packet, now);
+            }
+        }
+        for id in ids {
+            self.drain(id)?;
+        }
+        Ok(())
+    }
+
+    /// What a member gives out: writes to its disk, packets to the wires, applied entries to the history.
+    fn drain(&mut self, id: u64) -> Result<(), String> {
+        let Some(member) = self.members.get_mut(&id) else { return Ok(()) };
+        let Some(store) = &mut member.store else { return Ok(()) };
+        for write in store.take_writes() {
+            let after = member.writes.last().map_or(self.now, |(at, _)| *at);
+            let at = after + late(&mut self.rng, 4, 60);
+            let number = write.number;
+            member.writes.push((at, write));
+            if self.planted == Planted::SaysBeforeSync {
+                store.written(number);
+            }
+        }
+        let mut told: BTreeMap<u64, Vec<Change>> = BTreeMap::new();
+        for (revision, change) in store.take_committed() {
+            told.entry(revision).or_default().push(change);
+        }
+        for (revision, changes) in told {
+            // A snapshot tells every key at its own place, and what stands there in the log is among them.
+            match self.log.get(&revision) {
+                Some(held) if !changes.contains(held) => {
+                    return Err(format!(
+                        "at {revision} member {id} has {changes:?}, where {held:?} was shown"
+                    ));
+                }
+                None if changes.len() == 1 => drop(self.log.insert(revision, changes[0].clone())),
+                _ => {}
+            }
+        }
+        self.furthest = self.furthest.max(store.applied());
+        for (to, packet) in store.take_outbox() {
+            for _ in 0..if self.rng.u8(..) < 10 { 2 } else { 1 } {
+                if self.rng.u8(..) >= 12 {
+                    let at = self.now + MS + late(&mut self.rng, 4, 80);
+                    self.wires.push((at, id, to, packet.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Faults for a while, then calm; all must then be one, and have all that anybody was ever shown.
+    pub fn play(&mut self) -> Result<(), String> {
+        self.troubled(3000, |_| Ok(()))?;
+        self.calmed()
+    }
+
+    /// Faults for so many milliseconds; something may be done after each.
+    pub fn troubled(
+        &mut self,
+        length: u64,
+        mut each: impl FnMut(&mut World) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let count = self.members.len() as u64;
+        let (mut number, long) = (0, self.rng.bool());
+        let away = if long { 900 } else { 120 };
+        for _ in 0..length {
+            self.step()?;
+            each(self)?;
+            let (id, other) = (self.rng.u64(1..=count), self.rng.u64(1..=count));
+            match self.rng.u16(..1000) {
+                0..40 => {
+                    number += 1;
+                    if let Some(store) = self.members.get_mut(&id).and_then(|m| m.store.as_mut()) {
+                        let _ = store.put(&format!("k{id}"), &format!("v{number}"), self.now);
+                    }
+                }
+                40..46 => {
+                    let off = late(&mut self.rng, away, away);
+                    self.crash(id, off);
+                }
+                // Power lost to all at one moment.
+                46..47 => (1..=count).for_each(|id| self.crash(id, 20 * MS)),
+                47..55 => drop(self.cut.insert((id, other))),
+                // On some days links stay cut, and members away, for longer than an election takes.
+                55..75 if !long || self.rng.u8(..) < 50 => self.cut.clear(),
+                75..79 => {
+                    let off = late(&mut self.rng, away, away);
+                    self.lose_file(id, off);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// No faults any more: all must be one in the end.
+    fn calmed(&mut self) -> Result<(), String> {
+        self.heal();
+        for _ in 0..40 {
+            for _ in 0..500 {
+                self.step()?;
+            }
+            if self.is_one() {
+                return Ok(());
+            }
+        }
+        let states: Vec<_> = self.members.values().filter_map(|m| m.store.as_ref()).collect();
+        let states: Vec<_> =
+            states.iter().map(|s| (s.applied(), s.standing(), s.waits_for(), s.state())).collect();
+        Err(format!("entry {} was shown, and after 20 s of calm members hold {states:?}", self.furthest))
+    }
+
+    /// Every link is whole again.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Whether all members run, hold the same and have all that was ever shown.
+    pub fn is_one(&self) -> bool {
+        let stores: Vec<_> = self.members.values().filter_map(|m| m.store.as_ref()).collect();
+        let same = |store: &&Store| store.applied() >= self.furthest && store.state() == stores[0].state();
+        stores.len() == self.members.len() && stores.iter().all(same)
+    }
+}
+
+pub fn seeds() -> u64 {
+    std::env::var("STORE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(60)
+}
+
+/// The first seed that fails, of so many, with what failed.
+pub fn first_failure(seeds: u64, play: impl Fn(u64) -> Result<(), String> + Sync) -> Option<(u64, String)> {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    let found = Mutex::new(None::<(u64, String)>);
+    std::thread::scope(|scope| {
+        for first in 0..threads {
+            let (found, play) = (&found, &play);
+            scope.spawn(move || {
+                for seed in (first..seeds).step_by(threads as usize) {
+                    // What is behind the first one found need not be played.
+                    if found.lock().unwrap().as_ref().is_some_and(|(earlier, _)| *earlier < seed) {
+                        return;
+                    }
+                    if let Err(problem) = play(seed) {
+                        let mut found = found.lock().unwrap();
+                        if found.as_ref().is_none_or(|(earlier, _)| seed < *earlier) {
+                            *found = Some((seed, problem));
+                        }
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    found.into_inner().unwrap()
+}
