A return asks discovery without a client, and a catalogue's refuses by worth

Need: the catalogue's front had the phases and refused nothing. Change: what begins (a search, a scan) has its turn in Catalogue::ask, rounds under way go on; both of its protocols pass there.

Found by its test: with a return under way the module had no event until a client came, so it took no turn and never had discovery asked: without clients a gatherer stayed at listing for good, a gate that nothing opened. Cause: serve.rs tells the list from before later, and with it the module's first event. It is told an empty one at once.

--- a/bitternsill/src/front/catalogue/mod.rs
+++ b/bitternsill/src/front/catalogue/mod.rs
@@ -14,6 +14,7 @@
 use crate::core::ports::{Answer, Ask, Caller, Reason, Refusal};
 use crate::front::Gatherer;
 use crate::limits::{Limits, MS};
+use ::recovery::ramp::Turn;
 use bramblestair::interface::Time;
 use catalogue::operation::{Bounds, Plan, Round, Why};
 use catalogue::session::Config;
@@ -100,6 +101,13 @@
             Work::Page(_) => self.classes.page,
             Work::Scan(_) => self.classes.scan,
         };
+        // What is under way goes on; what begins has its turn while the gatherer returns.
+        let begins = !matches!(&plan.work, Work::Page(page) if !page.fresh);
+        if let Some(returning) = world.returning.as_mut().filter(|_| begins)
+            && let Turn::Later(wait) = returning.admit(class, arrived)
+        {
+            return Err(Refusal::TableFull { hold_off: wait.min(world.core.longest_hold_off()) });
+        }
         let weight = 1.0 / plan.slices.len().max(1) as f64;
         let ask = Ask {
             caller,
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -301,6 +301,8 @@
             let settings = gatherer.core.settings();
             gatherer.returning =
                 Some(Return::begin(setup, settings, &asked, members, limits.first_list, plan.seed, net));
+            // The module has its first turn, and asks discovery, whether or not a client comes.
+            gatherer.core.list(ListKind::Persisted, Vec::new());
         }
         None => {
             let entries = gatherer.hosts.update(ListKind::Persisted, members, net, now);
