Operators' calls are in the trail, and former documents are bounded

Need: the store's state goes to a lagging member in one line, so documents of former versions must not pile up: the last eight are kept, and of a hundred versions that they were active. Calls at the door are noted with the version that they were carried out under.

--- a/bitternsill/src/admin/door.rs
+++ b/bitternsill/src/admin/door.rs
@@ -113,6 +113,9 @@
                 // Whether it is ready is asked several times a second.
                 if call.operation != Operation::Ready {
                     tracing::info!(%call, peer = %self.peer, status = response.status, "operator's call");
+                    if let Some(versions) = &cx.world.versions {
+                        versions.called(&format!("{call}: {}", response.status), cx.now, cx.net);
+                    }
                 }
                 response
             }
--- a/bitternsill/src/versions/audit.rs
+++ b/bitternsill/src/versions/audit.rs
@@ -1,7 +1,7 @@
 //! `bitternsill fleet audit`: trails are fetched from each gatherer and judged by the package `versions`.
 
 use super::cli::Where;
-use super::{GATHERERS, PAST, TRAILS};
+use super::{GATHERERS, TRAILS, WAS};
 use crate::store::client::{Seen, line};
 use clap::Args;
 use serde_json::{Value as Json, json};
@@ -46,8 +46,8 @@
 
 /// Every version that the store ever made active, with its proposal.
 fn versions(seen: &Seen) -> BTreeMap<Version, String> {
-    let past = seen.names(PAST);
-    past.filter_map(|proposal| Some((seen.keys.get(&format!("{PAST}{proposal}"))?.1, proposal.to_owned())))
+    let was = seen.names(WAS);
+    was.filter_map(|proposal| Some((seen.keys.get(&format!("{WAS}{proposal}"))?.1, proposal.to_owned())))
         .collect()
 }
 
--- a/bitternsill/src/versions/cli.rs
+++ b/bitternsill/src/versions/cli.rs
@@ -1,6 +1,6 @@
 //! `bitternsill fleet configure|activate|versions|diff|hold|release|leave-out|take-in`: versions by an operator's hand.
 
-use super::{ACTIVE, GATHERERS, HELD, NEXT, OUT, PAST, WORD};
+use super::{ACTIVE, GATHERERS, HELD, NEXT, OUT, PAST, WAS, WORD};
 use crate::core::settings;
 use crate::store::client::{Changed, Client, Seen};
 use clap::{Args, Subcommand};
@@ -18,6 +18,10 @@
 /// What clocks of two machines may differ by, in parts of a thousand.
 const DRIFT: u64 = 50;
 
+/// Documents of former versions that can be gone back to, and versions that are remembered to have been active.
+const PAST_KEPT: usize = 8;
+const WAS_KEPT: usize = 100;
+
 /// Versions of the configuration.
 #[derive(Debug, Subcommand)]
 pub enum VersionsCall {
@@ -144,7 +148,7 @@
         }
         (None, Some(proposal)) => {
             let past = seen.json(&format!("{PAST}{proposal}"));
-            let (past, _) = past.ok_or_else(|| format!("no proposal {proposal} was ever active"))?;
+            let (past, _) = past.ok_or_else(|| format!("proposal {proposal} was not active of late"))?;
             past["settings"].clone()
         }
         (None, None) => return Err("a file, or --back-to".to_owned()),
@@ -269,7 +273,15 @@
     let mut sets = vec![
         set(ACTIVE, Some(document.to_string())),
         set(format!("{PAST}{proposal}"), Some(past.to_string())),
+        set(format!("{WAS}{proposal}"), Some("{}".to_owned())),
     ];
+    // The store is small: of documents the last few are kept, and of what was ever active the fact, for longer.
+    for (prefix, most) in [(PAST, PAST_KEPT), (WAS, WAS_KEPT)] {
+        let mut all: Vec<u64> = seen.names(prefix).filter_map(|name| name.parse().ok()).collect();
+        all.sort_unstable();
+        let gone = all.len().saturating_sub(most - 1);
+        sets.extend(all[..gone].iter().map(|proposal| set(format!("{prefix}{proposal}"), None)));
+    }
     // Whoever was left out has stopped: it may be brought up from here on.
     sets.extend(
         fleet.iter().filter(|(_, m)| m.left_out.is_some()).map(|(name, _)| set(format!("{OUT}{name}"), None)),
@@ -353,7 +365,7 @@
     let active = seen.json(ACTIVE).map_or(Json::Null, |(active, _)| active["settings"].clone());
     let other = match call.with {
         Some(proposal) => {
-            seen.json(&format!("{PAST}{proposal}")).ok_or("no such proposal was ever active")?
+            seen.json(&format!("{PAST}{proposal}")).ok_or("that proposal was not active of late")?
         }
         None => seen.json(NEXT).ok_or("nothing is proposed")?,
     };
--- a/bitternsill/src/versions/mod.rs
+++ b/bitternsill/src/versions/mod.rs
@@ -58,8 +58,10 @@
 pub const NEXT: &str = "config/next";
 /// What is active.
 pub const ACTIVE: &str = "config/active";
-/// What was ever active, by its proposal.
+/// What was active of late, by its proposal.
 pub const PAST: &str = "config/past/";
+/// That a proposal was ever active: the revision of its key is the version.
+pub const WAS: &str = "config/was/";
 /// Each gatherer's word on the proposal.
 pub const WORD: &str = "config/word/";
 /// Gatherers that an activation need not wait for.
