The test of a dead discovery leaves room for machines on which queries come slowly

What a cold host may be sent grows with time, and on a slow machine 45 queries take longer, so the two came close without a fault in either. That the rule lets something through is now wanted too. The bound of `eventually` is 30 s: it ends stories that fail, and a slow machine is none.

--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -41,7 +41,7 @@
 pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
     while !holds() {
-        assert!(start.elapsed() < Duration::from_secs(10), "never: {what}");
+        assert!(start.elapsed() < Duration::from_secs(30), "never: {what}");
         thread::sleep(Duration::from_millis(5));
     }
 }
--- a/bitternsill/tests/fleet_recovery.rs
+++ b/bitternsill/tests/fleet_recovery.rs
@@ -196,7 +196,8 @@
         set.settings["guarantees"]["ramp_time"] = json!(30_000_000_000u64);
         // The dearest of three classes is taken whole; what bounds it is what a cold host is told to bear.
         set.settings["guarantees"]["start_capacity"] = json!(0.4);
-        set.settings["guarantees"]["tip_multiple"] = json!(0.2);
+        // So little that a machine on which queries follow each other slowly asks for many times as much.
+        set.settings["guarantees"]["tip_multiple"] = json!(0.05);
         set.settings["request_classes"][1]["target"] = json!(400_000_000u64);
         let mut fleet = Fleet::with(if recovery { "cold" } else { "warm" }, 3, set);
         fleet.counter.mute.store(true, Ordering::SeqCst);
@@ -206,7 +207,9 @@
         let before = seen(&fleet);
         *fleet.asked.lock().unwrap() = Asked::default();
         fleet.befall(&Fault::PowerOn(all));
-        eventually("so many have had an answer", || fleet.answered() >= 45);
+        eventually("so many have had an answer, and something was sent", || {
+            fleet.answered() >= 45 && seen(&fleet) > before
+        });
         (seen(&fleet) - before, fleet.answered())
     });
     println!("parts sent and queries asked, with and without: {sent:?}");
