The return is measured after power was lost to a fleet that had served, with falls counted

The measurement began with gatherers that had never served and clients that hid how long they wait. Now the fleet serves warm hosts first, power is lost to all, discovery tells the hosts' new starts, clients say what is left of their 3 s, and it is counted how often an index host is given so much that it falls. With the rule what was learned is kept, as an installation that sets one up has a folder for the other.

--- a/bitternsill/tests/common/fleet.rs
+++ b/bitternsill/tests/common/fleet.rs
@@ -14,21 +14,19 @@
 pub struct Counter {
     pub address: SocketAddr,
     pub count: Arc<AtomicU64>,
+    /// When it says that the index hosts were started, in milliseconds of the wall clock.
+    pub boot_ms: Arc<AtomicU64>,
     /// Whoever calls hears nothing, and neither does whoever watches.
     pub mute: Arc<AtomicBool>,
 }
 
 impl Counter {
-    pub fn start(hosts: &[FrameHost], boot_ms: u64) -> Counter {
+    pub fn start(hosts: &[FrameHost]) -> Counter {
         let count: Arc<AtomicU64> = Arc::new(AtomicU64::new(1));
-        let entry = |(at, host): (usize, &FrameHost)| {
-            let mut entry = target(at, host.address, "active");
-            entry["boot_ms"] = boot_ms.into();
-            entry
-        };
+        let entry = |(at, host): (usize, &FrameHost)| target(at, host.address, "active");
         let hosts: Vec<Value> = hosts.iter().enumerate().map(entry).collect();
-        let mute: Arc<AtomicBool> = Arc::default();
-        let (counted, silent) = (count.clone(), mute.clone());
+        let (mute, boot_ms): (Arc<AtomicBool>, Arc<AtomicU64>) = Default::default();
+        let (counted, silent, booted) = (count.clone(), mute.clone(), boot_ms.clone());
         let address = accept(move |mut socket| {
             let mut line = String::new();
             BufReader::new(socket.try_clone().unwrap()).read_line(&mut line).unwrap();
@@ -43,6 +41,10 @@
                     thread::sleep(Duration::from_millis(10));
                 }
                 let now = counted.load(Ordering::SeqCst);
+                let mut hosts = hosts.clone();
+                for host in &mut hosts {
+                    host["boot_ms"] = booted.load(Ordering::SeqCst).into();
+                }
                 let list = if now == told {
                     "\n".to_owned()
                 } else {
@@ -56,7 +58,7 @@
                 text = format!("{:x}\r\n{list}\r\n", list.len());
             }
         });
-        Counter { address, count, mute }
+        Counter { address, count, boot_ms, mute }
     }
 }
 
@@ -84,33 +86,71 @@
     pub recovery: Option<Value>,
     /// Whether they have the list of index hosts from before.
     pub known: bool,
-    /// Since when the index hosts have been warming up, where they do: what they can do grows from a fifth over 10 s.
-    pub cold: Option<Instant>,
+    /// The index hosts' warmth, where they are ever cold.
+    pub warmth: Option<Arc<Warmth>>,
+    /// Whether what is learned is kept over a gatherer's lives.
+    pub learning: bool,
     /// Whether discovery says nothing, from the begin.
     pub mute: bool,
     /// What stands under `versions`, where anything does: then each keeps its name and its trail over its lives.
     pub versions: Option<Value>,
 }
 
+impl Default for Set {
+    fn default() -> Set {
+        let (settings, known, learning, mute) = (settings(), false, false, false);
+        Set { settings, recovery: None, known, warmth: None, learning, mute, versions: None }
+    }
+}
+
 /// What a part costs a warm index host, which does one at a time.
 pub const WORK: Duration = Duration::from_millis(4);
 
+/// When index hosts were started last, where they have been: what they can do then grows from a fifth over 10 s.
+#[derive(Debug, Default)]
+pub struct Warmth {
+    since: Mutex<Option<Instant>>,
+    falls: AtomicU64,
+}
+
+impl Warmth {
+    /// All of them start anew, at this moment.
+    pub fn restart(&self) {
+        *self.since.lock().unwrap() = Some(Instant::now());
+    }
+
+    fn since(&self) -> Option<Instant> {
+        *self.since.lock().unwrap()
+    }
+
+    /// How often one of them was given so much that it fell.
+    pub fn falls(&self) -> u64 {
+        self.falls.load(Ordering::SeqCst)
+    }
+}
+
 /// An index host that warms up as the settings say, and that falls as they say: given twice what it bears for a second it
 /// turns everything away for two, and is cold again.
-pub fn warming_host(since: Instant) -> FrameHost {
-    let (desk, state) = (Mutex::new(()), Mutex::new((since, VecDeque::<Instant>::new())));
-    let speed = |since: Instant| (0.2 + 0.8 * since.elapsed().as_secs_f64() / 10.0).min(1.0);
+pub fn warming_host(warmth: Arc<Warmth>) -> FrameHost {
+    let desk = Mutex::new(());
+    let state = Mutex::new((warmth.since(), VecDeque::<Instant>::new()));
+    let speed = |since: Option<Instant>| {
+        since.map_or(1.0, |since| (0.2 + 0.8 * since.elapsed().as_secs_f64() / 10.0).min(1.0))
+    };
     FrameHost::start(move |id| {
         let since = {
             let (since, met) = &mut *state.lock().unwrap();
+            *since = (*since).max(warmth.since());
             met.push_back(Instant::now());
             while met.front().is_some_and(|at| at.elapsed() > Duration::from_secs(1)) {
                 met.pop_front();
             }
-            if *since <= Instant::now() && met.len() as f64 > 2.0 * speed(*since) / WORK.as_secs_f64() {
-                *since = Instant::now() + Duration::from_secs(2);
+            let up = since.is_none_or(|since| since <= Instant::now());
+            if up && met.len() as f64 > 2.0 * speed(*since) / WORK.as_secs_f64() {
+                *since = Some(Instant::now() + Duration::from_secs(2));
+                warmth.falls.fetch_add(1, Ordering::SeqCst);
             }
-            if *since > Instant::now() {
+            if since.is_some_and(|since| since > Instant::now()) {
                 return Say::Later;
             }
             *since
@@ -141,28 +181,15 @@
 
 impl Fleet {
     pub fn start(name: &str, count: usize) -> Fleet {
-        Self::with(
-            name,
-            count,
-            Set {
-                settings: settings(),
-                recovery: None,
-                known: false,
-                cold: None,
-                mute: false,
-                versions: None,
-            },
-        )
+        Self::with(name, count, Set::default())
     }
 
     pub fn with(name: &str, count: usize, set: Set) -> Fleet {
-        let host = |_| match set.cold {
-            Some(since) => warming_host(since),
+        let host = |_| match &set.warmth {
+            Some(warmth) => warming_host(warmth.clone()),
             None => FrameHost::start(|id| Say::Good(1, format!("value of {id}"))),
         };
         let hosts: Vec<FrameHost> = (0..3).map(host).collect();
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-        let boot_ms = if set.cold.is_some() { now } else { 0 };
         let stores: Vec<SocketAddr> = (0..count).map(|_| free_address()).collect();
         let pairs = (0..count).flat_map(|a| (0..count).filter(move |b| a != *b).map(move |b| (a, b)));
         let file =
@@ -175,7 +202,7 @@
             programs: (0..count).map(|_| None).collect(),
             lives: vec![0; count],
             files: (0..count).map(file).collect(),
-            counter: Counter::start(&hosts, boot_ms),
+            counter: Counter::start(&hosts),
             hosts,
             set,
             history: Arc::default(),
@@ -186,7 +213,7 @@
         fleet.clear();
         fleet.counter.mute.store(fleet.set.mute, Ordering::SeqCst);
         (0..count).for_each(|at| fleet.power_on(at));
-        if fleet.set.cold.is_none() {
+        if fleet.set.warmth.is_none() {
             for at in 0..count {
                 if fleet.set.versions.is_none() {
                     fleet.observe(at);
@@ -202,7 +229,9 @@
             for end in ["store", "lock", "id", "new", "config", "beside", "log"] {
                 let _ = std::fs::remove_file(file.with_extension(end));
             }
-            let _ = std::fs::remove_dir_all(file.with_extension("trail"));
+            for folder in ["trail", "learned"] {
+                let _ = std::fs::remove_dir_all(file.with_extension(folder));
+            }
         }
     }
 
@@ -249,6 +278,11 @@
         if let Some(recovery) = &self.set.recovery {
             installed["recovery"] = recovery.clone();
         }
+        if self.set.learning {
+            let folder = self.files[at].with_extension("learned");
+            std::fs::create_dir_all(&folder).unwrap();
+            installed["learning"] = json!({"folder": folder, "period_ms": 500});
+        }
         if let Some(versions) = &self.set.versions {
             installed["versions"] = versions.clone();
             installed["versions"]["trail"] = json!(self.trail(at));
@@ -354,6 +388,19 @@
         &self.links[&(from, to)]
     }
 
+    /// Power is lost to everything, gatherers and index hosts, and has returned; discovery knows, where it says anything.
+    pub fn blackout(&mut self) {
+        let all: BTreeSet<usize> = (0..self.stores.len()).collect();
+        self.power_off(&all);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+        self.counter.boot_ms.store(now, Ordering::SeqCst);
+        self.count_up();
+        if let Some(warmth) = &self.set.warmth {
+            warmth.restart();
+        }
+        all.into_iter().for_each(|at| self.power_on(at));
+    }
+
     /// All links are whole again.
     pub fn heal(&self) {
         self.links.values().for_each(|link| link.set(Way::Open, Way::Open));
--- a/bitternsill/tests/fleet_recovery.rs
+++ b/bitternsill/tests/fleet_recovery.rs
@@ -12,6 +12,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -107,14 +108,7 @@
     for (class, credit) in [(0, 1.0), (1, 9.0), (2, 3.0)] {
         settings["request_classes"][class]["credit"] = json!(credit);
     }
-    Set {
-        settings,
-        recovery: recovery.then(|| json!({"ask_ms": 1500, "together_s": 2})),
-        known: false,
-        cold: None,
-        mute: false,
-        versions: None,
-    }
+    Set { settings, recovery: recovery.then(|| json!({"ask_ms": 1500, "together_s": 2})), ..Set::default() }
 }
 
 /// What `bitternsill fleet phase` says of each gatherer.
@@ -220,17 +214,24 @@
 /// A query's class, when it began, and how long until it was answered whole, if it was.
 type Played = (&'static str, Duration, Option<Duration>);
 
-/// One query with its repeats, as a client sends it: when it began and, if it was, when it was answered whole.
+/// For how long a client waits in all, its repeats included.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// One query with its repeats, as a client sends it: each says how long the client waits still. When it began and, if it was,
+/// when it was answered whole.
 fn try_three_times(fronts: &[SocketAddr], number: usize, class: &str) -> Option<Duration> {
     let begun = Instant::now();
     for again in 0..3 {
+        let left = PATIENCE.checked_sub(begun.elapsed()).filter(|left| *left > Duration::from_millis(10))?;
         let front = fronts[(number + again) % fronts.len()];
         let answer = (|| {
             let mut socket = TcpStream::connect_timeout(&front, Duration::from_millis(300))?;
-            socket.set_read_timeout(Some(Duration::from_secs(4)))?;
-            let text =
-                query(&format!("m{number}-{again}"), class, &[number as u32 % 3], "Connection: close\r\n");
-            socket.write_all(text.replace("X-Budget: 3.0", "X-Budget: 1.5").as_bytes())?;
+            socket.set_read_timeout(Some(left))?;
+            let more = if again == 0 { "" } else { "X-Again: 1\r\n" };
+            let more = format!("{more}Connection: close\r\n");
+            let text = query(&format!("m{number}-{again}"), class, &[number as u32 % 3], &more);
+            let budget = format!("X-Budget: {:.3}", left.as_secs_f64());
+            socket.write_all(text.replace("X-Budget: 3.0", &budget).as_bytes())?;
             let mut answer = String::new();
             socket.read_to_string(&mut answer)?;
             std::io::Result::Ok(answer)
@@ -245,68 +246,120 @@
     None
 }
 
-/// Measures the return of a fleet beside index hosts that warm up, with the return by rule and without:
-/// `FLEET_MEASURE=3x5 cargo test --release -p bitternsill --test fleet_recovery measure -- --nocapture` plays three gatherers
-/// with five seeds; with `FLEET_MUTE=1` discovery says nothing. Without the first it does nothing.
+/// What is measured of a return.
+#[derive(Default, Clone)]
+struct Figures {
+    first: Duration,
+    ninety: Option<u64>,
+    late: f64,
+    share: f64,
+    falls: u64,
+}
+
+/// Queries at six tenths of what three warm hosts can do, for so long; what came of them.
+fn load(fronts: &[SocketAddr], seed: u64, length: Duration) -> Vec<Played> {
+    let (mut rng, rate) = (fastrand::Rng::with_seed(seed), 0.6 * 3.0 / WORK.as_secs_f64());
+    let (begun, mut at, mut number, mut clients) = (Instant::now(), 0.0, 0, Vec::new());
+    while at < length.as_secs_f64() {
+        at += -(1.0 - rng.f64()).ln() / rate;
+        number += 1;
+        let class = if rng.bool() { "page" } else { "search" };
+        thread::sleep(Duration::from_secs_f64(at).saturating_sub(begun.elapsed()));
+        let fronts = fronts.to_vec();
+        clients.push(thread::spawn(move || {
+            let since = begun.elapsed();
+            (class, since, try_three_times(&fronts, number, class))
+        }));
+    }
+    clients.into_iter().map(|client| client.join().unwrap()).collect()
+}
+
+/// A fleet that has served warm hosts for a while, and loses power with all of them.
+fn measured(count: usize, seed: u64, rule: bool, mute: bool) -> Figures {
+    let mut set = warming(rule);
+    set.settings["extra"]["class_fetch"] = json!([0, 0, 0]);
+    set.settings["guarantees"]["ramp_time"] = json!(10_000_000_000u64);
+    set.settings["guarantees"]["fall"] = json!(1_000_000_000u64);
+    set.settings["guarantees"]["tip_multiple"] = json!(2.0);
+    set.settings["request_classes"][0]["target"] = json!(1_500_000_000u64);
+    for class in 0..3 {
+        set.settings["request_classes"][class]["deadline"] = json!(PATIENCE.as_nanos() as u64);
+    }
+    let warmth: Arc<Warmth> = Arc::default();
+    (set.known, set.warmth, set.learning) = (true, Some(warmth.clone()), rule);
+    set.recovery = rule.then(|| json!({"ask_ms": 1000, "together_s": 30}));
+    let mut fleet = Fleet::with(&format!("measure{seed}"), count, set);
+    eventually("all serve", || fleet.fronts.iter().all(|front| TcpStream::connect(front).is_ok()));
+    load(&fleet.fronts, seed, Duration::from_secs(6));
+    fleet.counter.mute.store(mute, Ordering::SeqCst);
+    fleet.blackout();
+    let length = Duration::from_secs(30);
+    let results = load(&fleet.fronts, seed + 1000, length);
+    let whole = |took: &Option<Duration>| took.is_some_and(|took| took <= Duration::from_millis(1_500));
+    let share = |of: &dyn Fn(&&Played) -> bool| {
+        let of: Vec<_> = results.iter().filter(of).collect();
+        of.iter().filter(|(.., took)| whole(took)).count() as f64 / of.len().max(1) as f64
+    };
+    let late = results.iter().filter(|(.., took)| took.is_some() && !whole(took)).count();
+    fleet.clear();
+    Figures {
+        first: results.iter().filter_map(|(_, at, took)| Some(*at + (*took)?)).min().unwrap_or(length),
+        ninety: (0..length.as_secs()).find(|n| share(&|result| result.1.as_secs() == *n) >= 0.9),
+        late: late as f64 / results.len() as f64,
+        share: share(&|_| true),
+        falls: warmth.falls(),
+    }
+}
+
+/// A mean and the half width of its 95 % interval, by Student's t over as many plays.
+fn interval(of: &[f64]) -> (f64, f64) {
+    let n = of.len() as f64;
+    let mean = of.iter().sum::<f64>() / n;
+    let spread = (of.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1.0).max(1.0)).sqrt();
+    let t = [12.7, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26].get(of.len().saturating_sub(2));
+    (mean, t.unwrap_or(&2.0) * spread / n.sqrt())
+}
+
+/// Measures the first 30 s after power returned to gatherers and index hosts, with the return by rule and what was learned
+/// before, and without both: `FLEET_MEASURE=3x10 cargo test --release -p bitternsill --test fleet_recovery measure -- --nocapture`
+/// plays three gatherers with ten seeds; with `FLEET_MUTE=1` discovery says nothing from then on. Without the first it does
+/// nothing.
 #[test]
 fn measure_the_return_of_a_fleet() {
     let Some(wanted) = std::env::var("FLEET_MEASURE").ok() else { return };
     let (count, seeds) = wanted.split_once('x').expect("COUNTxSEEDS");
     let (count, seeds): (usize, u64) = (count.parse().unwrap(), seeds.parse().unwrap());
-    let length = Duration::from_secs(15);
     let mute = std::env::var_os("FLEET_MUTE").is_some();
-    println!(
-        "gatherers seed rule: first whole answer, 90 % of a second's queries whole, late, share whole, dear, cheap"
-    );
+    let name = |rule| if rule { "with" } else { "without" };
+    let mut all = [(true, Vec::new()), (false, Vec::new())];
     for seed in 0..seeds {
-        for rule in [true, false] {
-            let mut set = warming(rule);
-            set.settings["extra"]["class_fetch"] = json!([0, 0, 0]);
-            set.settings["guarantees"]["ramp_time"] = json!(10_000_000_000u64);
-            set.settings["guarantees"]["fall"] = json!(1_000_000_000u64);
-            set.settings["guarantees"]["tip_multiple"] = json!(2.0);
-            set.settings["request_classes"][0]["target"] = json!(1_500_000_000u64);
-            (set.known, set.cold, set.mute) = (true, Some(Instant::now()), mute);
-            set.recovery = rule.then(|| json!({"ask_ms": 1000, "together_s": 30}));
-            let begun = Instant::now();
-            let fleet = Fleet::with(&format!("measure{seed}"), count, set);
-            let fronts = fleet.fronts.clone();
-            // Six tenths of what three warm hosts can do.
-            let (mut rng, rate) = (fastrand::Rng::with_seed(seed), 0.6 * 3.0 / WORK.as_secs_f64());
-            let (mut at, mut number, mut clients) = (0.0, 0, Vec::new());
-            while at < length.as_secs_f64() {
-                at += -(1.0 - rng.f64()).ln() / rate;
-                number += 1;
-                let class = if rng.bool() { "page" } else { "search" };
-                thread::sleep(Duration::from_secs_f64(at).saturating_sub(begun.elapsed()));
-                let fronts = fronts.clone();
-                clients.push(thread::spawn(move || {
-                    let since = begun.elapsed();
-                    (class, since, try_three_times(&fronts, number, class))
-                }));
-            }
-            let results: Vec<Played> = clients.into_iter().map(|client| client.join().unwrap()).collect();
-            let in_time = Duration::from_millis(1_500);
-            let whole = |took: &Option<Duration>| took.is_some_and(|took| took <= in_time);
-            let first =
-                results.iter().filter_map(|(_, at, took)| Some(*at + (*took)?)).min().unwrap_or(length);
-            let share = |of: &dyn Fn(&&Played) -> bool| {
-                let of: Vec<_> = results.iter().filter(of).collect();
-                of.iter().filter(|(.., took)| whole(took)).count() as f64 / of.len().max(1) as f64
-            };
-            let second = |n: u64| move |result: &&Played| result.1.as_secs() == n;
-            let ninety = (0..length.as_secs()).find(|n| share(&second(*n)) >= 0.9);
-            let late = results.iter().filter(|(.., took)| took.is_some() && !whole(took)).count();
+        for (rule, all) in &mut all {
+            let one = measured(count, seed, *rule, mute);
             println!(
-                "{count} {seed} {}: {:.2} s, {ninety:?} s, {late} of {}, {:.3}, {:.3}, {:.3}",
-                if rule { "with" } else { "without" },
-                first.as_secs_f64(),
-                results.len(),
-                share(&|_| true),
-                share(&|result| result.0 == "page"),
-                share(&|result| result.0 == "search"),
+                "{count} {seed} {}: first whole {:.2} s, 90 % of a second {:?} s, late {:.3}, whole {:.3}, {} falls",
+                name(*rule),
+                one.first.as_secs_f64(),
+                one.ninety,
+                one.late,
+                one.share,
+                one.falls
             );
-            fleet.clear();
+            all.push(one);
         }
     }
+    for (rule, all) in &all {
+        let of = |figure: &dyn Fn(&Figures) -> f64| {
+            let (mean, half) = interval(&all.iter().map(figure).collect::<Vec<_>>());
+            format!("{mean:.3} ± {half:.3}")
+        };
+        println!(
+            "{count} gatherers, {seeds} seeds, {}: first whole {} s, 90 % {} s, late {}, whole {}, falls {}",
+            name(*rule),
+            of(&|one| one.first.as_secs_f64()),
+            of(&|one| one.ninety.map_or(30.0, |second| second as f64)),
+            of(&|one| one.late),
+            of(&|one| one.share),
+            of(&|one| one.falls as f64)
+        );
+    }
 }
--- a/bitternsill/tests/fleet_versions.rs
+++ b/bitternsill/tests/fleet_versions.rs
@@ -19,12 +19,9 @@
 
 fn set() -> Set {
     Set {
-        settings: settings(),
-        recovery: None,
         known: true,
-        cold: None,
-        mute: false,
         versions: Some(json!({"validity_ms": VALIDITY.as_millis() as u64, "steady_ms": 500, "note_ms": 200})),
+        ..Set::default()
     }
 }
 
