Evidence: gaps of a trail are named, collections go on where they broke off, a schema

Need: a trail whose disk was full lost entries and the audit called it whole; a life that lost its power left no word of what it did last; a killed collector began anew; calls by hand stood in the trail and nowhere else; a document that a program cannot read was not told apart.

Change: entries that could not be written are counted and told by the next one that can be; an orderly end is noted, and a life without one is a gap, named with how long it had run. Calls by hand are told in text, JSON and on the page. The document has a format; a later one is named by each who cannot read it, and none is proposed that a member does not read. `describe settings` prints a JSON schema made of the tables by which settings are checked; a group that is no object is told now, and was passed over. An activation that cannot be done waits until all have had their say, and names them all. The store is told how far a trail goes once a second at the most.

Ruled out: digests in step with notes as harmless, at 100 ms a note they are ten changes of the store a second for each gatherer.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::cli::{self as admin, Admin};
 use crate::conform::{self, Format, Protocol, Target};
-use crate::core::settings;
+use crate::core::{schema, settings};
 use crate::fleet::{self, FleetCall};
 use crate::front::catalogue::setup::{self, Beside};
 use crate::learned::cli::{self as learned, Learned};
@@ -102,6 +102,8 @@
     /// The watch and store streams.
     #[value(name = "asyncapi")]
     AsyncApi,
+    /// The settings of a configuration and of a version, as a JSON schema.
+    Settings,
 }
 
 /// Runs the program.
@@ -124,6 +126,7 @@
         Command::Describe { what: Description::AsyncApi } => {
             print(format_args!("{:#}", describe::asyncapi::describe()))
         }
+        Command::Describe { what: Description::Settings } => print(format_args!("{:#}", schema::settings())),
         Command::Check { file } => {
             let problems = check(&file);
             if !problems.is_empty() {
--- a/bitternsill/src/core/mod.rs
+++ b/bitternsill/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod classes;
 mod permitted;
 pub mod ports;
+pub mod schema;
 pub mod settings;
 
 use crate::limits::{Limits, MS};
--- a/bitternsill/src/core/permitted.rs
+++ b/bitternsill/src/core/permitted.rs
@@ -7,7 +7,7 @@
 
 /// What a value may be.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Allowed {
+pub(super) enum Allowed {
     /// A number from one bound to another, both included.
     From(f64, f64),
     /// A number above this.
@@ -32,7 +32,7 @@
 const AMOUNT: Allowed = From(0.0, f64::INFINITY);
 
 /// Settings that stand once, by group.
-const ONCE: &[(&str, &[(&str, Allowed)])] = &[
+pub(super) const ONCE: &[(&str, &[(&str, Allowed)])] = &[
     (
         "",
         &[
@@ -89,7 +89,7 @@
 ];
 
 /// Lists in `extra` with one value for each class.
-const BY_CLASS: &[(&str, Allowed)] = &[
+pub(super) const BY_CLASS: &[(&str, Allowed)] = &[
     ("floor_by_class", AboveTo(0.0, 1.0)),
     ("class_need", AboveTo(0.0, 1.0)),
     ("short_worth", AMOUNT),
@@ -97,7 +97,7 @@
 ];
 
 /// Settings of each class, and whether they must be there.
-const CLASS: &[(&str, Allowed, bool)] = &[
+pub(super) const CLASS: &[(&str, Allowed, bool)] = &[
     ("name", Name, true),
     ("target", From(1.0, f64::INFINITY), true),
     ("deadline", From(1.0, f64::INFINITY), true),
@@ -153,6 +153,9 @@
 pub fn check(settings: &Value) -> Result<(), SettingsError> {
     for (group, keys) in ONCE {
         let values = if group.is_empty() { settings } else { &settings[*group] };
+        if !(group.is_empty() || values.is_null() || values.is_object()) {
+            return Err(SettingsError(format!("`{group}` is {values}; allowed is an object")));
+        }
         for (key, allowed) in *keys {
             let path = if group.is_empty() { (*key).to_owned() } else { format!("{group}.{key}") };
             allowed.check(&values[*key], &path, false)?;
--- a/bitternsill/src/limits.rs
+++ b/bitternsill/src/limits.rs
@@ -98,6 +98,8 @@
     pub recovery_retry: Time,
     /// Between two lines of the log on a member that waits for others.
     pub store_told: Time,
+    /// Between two times that the store is told how far a trail goes.
+    pub trail_told: Time,
     /// How long a full disk is left alone before the next attempt.
     pub store_full_rest: Time,
     /// Characters of a query's id, of its key and of a catalogue query.
@@ -253,6 +255,7 @@
             store_retry: 100 * MS,
             recovery_retry: 200 * MS,
             store_told: 30_000 * MS,
+            trail_told: 1_000 * MS,
             store_full_rest: 500 * MS,
             name_bytes: 256,
             call_bytes: 64 << 10,
--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -329,6 +329,10 @@
         let patience = std::time::Duration::from_nanos(limits.last_picture);
         keeper.finish(&mut gatherer.core, &gatherer.hosts, net.now(), patience);
     }
+    gatherer.note_ends(net, net.now());
+    if let Some(versions) = gatherer.versions.take() {
+        versions.finish(net.now(), std::time::Duration::from_nanos(limits.last_picture));
+    }
     tracing::info!("ended");
     Ok(())
 }
--- a/bitternsill/src/versions/audit.rs
+++ b/bitternsill/src/versions/audit.rs
@@ -1,17 +1,17 @@
 //! `bitternsill fleet audit`: trails are fetched from each gatherer and judged by the package `versions`.
 
 use super::cli::Where;
+use super::collect::Trails;
 use super::{GATHERERS, TRAILS, WAS};
-use crate::store::client::{Seen, line};
+use crate::store::client::Seen;
 use clap::Args;
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use versions::Version;
-use versions::audit::{Digest, Finding, Report, join, judge, overlaps};
+use versions::audit::{Digest, Report, account, overlaps};
 
 /// What is audited, and how it is told.
 #[derive(Debug, Args)]
@@ -21,6 +21,10 @@
     /// Also write one page of HTML, with a line of time for each gatherer.
     #[arg(long, value_name = "FILE")]
     html: Option<PathBuf>,
+    /// Keep what is fetched in this folder, and fetch only what it does not have yet: a trail that was collected once is
+    /// known whatever becomes of its gatherer's disk.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
 }
 
 /// What is printed, and whether nothing was wrong and all is known.
@@ -29,9 +33,12 @@
         Ok(seen) => seen,
         Err(problem) => return (problem, false),
     };
-    let reports = collect(&seen, &call.place.at, Duration::from_millis(call.place.patience));
+    let (reports, problems) = collect(call, &seen);
     let sound = reports.values().all(|r| r.findings.iter().all(|f| f.is_wrong() == Some(false)));
     let mut text = if call.place.json { as_json(&seen, &reports) } else { as_text(&seen, &reports) };
+    for problem in problems.iter().filter(|_| !call.place.json) {
+        let _ = write!(text, "\nnot asked: {problem}");
+    }
     if let Some(path) = &call.html {
         let written = page(&seen, &reports).and_then(|page| {
             std::fs::write(path, page).map_err(|problem| format!("{}: {problem}", path.display()))
@@ -51,12 +58,22 @@
         .collect()
 }
 
-fn collect(seen: &Seen, at: &[SocketAddr], patience: Duration) -> BTreeMap<String, Report> {
-    let mut trails: BTreeMap<String, BTreeMap<u64, String>> = BTreeMap::new();
-    for address in at {
-        // One that cannot be asked has no trail here, and is told as not known.
-        if let Some((name, segments)) = fetch(*address, patience) {
-            trails.insert(name, segments);
+/// What is known of each gatherer that the store knows, and why one could not be asked.
+fn collect(call: &Audit, seen: &Seen) -> (BTreeMap<String, Report>, Vec<String>) {
+    let (keep, patience) = (call.keep.as_deref(), Duration::from_millis(call.place.patience));
+    let mut problems = Vec::new();
+    let mut trails = match keep.map(Trails::kept) {
+        Some(Err(problem)) => {
+            problems.push(format!("what was kept cannot be read: {problem}"));
+            Trails::default()
+        }
+        Some(Ok(kept)) => kept,
+        None => Trails::default(),
+    };
+    for address in &call.place.at {
+        // Of one that cannot be asked is known what was kept of it before, or nothing.
+        if let Err(problem) = trails.fetch(*address, keep, patience) {
+            problems.push(format!("{address}: {problem}"));
         }
     }
     let active: BTreeSet<Version> = versions(seen).into_keys().collect();
@@ -70,38 +87,10 @@
             Some((trail.parse().ok()?, Digest { segment, length, hash }))
         };
         let told: BTreeMap<u64, Digest> = seen.names(&prefix).filter_map(digest).collect();
-        let report = match trails.get(name) {
-            Some(segments) => {
-                let (entries, broken) = join(segments, &told);
-                judge(&entries, broken, &active)
-            }
-            None => Report { findings: vec![Finding::NoTrail], ..Report::default() },
-        };
-        reports.insert(name.to_owned(), report);
-    }
-    reports
-}
-
-/// All that is left of one gatherer's trail, by segment. A piece that does not come is asked for once more from where it was.
-fn fetch(at: SocketAddr, patience: Duration) -> Option<(String, BTreeMap<u64, String>)> {
-    let (mut segments, mut name) = (BTreeMap::<u64, String>::new(), None);
-    let (mut segment, mut from) = (0, 0);
-    loop {
-        let asked = json!({"ask": "trail", "segment": segment, "from": from}).to_string();
-        let told = line(at, &asked, patience).or_else(|_| line(at, &asked, patience)).ok()?;
-        let told = &told["trail"];
-        let text = told["text"].as_str()?;
-        segment = told["segment"].as_u64()?;
-        name.get_or_insert(told["name"].as_str()?.to_owned());
-        segments.entry(segment).or_default().push_str(text);
-        from += text.len() as u64;
-        if told["more"] != true {
-            if segment >= told["last"].as_u64()? {
-                return Some((name?, segments));
-            }
-            (segment, from) = (segment + 1, 0);
-        }
+        let (trails, fetched) = trails.of(name);
+        reports.insert(name.to_owned(), account(&trails, fetched, &told, &active));
     }
+    (reports, problems)
 }
 
 fn as_json(seen: &Seen, reports: &BTreeMap<String, Report>) -> String {
@@ -113,10 +102,13 @@
         let findings: Vec<Json> = report
             .findings
             .iter()
-            .map(|finding| json!({"what": finding.to_string(), "wrong": finding.is_wrong()}))
+            .map(|finding| json!({"what": finding.to_string(), "wrong": finding.is_wrong(), "word": finding.word()}))
             .collect();
         let spans: Vec<Json> = report.spans.iter().map(span).collect();
-        (name.clone(), json!({"acted": spans, "findings": findings}))
+        let call =
+            |c: &versions::audit::Called| json!({"at_ms": c.wall_ms, "version": c.version, "call": c.call});
+        let calls: Vec<Json> = report.calls.iter().map(call).collect();
+        (name.clone(), json!({"acted": spans, "calls": calls, "findings": findings}))
     };
     let gatherers: serde_json::Map<String, Json> = reports.iter().map(report).collect();
     let overlaps: Vec<Json> = overlaps(reports)
@@ -148,13 +140,12 @@
                 (clock(wall(span.wall_ms, span.taken.0)), clock(wall(span.wall_ms, span.taken.1)));
             let _ = write!(text, "\n  version {} from {from} to {to}: {} queries", span.version, span.count);
         }
+        for call in &report.calls {
+            let _ =
+                write!(text, "\n  at {} under version {}: {}", clock(call.wall_ms), call.version, call.call);
+        }
         for finding in &report.findings {
-            let word = match finding.is_wrong() {
-                Some(true) => "WRONG",
-                Some(false) => "kept",
-                None => "NOT KNOWN",
-            };
-            let _ = write!(text, "\n  {word}: {finding}");
+            let _ = write!(text, "\n  {}: {finding}", finding.word());
         }
     }
     for ((one, other), ms) in overlaps(reports) {
@@ -175,6 +166,8 @@
 fn page(seen: &Seen, reports: &BTreeMap<String, Report>) -> Result<String, String> {
     let all = reports.values().flat_map(|report| &report.spans);
     let ends = all.map(|span| (wall(span.wall_ms, span.taken.0), wall(span.wall_ms, span.taken.1)));
+    let called = reports.values().flat_map(|report| &report.calls).map(|call| (call.wall_ms, call.wall_ms));
+    let ends = ends.chain(called);
     let (first, last) = ends.fold((i64::MAX, i64::MIN), |all, one| (all.0.min(one.0), all.1.max(one.1)));
     let (first, last) = if first > last { (0, 1) } else { (first, last.max(first + 1)) };
     let known: Vec<Version> = versions(seen).into_keys().collect();
@@ -194,9 +187,14 @@
         let findings: Vec<Json> = report
             .findings
             .iter()
-            .map(|finding| json!({"what": finding.to_string(), "wrong": finding.is_wrong()}))
+            .map(|finding| json!({"what": finding.to_string(), "wrong": finding.is_wrong(), "word": finding.word()}))
             .collect();
-        json!({"name": name, "bars": bars, "findings": findings})
+        let call = |call: &versions::audit::Called| {
+            let title = format!("{} at {}, under version {}", call.call, clock(call.wall_ms), call.version);
+            json!({"x": x(call.wall_ms), "title": title})
+        };
+        let calls: Vec<Json> = report.calls.iter().map(call).collect();
+        json!({"name": name, "bars": bars, "calls": calls, "findings": findings})
     };
     let ticks: Vec<Json> =
         (0..=5).map(|at| json!({"x": at * 200, "text": clock(first + (last - first) * at / 5)})).collect();
@@ -220,7 +218,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use versions::audit::Span;
+    use versions::audit::{Finding, Span};
 
     /// `VERSIONS_PAGE=FILE` keeps the page, to be looked at.
     #[test]
@@ -244,7 +242,7 @@
                 9 => vec![Finding::Kept { version: 44, by: 5_000_000_000, count: 12 }],
                 _ => Vec::new(),
             };
-            (format!("gatherer-{at:02}"), Report { spans, findings })
+            (format!("gatherer-{at:02}"), Report { spans, findings, ..Report::default() })
         };
         let reports: BTreeMap<String, Report> = (0..60).map(report).collect();
         let page = page(&seen, &reports).unwrap();
--- a/bitternsill/src/versions/cli.rs
+++ b/bitternsill/src/versions/cli.rs
@@ -1,6 +1,6 @@
 //! `bitternsill fleet configure|activate|versions|diff|hold|release|leave-out|take-in`: versions by an operator's hand.
 
-use super::{ACTIVE, GATHERERS, HELD, NEXT, OUT, PAST, WAS, WORD};
+use super::{ACTIVE, FORMAT, GATHERERS, HELD, NEXT, OUT, PAST, WAS, WORD};
 use crate::core::settings;
 use crate::store::client::{Changed, Client, Seen};
 use clap::{Args, Subcommand};
@@ -136,7 +136,7 @@
         return Err(format!("--least is a share from 0 to 1, not {}", call.least));
     }
     let client = call.place.client();
-    let seen = client.read("config/")?;
+    let seen = client.read("")?;
     let settings = match (&call.file, call.back_to) {
         (Some(file), _) => {
             let text = std::fs::read(file).map_err(|problem| format!("{}: {problem}", file.display()))?;
@@ -153,7 +153,18 @@
         }
         (None, None) => return Err("a file, or --back-to".to_owned()),
     };
-    let document = json!({"settings": settings, "least": call.least});
+    // What some could not read is not even proposed; those of before the first format number read that one.
+    let older: Vec<&str> = seen
+        .names(GATHERERS)
+        .filter(|name| {
+            seen.json(&format!("{GATHERERS}{name}"))
+                .is_some_and(|(own, _)| own["reads"].as_u64().unwrap_or(1) < FORMAT)
+        })
+        .collect();
+    if !older.is_empty() {
+        return Err(format!("not proposed: format {FORMAT} is not read by {}", older.join(", ")));
+    }
+    let document = json!({"format": FORMAT, "settings": settings, "least": call.least});
     // Another proposal that came meanwhile is not replaced unseen.
     let checks = vec![seen.unchanged(NEXT), seen.unchanged(ACTIVE)];
     match client.change(checks, vec![set(NEXT, Some(document.to_string()))])? {
@@ -233,7 +244,9 @@
         } else {
             begun.elapsed() > wait
         };
-        if over || missing.values().any(|why| matches!(why, Missing::Cannot(_) | Missing::Keeper)) {
+        // Where it cannot be done, all who are in the way are named: whoever may yet have a say is waited for.
+        let never = missing.values().any(|why| matches!(why, Missing::Cannot(_) | Missing::Keeper));
+        if over || never && !missing.values().any(|why| *why == Missing::Silent) {
             let names = missing.iter().map(|(name, why)| format!("\n  {name} {why}"));
             return Err(format!("not activated; in the way are:{}", names.collect::<String>()));
         }
@@ -268,7 +281,8 @@
         fleet.iter().filter(|(_, m)| m.left_out.is_none()).map(|(name, _)| name.as_str()).collect();
     let least = next["least"].as_f64().unwrap_or(0.5);
     let keepers: Vec<&str> = keepers(with.iter().copied(), proposal, least).into_iter().collect();
-    let document = json!({"settings": next["settings"], "keepers": keepers, "proposal": proposal});
+    let document = json!({"format": next["format"].as_u64().unwrap_or(1), "settings": next["settings"],
+                          "keepers": keepers, "proposal": proposal});
     let past = json!({"settings": next["settings"]});
     let mut sets = vec![
         set(ACTIVE, Some(document.to_string())),
--- a/bitternsill/src/versions/mod.rs
+++ b/bitternsill/src/versions/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod audit;
 pub mod cli;
+pub mod collect;
 pub mod scribe;
 
 use crate::front::signals::Fresh;
@@ -17,6 +18,7 @@
 use serde_json::{Value as Json, json};
 use std::io;
 use std::path::PathBuf;
+use std::time::Duration;
 use store::member::{Call, Reply};
 use versions::Version;
 use versions::standing::{Account, Standing, Terms};
@@ -40,6 +42,9 @@
     /// Milliseconds between two notes of what was done.
     #[serde(default = "note_ms")]
     pub note_ms: u64,
+    /// For tests: the trail's disk is full while there is such a file.
+    #[serde(default)]
+    pub test_full_while: Option<PathBuf>,
 }
 
 fn validity_ms() -> u64 {
@@ -54,6 +59,10 @@
     10_000
 }
 
+/// The newest form of the document that this program reads: 1 has `settings`, as they stand in a configuration, and `least`, the
+/// share of gatherers that goes on without a store.
+pub const FORMAT: u64 = 1;
+
 /// Keys of the store: the proposal, what is active, what was, and what is said of or by each gatherer.
 pub const NEXT: &str = "config/next";
 /// What is active.
@@ -84,7 +93,7 @@
     setup: VersionsSetup,
     prepare: Prepare,
     agent: Option<Token>,
-    trail: Option<Token>,
+    trail: Option<(Token, scribe::LastWord)>,
     ledger: Ledger,
     note_at: Time,
     /// The proposal and the version that it has had its say on.
@@ -108,11 +117,13 @@
         let ms = |count: u64| count.saturating_mul(1_000_000);
         let terms = Terms { validity: ms(setup.validity_ms), steady: ms(setup.steady_ms) };
         let now = net.now();
-        let trail = setup.trail.as_ref().and_then(|folder| match scribe::Scribe::open(folder, &name) {
-            Ok(scribe) => Some(net.open(Box::new(scribe))),
-            Err(problem) => {
-                tracing::error!(folder = %folder.display(), %problem, "no trail is kept: its folder cannot be used");
-                None
+        let trail = setup.trail.as_ref().and_then(|folder| {
+            match scribe::Scribe::open(folder, &name, setup.test_full_while.clone()) {
+                Ok((scribe, last)) => Some((net.open(Box::new(scribe)), last)),
+                Err(problem) => {
+                    tracing::error!(folder = %folder.display(), %problem, "no trail is kept: its folder cannot be used");
+                    None
+                }
             }
         });
         let agent = Some(net.open(Box::new(Agent)));
@@ -156,12 +167,12 @@
 
     /// The object that keeps its trail.
     pub fn trail(&self) -> Option<Token> {
-        self.trail
+        self.trail.as_ref().map(|(token, _)| *token)
     }
 
     /// When its acts are noted next.
     pub fn due(&self) -> Option<Time> {
-        self.trail.map(|_| self.note_at)
+        self.trail.as_ref().map(|_| self.note_at)
     }
 
     /// What it says of itself to those who ask.
@@ -172,9 +183,34 @@
     }
 
     fn note(&self, marks: Vec<(Time, Mark)>, net: &mut Net<Gatherer>) {
-        if let Some(trail) = self.trail.filter(|_| !marks.is_empty()) {
-            let entries = marks.into_iter().map(|(at, mark)| Entry { at, mark }).collect();
-            net.post(trail, Message::Noted(entries));
+        if let Some(trail) = self.trail().filter(|_| !marks.is_empty()) {
+            net.post(trail, Message::Noted(marks.into_iter().map(entry).collect()));
+        }
+    }
+
+    /// Notes what was done until the end, and that this life ended in order; waits so long for the disk at the most.
+    pub fn finish(mut self, now: Time, patience: Duration) {
+        let marks = self.counted(now);
+        if let Some((_, last)) = &self.trail {
+            let marks = marks.into_iter().chain([(now, Mark::Ended)]);
+            last.say(marks.map(entry).collect(), patience);
+        }
+    }
+
+    /// What was counted, behind the proof that it rests on.
+    fn counted(&mut self, now: Time) -> Vec<(Time, Mark)> {
+        let proof = self.account.told().map(|(asked, version)| (now, Mark::Proved { asked, version }));
+        let acts = self.ledger.take(now).into_iter().map(|entry| (entry.at, entry.mark));
+        proof.into_iter().chain(acts).collect()
+    }
+
+    /// Makes of a document what it means to this program, or says why it cannot be used here.
+    fn usable(&self, document: &Json) -> Result<Fresh, String> {
+        match document["format"].as_u64().unwrap_or(1) {
+            format if format > FORMAT => {
+                Err(format!("it is of format {format}, and this program reads up to {FORMAT}"))
+            }
+            _ => (self.prepare)(&document["settings"]),
         }
     }
 
@@ -186,9 +222,8 @@
     /// Notes what was counted; the proof that it rests on goes first.
     fn flush(&mut self, now: Time, net: &mut Net<Gatherer>) {
         self.note_at = now + self.setup.note_ms.saturating_mul(1_000_000);
-        let proof = self.account.told().map(|(asked, version)| (now, Mark::Proved { asked, version }));
-        let acts = self.ledger.take(now).into_iter().map(|entry| (entry.at, entry.mark));
-        self.note(proof.into_iter().chain(acts).collect(), net);
+        let marks = self.counted(now);
+        self.note(marks, net);
     }
 
     /// Tells log and trail of each change of standing.
@@ -201,6 +236,10 @@
     }
 }
 
+fn entry((at, mark): (Time, Mark)) -> Entry {
+    Entry { at, mark }
+}
+
 impl Gatherer {
     /// What came of queries goes to whoever wants to know: the return, and the trail.
     pub fn note_ends(&mut self, net: &mut Net<Self>, now: Time) {
@@ -246,7 +285,7 @@
         versions.account.hold(held || versions.displaced, now);
         if let Some((proposal, document)) = next.filter(|(proposal, _)| *proposal > versions.said) {
             versions.said = proposal;
-            let cannot = (versions.prepare)(&document["settings"]).err();
+            let cannot = versions.usable(&document).err();
             tracing::info!(proposal, cannot, "a version is proposed");
             let word = json!({"to": proposal, "life": versions.life, "cannot": cannot});
             wants.push((format!("{WORD}{name}"), word));
@@ -257,7 +296,7 @@
         }
         let (Some(shelf), Some(versions)) = (&mut self.shelf, &mut self.versions) else { return };
         let own = json!({"life": versions.life, "runs": versions.runs(), "program": env!("CARGO_PKG_VERSION"),
-                         "validity_ms": versions.setup.validity_ms});
+                         "validity_ms": versions.setup.validity_ms, "reads": FORMAT});
         if !versions.displaced {
             wants.push((format!("{GATHERERS}{name}"), own));
         }
@@ -277,7 +316,7 @@
         self.note_ends(net, now);
         let Some(versions) = &mut self.versions else { return };
         versions.flush(now, net);
-        let fresh = (versions.prepare)(&document["settings"]);
+        let fresh = versions.usable(document);
         match fresh.and_then(|fresh| self.reconfigure(fresh, now)) {
             Ok(()) => {
                 self.core.acts_on(version);
--- a/bitternsill/src/versions/scribe.rs
+++ b/bitternsill/src/versions/scribe.rs
@@ -2,6 +2,8 @@
 
 use crate::front::{Gatherer, Message};
 use crate::net::{Connection, Context, Ready, Token};
+use crate::versions::collect::whole_letters;
+use bramblestair::interface::Time;
 use serde_json::json;
 use std::collections::VecDeque;
 use std::fs::{File, OpenOptions};
@@ -10,6 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
+use std::time::Duration;
 use versions::trail::{self, Chain, Entry, Mark};
 
 /// Bytes of a segment before the next one begins, segments that are kept, and bytes that are told at once.
@@ -20,8 +23,11 @@
 const WAITING: usize = 64;
 
 enum Job {
-    Note(Vec<Entry>),
+    /// Entries, and how many before them found no room.
+    Note(Vec<Entry>, u64),
     Tell(Token, u64, u64),
+    /// The last entries of this life; whoever waits hears once they are written.
+    Last(Vec<Entry>, SyncSender<()>),
 }
 
 enum Done {
@@ -36,35 +42,56 @@
     jobs: SyncSender<Job>,
     done: Receiver<Done>,
     woken: UnixStream,
-    /// What found no room yet.
+    /// What found no room yet, and how many entries never did.
     behind: VecDeque<Vec<Entry>>,
+    dropped: u64,
     name: String,
+    /// When the store may next be told how far the trail goes: notes must not become so many changes of the store.
+    tell_at: Time,
+}
+
+/// Has the last entries written when the loop has ended.
+pub struct LastWord(SyncSender<Job>);
+
+impl LastWord {
+    /// Waits so long at the most.
+    pub fn say(&self, entries: Vec<Entry>, patience: Duration) {
+        let (tell, told) = sync_channel(1);
+        if self.0.try_send(Job::Last(entries, tell)).is_err() || told.recv_timeout(patience).is_err() {
+            tracing::warn!("the last entries of the trail may be lost: the disk does not keep up");
+        }
+    }
 }
 
 impl Scribe {
     /// Opens the folder of a gatherer's trail; what stands there stays, and a new segment follows from it.
-    pub fn open(folder: &Path, name: &str) -> io::Result<Scribe> {
+    pub fn open(folder: &Path, name: &str, full_while: Option<PathBuf>) -> io::Result<(Scribe, LastWord)> {
         std::fs::create_dir_all(folder)?;
-        let book = Book::open(folder, name)?;
+        let book = Book::open(folder, name, full_while)?;
         let (jobs, todo) = sync_channel(WAITING);
         let (tell, done) = sync_channel(2 * WAITING);
         let (woken, wake) = UnixStream::pair()?;
         woken.set_nonblocking(true)?;
         wake.set_nonblocking(true)?;
         thread::Builder::new().name("trail".to_owned()).spawn(move || book.work(&todo, &tell, wake))?;
-        Ok(Scribe { jobs, done, woken, behind: VecDeque::new(), name: name.to_owned() })
+        let last = LastWord(jobs.clone());
+        let (behind, dropped, name, tell_at) = (VecDeque::new(), 0, name.to_owned(), 0);
+        Ok((Scribe { jobs, done, woken, behind, dropped, name, tell_at }, last))
     }
 
     fn hand(&mut self) {
         while let Some(entries) = self.behind.pop_front() {
-            if let Err(TrySendError::Full(Job::Note(entries))) = self.jobs.try_send(Job::Note(entries)) {
+            if let Err(TrySendError::Full(Job::Note(entries, _))) =
+                self.jobs.try_send(Job::Note(entries, self.dropped))
+            {
                 self.behind.push_front(entries);
                 break;
             }
+            self.dropped = 0;
         }
         while self.behind.len() > WAITING {
-            // The oldest goes: a disk that does not keep up costs evidence, and no query.
-            self.behind.pop_front();
+            // The oldest goes: a disk that does not keep up costs evidence, and no query. The trail will say how much.
+            self.dropped += self.behind.pop_front().map_or(0, |entries| entries.len() as u64);
             tracing::warn!("entries of the trail are lost: the disk does not keep up");
         }
     }
@@ -81,6 +108,10 @@
             match done {
                 Done::Line(token, line) => cx.net.post(token, Message::Line(line)),
                 Done::Digest(trail, segment, length, hash) => {
+                    if cx.now < self.tell_at {
+                        continue;
+                    }
+                    self.tell_at = cx.now + cx.world.limits.trail_told;
                     if let Some(shelf) = &mut cx.world.shelf {
                         let digest = json!({"segment": segment, "length": length, "hash": hash});
                         let key = format!("{}{}/{trail}", super::TRAILS, self.name);
@@ -119,10 +150,14 @@
     file: Option<File>,
     chain: Chain,
     bytes: u64,
+    /// Entries that could not be written since the last that was.
+    lost: u64,
+    /// For tests: the disk is full while there is such a file.
+    full_while: Option<PathBuf>,
 }
 
 impl Book {
-    fn open(folder: &Path, name: &str) -> io::Result<Book> {
+    fn open(folder: &Path, name: &str, full_while: Option<PathBuf>) -> io::Result<Book> {
         let mut book = Book {
             folder: folder.to_owned(),
             name: name.to_owned(),
@@ -131,6 +166,8 @@
             file: None,
             chain: Chain::default(),
             bytes: 0,
+            lost: 0,
+            full_while,
         };
         let last = book.segments()?.into_iter().max();
         let hash = match last {
@@ -181,6 +218,9 @@
         let mut chain = self.chain.clone();
         let text = entries.iter().fold(String::new(), |text, entry| text + &chain.line(entry) + "\n");
         let Some(file) = &mut self.file else { return Err(io::Error::other("the trail is not open")) };
+        if self.full_while.as_ref().is_some_and(|path| path.exists()) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
         let written = file.write_all(text.as_bytes()).and_then(|()| file.sync_data());
         if written.is_err() {
             // What came of it would break the chain.
@@ -191,11 +231,22 @@
         Ok(())
     }
 
-    fn note(&mut self, entries: &[Entry]) -> io::Result<()> {
-        if self.bytes >= SEGMENT {
-            self.begin(self.segment + 1, self.chain.hash.clone())?;
+    /// Writes entries, behind one that says how many before them could not be written.
+    fn note(&mut self, mut entries: Vec<Entry>) -> io::Result<()> {
+        if let Some(first) = entries.first().filter(|_| self.lost > 0) {
+            let lost = Entry { at: first.at, mark: Mark::Lost { count: self.lost } };
+            entries.insert(0, lost);
+        }
+        let written = if self.bytes >= SEGMENT {
+            self.begin(self.segment + 1, self.chain.hash.clone()).and_then(|()| self.write(&entries))
+        } else {
+            self.write(&entries)
+        };
+        let before = std::mem::take(&mut self.lost);
+        if written.is_err() {
+            self.lost = entries.len() as u64 + before.saturating_sub(1);
         }
-        self.write(entries)
+        written
     }
 
     /// A stretch of a segment, and which there are.
@@ -203,23 +254,36 @@
         let segments = self.segments()?;
         let first = segments.first().copied().unwrap_or(self.segment);
         let segment = segment.max(first);
-        let mut text = String::new();
+        let mut bytes = Vec::new();
         if segments.contains(&segment) {
             let mut file = File::open(self.path(segment))?;
             file.seek(SeekFrom::Start(from))?;
-            file.take(TOLD).read_to_string(&mut text)?;
+            file.take(TOLD).read_to_end(&mut bytes)?;
         }
-        let more = text.len() as u64 == TOLD;
-        let told = json!({"first": first, "last": self.segment, "segment": segment, "from": from,
-                          "text": text, "more": more, "name": self.name});
+        let more = bytes.len() as u64 == TOLD;
+        let told = json!({"first": first, "last": self.segment, "segment": segment, "from": from, "trail": self.trail,
+                          "text": whole_letters(bytes), "more": more, "name": self.name});
         Ok(json!({"trail": told}).to_string() + "\n")
     }
 
+    /// So many entries found no room before what follows.
+    fn after(&mut self, dropped: u64) -> &mut Book {
+        self.lost += dropped;
+        self
+    }
+
     fn work(mut self, todo: &Receiver<Job>, tell: &SyncSender<Done>, mut wake: UnixStream) {
         let mut failed = false;
         while let Ok(job) = todo.recv() {
             let done = match job {
-                Job::Note(entries) => match self.note(&entries) {
+                Job::Last(entries, tell) => {
+                    if let Err(problem) = self.note(entries) {
+                        tracing::error!(folder = %self.folder.display(), %problem, "the trail cannot be written");
+                    }
+                    let _ = tell.send(());
+                    return;
+                }
+                Job::Note(entries, dropped) => match self.after(dropped).note(entries) {
                     Ok(()) => {
                         failed = false;
                         Done::Digest(self.trail, self.segment, self.chain.length, self.chain.hash.clone())
--- a/bitternsill/tests/common/fleet.rs
+++ b/bitternsill/tests/common/fleet.rs
@@ -94,12 +94,17 @@
     pub mute: bool,
     /// What stands under `versions`, where anything does: then each keeps its name and its trail over its lives.
     pub versions: Option<Value>,
+    /// Whether operators have a door.
+    pub doors: bool,
+    /// Gatherers that have another one's name.
+    pub named_as: BTreeMap<usize, usize>,
 }
 
 impl Default for Set {
     fn default() -> Set {
-        let (settings, known, learning, mute) = (settings(), false, false, false);
-        Set { settings, recovery: None, known, warmth: None, learning, mute, versions: None }
+        let (settings, known, learning, mute, doors) = (settings(), false, false, false, false);
+        let (recovery, warmth, versions, named_as) = (None, None, None, BTreeMap::new());
+        Set { settings, recovery, known, warmth, learning, mute, versions, doors, named_as }
     }
 }
 
@@ -166,6 +171,7 @@
     pub name: String,
     pub stores: Vec<SocketAddr>,
     pub fronts: Vec<SocketAddr>,
+    pub doors: Vec<SocketAddr>,
     pub links: BTreeMap<(usize, usize), Link>,
     pub programs: Vec<Option<Program>>,
     pub lives: Vec<u32>,
@@ -198,6 +204,7 @@
             name: name.to_owned(),
             links: pairs.map(|(a, b)| ((a, b), Link::to(stores[b]).unwrap())).collect(),
             fronts: (0..count).map(|_| free_address()).collect(),
+            doors: (0..count).map(|_| free_address()).collect(),
             stores,
             programs: (0..count).map(|_| None).collect(),
             lives: vec![0; count],
@@ -242,7 +249,8 @@
 
     /// A gatherer's name.
     pub fn gatherer(&self, at: usize) -> String {
-        if self.set.versions.is_some() { format!("g{at}") } else { format!("g{at}-{}", self.lives[at]) }
+        let name = self.set.named_as.get(&at).unwrap_or(&at);
+        if self.set.versions.is_some() { format!("g{name}") } else { format!("g{name}-{}", self.lives[at]) }
     }
 
     /// Where a gatherer keeps its trail.
@@ -292,8 +300,9 @@
         let targets: Vec<Value> = self.hosts.iter().enumerate().map(entry).collect();
         let known =
             if self.set.known { json!({"rev": 1, "all": true, "targets": targets}) } else { Value::Null };
+        let door = if self.set.doors { json!(self.doors[at].to_string()) } else { Value::Null };
         let config = json!({
-            "name": self.gatherer(at), "listen": self.fronts[at].to_string(),
+            "name": self.gatherer(at), "listen": self.fronts[at].to_string(), "admin": door,
             "discovery": self.counter.address.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": self.set.settings
         });
--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod standins;
+pub mod versions;
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
--- /dev/null
+++ b/bitternsill/tests/common/versions.rs
@@ -0,0 +1,119 @@
+//! What stories on versions do to a fleet, and ask of it.
+
+use super::fleet::*;
+use super::*;
+use lab::link::Way;
+use std::collections::BTreeSet;
+
+/// For how long what a gatherer was told holds.
+pub const VALIDITY: Duration = Duration::from_millis(2_000);
+
+/// Gatherers with versions.
+pub fn set() -> Set {
+    Set {
+        known: true,
+        versions: Some(json!({"validity_ms": VALIDITY.as_millis() as u64, "steady_ms": 500, "note_ms": 200})),
+        ..Set::default()
+    }
+}
+
+/// The settings with one more class, of this name.
+pub fn with_class(name: &str) -> Value {
+    let mut settings = settings();
+    let mut class = settings["request_classes"][1].clone();
+    class["name"] = json!(name);
+    settings["request_classes"].as_array_mut().unwrap().push(class);
+    for (key, value) in [
+        ("class_fetch", json!(0)),
+        ("class_need", json!(1.0)),
+        ("floor_by_class", json!(1.0)),
+        ("short_worth", json!(0.9)),
+    ] {
+        settings["extra"][key].as_array_mut().unwrap().push(value);
+    }
+    settings
+}
+
+/// Settings in a file.
+pub fn file(fleet: &Fleet, name: &str, settings: &Value) -> PathBuf {
+    let path =
+        std::env::temp_dir().join(format!("bitternsill-{}-{}-{name}.json", fleet.name, std::process::id()));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    path
+}
+
+/// Proposes settings with a class of this name, at some members.
+pub fn configure(fleet: &Fleet, class: &str, at: &[usize]) -> u64 {
+    let path = file(fleet, class, &with_class(class));
+    let (text, done) = fleet.call(&["configure", path.to_str().unwrap(), "--json", "--least", "0.34"], at);
+    assert!(done, "{text}");
+    let said: Value = serde_json::from_str(&text).unwrap_or_else(|_| panic!("{text}"));
+    said["proposal"].as_u64().unwrap()
+}
+
+/// Activates what is proposed; the version and who goes on without a store.
+pub fn activate(fleet: &Fleet, at: &[usize]) -> Result<(u64, BTreeSet<String>), String> {
+    let (text, done) = fleet.call(&["activate", "--json", "--wait", "3000"], at);
+    let said: Value = serde_json::from_str(&text).map_err(|_| text.clone())?;
+    assert!(done);
+    let keepers = said["keepers"].as_array().unwrap().iter().map(|one| one.as_str().unwrap().to_owned());
+    Ok((said["version"].as_u64().unwrap(), keepers.collect()))
+}
+
+/// What a gatherer answers a query of a class with: a status.
+pub fn ask(fleet: &Fleet, at: usize, class: &str) -> Option<String> {
+    let mut socket = TcpStream::connect(fleet.fronts[at]).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+    let id = format!("v{}-{at}", Instant::now().elapsed().as_nanos() as u64 ^ fastrand::u64(..));
+    socket.write_all(query(&id, class, &[0], "Connection: close\r\n").as_bytes()).ok()?;
+    read_response(&mut socket).get(9..12).map(str::to_owned)
+}
+
+/// Whether a gatherer answers queries of a class.
+pub fn serves(fleet: &Fleet, at: usize, class: &str) -> bool {
+    ask(fleet, at, class).as_deref() == Some("200")
+}
+
+/// What a gatherer says of its version.
+pub fn version(fleet: &Fleet, at: usize) -> Value {
+    let (text, _) = fleet.call(&["phase", "--format", "json"], &[at]);
+    let said: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+    said[0]["answer"]["version"].clone()
+}
+
+/// Whether it says that it stands so.
+pub fn stands(fleet: &Fleet, at: usize, wanted: &str) -> bool {
+    version(fleet, at)["standing"] == wanted
+}
+
+/// What the audit says of all: its text, and whether nothing is wrong and all is known.
+pub fn audit(fleet: &Fleet) -> (String, bool) {
+    let all: Vec<usize> = (0..fleet.stores.len()).collect();
+    // What was done last is in the trails once it has been noted.
+    std::thread::sleep(Duration::from_millis(300));
+    fleet.call(&["audit", "--patience", "4000"], &all)
+}
+
+/// What becomes of bytes from one to all others, and back.
+pub fn cut_off(fleet: &Fleet, one: usize, ways: [Way; 2]) {
+    for other in (0..fleet.stores.len()).filter(|other| *other != one) {
+        fleet.link(one, other).set(ways[0], ways[1]);
+        fleet.link(other, one).set(ways[1], ways[0]);
+    }
+}
+
+/// Whether all say that they are current.
+pub fn current(fleet: &Fleet) -> bool {
+    (0..fleet.stores.len()).all(|at| stands(fleet, at, "current"))
+}
+
+/// A fleet that runs its first version, and who of it goes on without a store; one does not.
+pub fn with_a_version(name: &str) -> (Fleet, BTreeSet<String>, usize) {
+    let fleet = Fleet::with(name, 3, set());
+    eventually("all are current", || current(&fleet));
+    configure(&fleet, "first", &[0]);
+    let (_, keepers) = activate(&fleet, &[0]).unwrap();
+    let other = (0..3).find(|at| !keepers.contains(&format!("g{at}"))).expect("one is no keeper");
+    eventually("all serve the first", || (0..3).all(|at| serves(&fleet, at, "first")));
+    (fleet, keepers, other)
+}
--- a/versions/src/audit.rs
+++ b/versions/src/audit.rs
@@ -36,6 +36,15 @@
     NeverActive(Version),
     /// It says that it was told of an earlier version after a later one.
     WentBack(Version, Version),
+    /// A life ended without a last note, as where power was lost: what it did after that one is not known.
+    CutOff {
+        /// The life.
+        life: u64,
+        /// How long it had been running at its last note.
+        after: Time,
+    },
+    /// So many entries could not be written, as on a full disk: what they told is not known.
+    Lost(u64),
     /// Its trail does not hold from here on: what came then is not known.
     Broken(Broken),
     /// There is no trail of it: nothing is known.
@@ -47,8 +56,18 @@
     pub fn is_wrong(&self) -> Option<bool> {
         match self {
             Finding::Beyond { .. } | Finding::NeverActive(_) | Finding::WentBack(..) => Some(true),
-            Finding::Kept { .. } => Some(false),
-            Finding::Broken(_) | Finding::NoTrail => None,
+            Finding::Kept { .. } | Finding::CutOff { .. } => Some(false),
+            Finding::Broken(_) | Finding::NoTrail | Finding::Lost(_) => None,
+        }
+    }
+
+    /// What kind it is, in a word.
+    pub fn word(&self) -> &'static str {
+        match (self.is_wrong(), self) {
+            (Some(true), _) => "WRONG",
+            (None, _) => "NOT KNOWN",
+            (Some(false), Finding::CutOff { .. }) => "gap",
+            (Some(false), _) => "kept",
         }
     }
 }
@@ -72,6 +91,14 @@
                 write!(f, "was told of version {version}, which never was active")
             }
             Finding::WentBack(from, to) => write!(f, "was told of version {to} after {from}"),
+            Finding::CutOff { life, after } => {
+                let after = ms(after);
+                write!(
+                    f,
+                    "life {life:016x} ended without a last note: its last one came {after} ms after its begin"
+                )
+            }
+            Finding::Lost(count) => write!(f, "{count} entries could not be written"),
             Finding::Broken(broken) => write!(f, "its trail does not hold: {broken}"),
             Finding::NoTrail => f.write_str("there is no trail of it: not known"),
         }
@@ -93,13 +120,28 @@
     pub count: u64,
 }
 
+/// A call that an operator made by hand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Called {
+    /// When, as a wall clock of the gatherer's begin has it.
+    pub wall_ms: i64,
+    /// The version under which it was carried out.
+    pub version: Version,
+    /// The call.
+    pub call: String,
+}
+
 /// What is known of one gatherer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
     /// What it acted on, in order.
     pub spans: Vec<Span>,
+    /// What operators had it do by hand.
+    pub calls: Vec<Called>,
     /// What was found.
     pub findings: Vec<Finding>,
+    /// The life that had not ended when the trail did, and how long it had been running at its last note.
+    pub open: Option<(u64, Time)>,
 }
 
 /// Judges one gatherer's trail, with every version that the store ever made active.
@@ -109,9 +151,19 @@
     // By version: when it was last asked for with that answer; and which of them it goes on under without a store.
     let (mut proofs, mut kept) = (BTreeMap::<Version, Time>::new(), BTreeSet::<Version>::new());
     let (mut told, mut runs, mut stands_kept) = (0, 0, false);
+    // When the life began and when it last noted something, until it has ended in order.
+    let mut open = None::<(Time, Time)>;
     for Entry { at, mark } in entries {
+        if let Some((_, last)) = &mut open
+            && !matches!(mark, Mark::Began { .. } | Mark::Follows { .. })
+        {
+            *last = (*last).max(*at);
+        }
         match mark {
             Mark::Began { life: new, wall, validity: of, .. } => {
+                if let Some((begun, last)) = open.replace((*at, *at)) {
+                    report.findings.push(Finding::CutOff { life, after: last.saturating_sub(begun) });
+                }
                 (life, validity) = (*new, *of);
                 wall_ms = *wall as i64 - (*at / 1_000_000) as i64;
                 (proofs, kept) = (BTreeMap::new(), BTreeSet::new());
@@ -165,13 +217,60 @@
                     }
                 }
             }
-            Mark::Called { .. } | Mark::Follows { .. } => {}
+            Mark::Called { version, call } => {
+                let wall_ms = wall_ms + (*at / 1_000_000) as i64;
+                report.calls.push(Called { wall_ms, version: *version, call: call.clone() });
+            }
+            Mark::Lost { count } => report.findings.push(Finding::Lost(*count)),
+            Mark::Ended => open = None,
+            Mark::Follows { .. } => {}
         }
     }
+    report.open = open.map(|(begun, last)| (life, last.saturating_sub(begun)));
     report.findings.extend(broken.map(Finding::Broken));
     report
 }
 
+/// Judges every trail of one gatherer that there is, each by its segments from the oldest that is left on. A life that had not
+/// ended goes on only in the trail that was `fetched` just now.
+pub fn account(
+    trails: &[BTreeMap<u64, String>],
+    fetched: Option<u64>,
+    told: &BTreeMap<u64, Digest>,
+    active: &BTreeSet<Version>,
+) -> Report {
+    let (mut report, mut numbers) = (Report::default(), BTreeSet::new());
+    for segments in trails {
+        numbers.extend(number(segments));
+        let (entries, broken) = join(segments, told);
+        let one = judge(&entries, broken, active);
+        let over = fetched.is_none() || number(segments) != fetched;
+        let cut_off = one.open.filter(|_| over).map(|(life, after)| Finding::CutOff { life, after });
+        report.findings.extend(cut_off);
+        report.spans.extend(one.spans);
+        report.calls.extend(one.calls);
+        report.findings.extend(one.findings);
+    }
+    if trails.is_empty() {
+        report.findings.push(Finding::NoTrail);
+    } else if told.keys().any(|trail| !numbers.contains(trail)) {
+        let why = "an earlier trail that the store was told of is gone";
+        report.findings.push(Finding::Broken(Broken { line: 0, why }));
+    }
+    report.spans.sort_by_key(|span| span.wall_ms + (span.taken.0 / 1_000_000) as i64);
+    report.calls.sort_by_key(|call| call.wall_ms);
+    report
+}
+
+/// The number of a trail, by its first line.
+fn number(segments: &BTreeMap<u64, String>) -> Option<u64> {
+    let first = segments.values().next().and_then(|text| text.split_inclusive('\n').next())?;
+    match read(first).0.first()?.mark {
+        Mark::Follows { trail, .. } => Some(trail),
+        _ => None,
+    }
+}
+
 /// What the store was told of a trail: so many lines of a segment, and the hash of the last of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Digest {
@@ -187,14 +286,9 @@
 /// that does not follow from the one before it, and a trail that is shorter than the store was told, are broken too.
 ///
 /// `told` has each trail that the gatherer ever had, by its number.
-pub fn join(segments: &BTreeMap<u64, String>, told: &BTreeMap<u64, Digest>) -> (Vec<Entry>, Option<Broken>) {
+fn join(segments: &BTreeMap<u64, String>, told: &BTreeMap<u64, Digest>) -> (Vec<Entry>, Option<Broken>) {
     let (mut all, mut before) = (Vec::new(), None::<(u64, String)>);
-    let first = segments.values().next().and_then(|text| read(text).0.into_iter().next());
-    let own = match first {
-        Some(Entry { mark: Mark::Follows { trail, .. }, .. }) => Some(trail),
-        _ => None,
-    };
-    let digest = own.and_then(|own| told.get(&own));
+    let digest = number(segments).and_then(|own| told.get(&own));
     for (number, text) in segments {
         let (entries, chain, broken) = read(text);
         let line = entries.len();
@@ -218,9 +312,6 @@
         before = Some((*number, chain.hash));
     }
     let last = segments.last_key_value().map(|(number, _)| *number);
-    if told.keys().any(|trail| Some(*trail) != own) {
-        return (all, Some(Broken { line: 0, why: "an earlier trail that the store was told of is gone" }));
-    }
     if digest.is_some_and(|digest| last.is_none_or(|last| last < digest.segment)) {
         return (all, Some(Broken { line: 0, why: "segments that the store was told of are missing" }));
     }
@@ -349,12 +440,48 @@
         let (held, broken) = join(&cut, &told);
         assert_eq!((held.len(), broken.unwrap().why), (5, "it is not what the store was told of it"));
         assert_eq!(join(&BTreeMap::new(), &BTreeMap::new()), (vec![], None));
-        assert!(join(&BTreeMap::new(), &told).1.is_some(), "all of it is gone");
-        told.insert(78, Digest { segment: 0, length: 1, hash: String::new() });
-        assert_eq!(
-            join(&segments, &told).1.unwrap().why,
-            "an earlier trail that the store was told of is gone"
-        );
+        let none = BTreeSet::new();
+        assert_eq!(account(&[], None, &told, &none).findings, [Finding::NoTrail]);
+        let gone = "an earlier trail that the store was told of is gone";
+        let gone = Finding::Broken(Broken { line: 0, why: gone });
+        let found = |trails: &[BTreeMap<u64, String>]| account(trails, Some(77), &told, &none).findings;
+        assert!(found(&[BTreeMap::new()]).contains(&gone), "all of it is gone");
+        // One that was lost with its disk, and one that was kept elsewhere.
+        let mut chain = Chain::default();
+        let begins = Entry { at: 1, mark: Mark::Follows { trail: 78, segment: 0, hash: String::new() } };
+        let other = BTreeMap::from([(0, chain.line(&begins) + "\n")]);
+        told.insert(78, Digest { segment: 0, length: 1, hash: chain.hash });
+        assert_eq!(account(&[segments.clone()], Some(77), &told, &none).findings.last(), Some(&gone));
+        let both = account(&[other, segments], Some(77), &told, &none);
+        assert!(!both.findings.contains(&gone) && both.spans.len() == 1, "{both:?}");
+        // Kept from a life that nobody saw the end of; and from one that goes on.
+        let mut chain = Chain::default();
+        let began = Mark::Began { name: "g".to_owned(), life: 6, wall: 0, validity: 1 };
+        let text = [begins, Entry { at: 2, mark: began }].map(|entry| chain.line(&entry) + "\n").concat();
+        let alone = [BTreeMap::from([(0, text)])];
+        let told = BTreeMap::from([(78, Digest { segment: 0, length: 2, hash: chain.hash })]);
+        let cut_off = Finding::CutOff { life: 6, after: 0 };
+        assert_eq!(account(&alone, None, &told, &none).findings, [cut_off]);
+        assert_eq!(account(&alone, Some(78), &told, &none).findings, []);
+    }
+
+    #[test]
+    fn what_could_not_be_noted_and_calls_by_hand_are_told() {
+        let began = |life| Mark::Began { name: "g".to_owned(), life, wall: 60_000, validity: 1000 * MS };
+        let call = Mark::Called { version: 5, call: "exclude s-1".to_owned() };
+        let marks = vec![
+            (30, call),
+            (700, began(2)),
+            (710, Mark::Ended),
+            (800, began(3)),
+            (810, Mark::Lost { count: 4 }),
+        ];
+        let report = judge(&entries(marks), None, &BTreeSet::new());
+        // The first life ended without a word, the second in order, the third goes on.
+        assert_eq!(report.findings, [Finding::CutOff { life: 1, after: 20 * MS }, Finding::Lost(4)]);
+        let words: Vec<&str> = report.findings.iter().map(Finding::word).collect();
+        assert_eq!(words, ["gap", "NOT KNOWN"]);
+        assert_eq!(report.calls[0].wall_ms, 50_020);
     }
 
     #[test]
--- a/versions/src/trail.rs
+++ b/versions/src/trail.rs
@@ -70,6 +70,13 @@
         /// The call.
         call: String,
     },
+    /// So many entries that were to stand before this one could not be written.
+    Lost {
+        /// How many.
+        count: u64,
+    },
+    /// The life ended in order: it did nothing after this.
+    Ended,
 }
 
 /// A mark and when it was made, on the gatherer's own clock.
@@ -100,6 +107,8 @@
                 json!({"acts": version, "class": class, "outcome": outcome, "taken": [taken.0, taken.1], "count": count})
             }
             Mark::Called { version, call } => json!({"called": call, "version": version}),
+            Mark::Lost { count } => json!({"lost": count}),
+            Mark::Ended => json!({"ended": true}),
         };
         json["at"] = self.at.into();
         json
@@ -123,6 +132,10 @@
             let taken = (json["taken"][0].as_u64()?, json["taken"][1].as_u64()?);
             let (class, outcome) = (text("class")?, text("outcome")?);
             Mark::Acts { version, class, outcome, taken, count: number("count")? }
+        } else if let Some(count) = number("lost") {
+            Mark::Lost { count }
+        } else if json["ended"] == true {
+            Mark::Ended
         } else {
             Mark::Called { version: number("version")?, call: text("called")? }
         };
@@ -244,6 +257,8 @@
             Mark::Proved { asked: 3, version: 5 },
             Mark::Stands { standing: Standing::Kept },
             Mark::Called { version: 5, call: "exclude s-1".to_owned() },
+            Mark::Lost { count: 4 },
+            Mark::Ended,
         ];
         let mut entries: Vec<Entry> =
             marks.into_iter().zip(10..).map(|(mark, at)| Entry { at, mark }).collect();
@@ -261,8 +276,8 @@
     fn a_trail_says_what_was_noted_and_where_it_was_cut_or_altered() {
         let (entries, text) = trail();
         let (read_back, chain, broken) = read(&text);
-        assert_eq!((&read_back, chain.length, broken), (&entries, 7, None));
-        let Mark::Acts { taken, count, .. } = &entries[6].mark else { panic!("{entries:?}") };
+        assert_eq!((&read_back, chain.length, broken), (&entries, 9, None));
+        let Mark::Acts { taken, count, .. } = &entries[8].mark else { panic!("{entries:?}") };
         assert_eq!((*taken, *count), ((12, 19), 3));
         // Any byte altered, in any line: everything before it holds, and nothing from there on.
         for at in 0..text.len() {
