Ownership: leases whose owners have stopped before the next begins, and what is fenced

Change: the package `ownership`, without I/O: one gatherer's account of a lease on one kind of work, over whole changes of the store; the order in which gatherers try; kinds and where their effects land, in a type; jobs in steps; following a published list; probing by one; who is gone for good. Nothing is wired yet.

Found on the way: an owner that is to give up waited for its next renewal to do so; a wish for a gatherer that is not there would have been asked for again and again.

--- /dev/null
+++ b/ownership/src/lease/tests.rs
@@ -0,0 +1,246 @@
+//! One gatherer's account beside a store in one place.
+
+use super::*;
+use store::command::{Command, Txn};
+use store::state::{Done, Outcome, Room};
+
+const S: Time = 1_000_000_000;
+const TERMS: Terms = Terms { lease: 4 * S, drift: 100, margin: S / 4, step: S / 2 };
+const KIND: Kind = Kind::Hosts;
+
+/// A store, and gatherers whose clocks are one.
+struct World {
+    state: State,
+    revision: u64,
+    now: Time,
+    all: Vec<(Lease, u64, u64)>,
+}
+
+impl World {
+    fn new(count: usize) -> World {
+        let mut world = World { state: State::default(), revision: 0, now: 10 * S, all: Vec::new() };
+        world.put(keys::ERA, Some("1"));
+        (0..count).for_each(|at| world.start(at));
+        world
+    }
+
+    fn apply(&mut self, command: &Command) -> Option<Done> {
+        self.revision += 1;
+        self.state.apply(self.revision, command, Room { keys: 99, sessions: 99 }).1
+    }
+
+    fn put(&mut self, key: &str, value: Option<&str>) {
+        let change = Change { key: key.to_owned(), value: value.map(str::to_owned) };
+        self.apply(&Command::Put(change));
+    }
+
+    /// A gatherer starts, anew perhaps.
+    fn start(&mut self, at: usize) {
+        self.apply(&Command::Open(at as u64));
+        let lease = Lease::new(KIND, TERMS, &format!("g{at}"), 100 + self.revision, self.now);
+        let one = (lease, self.revision, 0);
+        if at < self.all.len() { self.all[at] = one } else { self.all.push(one) }
+    }
+
+    /// These have their turns for so long; the order in which they try is that of their numbers.
+    fn run(&mut self, time: Time, who: &[usize]) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += S / 20;
+            for at in who {
+                self.turn(*at);
+            }
+        }
+    }
+
+    fn turn(&mut self, at: usize) {
+        let now = self.now;
+        let (lease, session, request) = &mut self.all[at];
+        lease.sees(View::of(&self.state, KIND, &format!("g{at}")), now);
+        lease.stands(Some(at), 3, now);
+        let Some(ask) = lease.next(now) else { return };
+        *request += 1;
+        let txn = Txn { session: *session, request: *request, checks: ask.checks, sets: ask.sets };
+        let done = self.apply(&Command::Txn(txn));
+        let answer = match done {
+            Some(Done::Made(.., Outcome::Applied(revision))) => Answer::Applied(revision),
+            _ => Answer::Refused,
+        };
+        let lease = &mut self.all[at].0;
+        lease.sees(View::of(&self.state, KIND, &format!("g{at}")), now);
+        lease.answered(answer, now);
+    }
+
+    fn owner(&self) -> Option<usize> {
+        let owners: Vec<usize> =
+            (0..self.all.len()).filter(|at| self.all[*at].0.holds(self.now).is_some()).collect();
+        assert!(owners.len() <= 1, "{owners:?}");
+        owners.first().copied()
+    }
+
+    fn grant(&self) -> Grant {
+        View::of(&self.state, KIND, "").grant.unwrap().1
+    }
+}
+
+#[test]
+fn the_first_in_order_takes_it_and_the_next_once_the_lease_and_what_clocks_differ_by_are_over() {
+    let mut world = World::new(3);
+    world.run(S / 2, &[0, 1, 2]);
+    assert_eq!(world.owner(), Some(0));
+    let first = world.all[0].0.holds(world.now).unwrap();
+    world.run(30 * S, &[0, 1, 2]);
+    assert_eq!(world.all[0].0.holds(world.now), Some(first), "it stays");
+    // It stands still. By its own clock it has stopped before anybody else begins.
+    let stopped = world.now;
+    let mut taken = None;
+    for _ in 0..400 {
+        world.run(S / 20, &[1, 2]);
+        if world.owner() == Some(1) {
+            taken.get_or_insert(world.now);
+        }
+    }
+    let wait = taken.expect("somebody took it") - stopped;
+    // From the last renewal, at most a quarter of a lease before: the patience, and the turn of the second.
+    assert!(wait <= TERMS.patience() + TERMS.step + S / 4 && wait > TERMS.lease, "{wait}");
+    let second = world.all[1].0.holds(world.now).unwrap();
+    assert!(second > first);
+    // It wakes: leave is refused at once, and what it would write as well.
+    let late = &world.all[0].0;
+    assert_eq!(late.permit(Place::Store, world.now), None);
+    let permit = Permit::new(KIND, Place::Store, first).unwrap();
+    let checks = vec![late.fence(&permit)];
+    let session = world.all[0].1;
+    let sets = vec![Change { key: "effect".to_owned(), value: Some(String::new()) }];
+    let done = world.apply(&Command::Txn(Txn { session, request: 999, checks, sets }));
+    assert!(matches!(done, Some(Done::Made(.., Outcome::Refused(_)))));
+    world.run(S, &[0, 1, 2]);
+    let events = world.all[0].0.take_events();
+    assert!(events.contains(&Event::Lost(first)), "{events:?}");
+    assert_eq!(world.owner(), Some(1), "a better place in the order moves nothing");
+}
+
+#[test]
+fn a_life_that_has_just_started_holds_nothing_of_what_it_had() {
+    let mut world = World::new(1);
+    world.run(S, &[0]);
+    let before = world.all[0].0.holds(world.now).unwrap();
+    world.start(0);
+    world.run(S, &[0]);
+    assert_eq!(world.owner(), None, "its own former life might be acting still");
+    world.run(TERMS.patience(), &[0]);
+    assert!(world.all[0].0.holds(world.now).unwrap() > before);
+}
+
+#[test]
+fn an_operator_moves_it_in_order_and_forbids_it() {
+    let mut world = World::new(3);
+    world.run(S, &[0, 1, 2]);
+    world.all[0].0.rests(false);
+    world.put(&keys::wish(KIND), Some("g2"));
+    world.run(S / 2, &[0, 1, 2]);
+    assert_eq!(world.owner(), None, "it has stopped");
+    assert_eq!(world.grant().owner.as_deref(), Some("g0"), "and waits until all has come to rest");
+    world.all[0].0.rests(true);
+    world.run(S / 2, &[0, 1, 2]);
+    assert_eq!((world.owner(), world.grant().why.as_str()), (Some(2), "taken: it was offered"));
+    assert_eq!(world.state.get(&keys::wish(KIND)), None, "it has come about");
+    world.put(&keys::forbid(KIND, "g2"), Some(""));
+    world.run(S, &[0, 1, 2]);
+    // The one that had it last waits, so that what an operator moved does not come back at once.
+    assert_eq!(world.owner(), Some(1));
+    // Offered to one that is not there, it is taken by another in time, and the wish is not asked for again and again.
+    world.put(&keys::wish(KIND), Some("nobody"));
+    world.run(S / 2, &[0, 1, 2]);
+    assert_eq!((world.owner(), world.grant().owner.as_deref()), (None, Some("nobody")));
+    // The two that may have it have both given it up of late, and wait before they take it again.
+    world.run(2 * TERMS.patience(), &[0, 1, 2]);
+    assert!(world.owner().is_some());
+    let owner = world.owner();
+    world.run(20 * S, &[0, 1, 2]);
+    assert_eq!(world.owner(), owner);
+}
+
+#[test]
+fn others_that_show_they_can_do_better_have_it_given_up_and_nobody_else_does() {
+    let mut world = World::new(3);
+    world.run(S, &[0, 1, 2]);
+    let token = world.all[0].0.holds(world.now).unwrap();
+    world.put(&keys::doubt(KIND, "g1"), Some(&token.json().to_string()));
+    world.put(&keys::doubt(KIND, "g2"), Some(&Token { revision: 1, ..token }.json().to_string()));
+    world.run(2 * S, &[0, 1, 2]);
+    assert_eq!(world.owner(), Some(0), "one word, and one of another time");
+    world.put(&keys::doubt(KIND, "g2"), Some(&token.json().to_string()));
+    world.run(2 * S, &[0, 1, 2]);
+    assert_eq!((world.owner(), world.grant().deaths), (Some(1), 0));
+    // It stays out though it is the first in the order, for long: the next to go leaves it to another.
+    world.put(&keys::forbid(KIND, "g1"), Some(""));
+    world.run(2 * S, &[0, 1, 2]);
+    assert_eq!(world.owner(), Some(2));
+}
+
+#[test]
+fn work_whose_owners_die_soon_after_they_took_it_is_parked_but_a_power_loss_parks_nothing() {
+    let mut world = World::new(5);
+    let mut died = Vec::new();
+    // The first had it before the others looked: its death might be that of all.
+    for _ in 0..4 {
+        let left: Vec<usize> = (0..5).filter(|at| !died.contains(at)).collect();
+        let mut waited = 0;
+        while world.owner().is_none_or(|owner| died.contains(&owner)) {
+            world.run(S / 20, &left);
+            waited += 1;
+            assert!(waited < 400);
+        }
+        died.push(world.owner().unwrap());
+    }
+    let last: Vec<usize> = (0..5).filter(|at| !died.contains(at)).collect();
+    world.run(20 * S, &last);
+    let grant = world.grant();
+    assert_eq!((world.owner(), grant.owner.as_deref(), grant.deaths), (None, None, 3));
+    assert!(grant.parked.is_some_and(|why| why.contains("3 owners in a row died")));
+    // An operator releases it.
+    world.put(&keys::owner(KIND), Some(&Grant::default().json().to_string()));
+    world.run(TERMS.step * 5, &last);
+    assert_eq!(world.owner(), Some(last[0]));
+    // All lose power, again and again: none of them has seen another die.
+    for _ in 0..5 {
+        (0..5).for_each(|at| world.start(at));
+        world.run(TERMS.patience() + TERMS.step, &[0, 1, 2, 3, 4]);
+        assert!(world.owner().is_some());
+    }
+    assert_eq!(world.grant().deaths, 0);
+    // What cannot be read may be somebody's.
+    world.put(&keys::owner(KIND), Some("{\"own"));
+    world.run(20 * S, &[0, 1, 2, 3, 4]);
+    assert!(world.owner().is_none() && world.grant().parked.is_some());
+}
+
+#[test]
+fn an_answer_that_never_came_counts_for_nothing_and_what_was_taken_by_it_is_found() {
+    let mut world = World::new(1);
+    let now = world.now;
+    let (lease, session, _) = &mut world.all[0];
+    lease.sees(View::of(&world.state, KIND, "g0"), now);
+    lease.stands(Some(0), 1, now);
+    let ask = lease.next(now).expect("it takes it");
+    assert_eq!(lease.next(now), None, "one thing at a time");
+    let txn = Txn { session: *session, request: 1, checks: ask.checks, sets: ask.sets };
+    world.apply(&Command::Txn(txn));
+    world.all[0].2 = 1;
+    world.now += S;
+    let now = world.now;
+    world.all[0].0.answered(Answer::Unknown, now);
+    assert_eq!(world.owner(), None);
+    world.run(S / 2, &[0]);
+    assert_eq!(world.owner(), Some(0), "found in the store, and renewed");
+    // Renewals without answers: it stops in time, and resumes if nobody took over.
+    let token = world.all[0].0.holds(world.now);
+    world.now += TERMS.lease;
+    assert_eq!(world.owner(), None);
+    world.run(S, &[0]);
+    assert_eq!(world.all[0].0.holds(world.now), token);
+    let events = world.all[0].0.take_events();
+    let lapsed = Event::Lapsed(token.unwrap());
+    assert!(events.contains(&lapsed) && events.contains(&Event::Resumed(token.unwrap())), "{events:?}");
+}
