--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -21,7 +21,7 @@
 use crate::versions::Versions;
 use bramblestair::interface::{ListKind, Outcome, ServerId, Time};
 use clients::ClientTable;
-use hosts::HostTable;
+use hosts::{HostTable, Member};
 use learning::picture::Fleet;
 use signals::Fresh;
 use std::net::SocketAddr;
@@ -273,6 +273,16 @@
         }
     }
 
+    /// Takes a list that discovery has told: the whole of it, or what has changed.
+    pub fn take_list(&mut self, whole: bool, members: Vec<Member>, net: &mut Net<Self>, now: Time) {
+        let kind = if whole { ListKind::Complete } else { ListKind::Partial };
+        let entries = self.hosts.update(kind, members, net, now);
+        self.core.list(kind, entries);
+        self.record_members(net);
+        self.ready_by = None;
+        self.list_is_there(true, now);
+    }
+
     /// Records the index hosts as they are known now.
     pub fn record_members(&mut self, net: &mut Net<Self>) {
         let known = self.hosts.known().to_string();
--- a/bitternsill/src/front/platform/discovery.rs
+++ b/bitternsill/src/front/platform/discovery.rs
@@ -7,7 +7,7 @@
 use crate::front::http::{Progress, Reader};
 use crate::front::{Gatherer, Message};
 use crate::net::{self, Attempt, Connection, Context, Input, Ready, Stream, Token};
-use bramblestair::interface::{Entry, ListKind, ServerId, Standing};
+use bramblestair::interface::{Entry, ServerId, Standing};
 use serde_json::Value as Json;
 use std::fmt;
 use std::io;
@@ -194,13 +194,8 @@
     fn take(&mut self, cx: &mut Cx<'_>, text: &[u8]) -> Result<(), ListError> {
         let json: Json = serde_json::from_slice(text).map_err(|_| ListError("not JSON"))?;
         let (version, whole, members) = read_list(&json, &mut self.names)?;
-        let kind = if whole { ListKind::Complete } else { ListKind::Partial };
         tracing::debug!(version, whole, lines = members.len(), "list");
-        let entries = cx.world.hosts.update(kind, members, cx.net, cx.now);
-        cx.world.core.list(kind, entries);
-        cx.world.record_members(cx.net);
-        cx.world.ready_by = None;
-        cx.world.list_is_there(true, cx.now);
+        cx.world.take_list(whole, members, cx.net, cx.now);
         self.release_former(cx);
         self.version = Some(version);
         Ok(())
--- a/bitternsill/src/store/client.rs
+++ b/bitternsill/src/store/client.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 use store::command::{Check, Expects, Txn};
 use store::packet::Change;
-use store::state::{Outcome, Refusal};
+use store::state::{Held, Outcome, Refusal, State};
 
 /// What a read brought.
 #[derive(Debug, Clone, Default)]
@@ -20,6 +20,12 @@
 }
 
 impl Seen {
+    /// What a member itself holds at a revision.
+    pub fn of(state: &State, revision: u64) -> Seen {
+        let key = |(key, held): (&str, &Held)| (key.to_owned(), (held.value.clone(), held.revision));
+        Seen { revision, keys: state.keys().map(key).collect() }
+    }
+
     /// A key's value as JSON, with its revision.
     pub fn json(&self, key: &str) -> Option<(Json, u64)> {
         let (value, revision) = self.keys.get(key)?;
--- a/bitternsill/src/versions/cli.rs
+++ b/bitternsill/src/versions/cli.rs
@@ -1,8 +1,9 @@
 //! `bitternsill fleet configure|activate|versions|diff|hold|release|leave-out|take-in`: versions by an operator's hand.
 
-use super::{ACTIVE, FORMAT, GATHERERS, HELD, NEXT, OUT, PAST, WAS, WORD};
+use super::activation::{self, Blocked, fleet};
+use super::{ACTIVE, FORMAT, GATHERERS, HELD, NEXT, OUT, PAST};
 use crate::core::settings;
-use crate::store::client::{Changed, Client, Seen};
+use crate::store::client::{Changed, Client};
 use clap::{Args, Subcommand};
 use serde_json::{Value as Json, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,16 +12,8 @@
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
-use store::command::Check;
 use store::packet::Change;
-use versions::rollout::{Member, Missing, bound, in_the_way, keepers};
-
-/// What clocks of two machines may differ by, in parts of a thousand.
-const DRIFT: u64 = 50;
-
-/// Documents of former versions that can be gone back to, and versions that are remembered to have been active.
-const PAST_KEPT: usize = 8;
-const WAS_KEPT: usize = 100;
+use versions::rollout::{Member, Missing};
 
 /// Versions of the configuration.
 #[derive(Debug, Subcommand)]
@@ -178,142 +171,51 @@
     }
 }
 
-/// The fleet as the store has it, with when each was seen to be left out.
-fn fleet(seen: &Seen, left_out: &BTreeMap<String, u64>) -> BTreeMap<String, Member> {
-    let member = |name: &str| {
-        let (own, _) = seen.json(&format!("{GATHERERS}{name}"))?;
-        let word = seen.json(&format!("{WORD}{name}")).and_then(|(word, _)| {
-            // The word of an earlier life is nobody's.
-            let of_this_life = word["life"] == own["life"];
-            let cannot = word["cannot"].as_str().map(str::to_owned);
-            of_this_life.then_some((word["to"].as_u64()?, cannot))
-        });
-        let runs = own["runs"].as_u64().unwrap_or(0);
-        Some((name.to_owned(), Member { runs, word, left_out: left_out.get(name).copied() }))
-    };
-    seen.names(GATHERERS).filter_map(member).collect()
-}
-
 fn activate(call: &Activate) -> Result<String, String> {
     let client = call.place.client();
     let begun = Instant::now();
-    let mut left_out: BTreeMap<String, u64> = BTreeMap::new();
+    let mut left_out = BTreeMap::new();
     loop {
         let now = begun.elapsed().as_nanos() as u64;
         let seen = client.read("")?;
-        let (next, proposal) = seen.json(NEXT).ok_or("nothing is proposed")?;
-        let active = seen.json(ACTIVE);
-        if active.as_ref().is_some_and(|(active, _)| active["proposal"] == proposal) {
-            return Err(format!("proposal {proposal} is active already"));
-        }
-        // Whoever was left out acts on the former version for no longer than its validity from now on.
-        let out: BTreeSet<&str> = seen.names(OUT).collect();
-        left_out.retain(|name, _| out.contains(name.as_str()));
-        for name in out {
-            left_out.entry(name.to_owned()).or_insert(now);
-        }
-        let fleet = fleet(&seen, &left_out);
-        let longest = fleet.keys().filter_map(|name| {
-            seen.json(&format!("{GATHERERS}{name}"))?.0["validity_ms"].as_u64().map(|ms| ms * 1_000_000)
-        });
-        let longest = bound(longest.max().unwrap_or(0), DRIFT);
-        let former: BTreeSet<String> = match &active {
-            Some((active, _)) => {
-                let all = active["keepers"].as_array().map(Vec::as_slice).unwrap_or_default();
-                all.iter().filter_map(Json::as_str).map(str::to_owned).collect()
-            }
-            // By their own files all go on without a store.
-            None => fleet.keys().cloned().collect(),
-        };
-        let missing = in_the_way(&fleet, proposal, &former, longest, now);
+        activation::note_left_out(&seen, &mut left_out, now);
         let wait = Duration::from_millis(call.wait);
-        if missing.is_empty() {
-            match switch(&client, &seen, &next, proposal, &fleet, call.place.json) {
-                // Somebody had another word, or started anew, since it was read: it is read again.
-                Err(Failed::Changed(_)) if begun.elapsed() <= wait => continue,
-                Err(Failed::Changed(why) | Failed::Other(why)) => return Err(why),
-                Ok(text) => return Ok(text),
+        let plan = match activation::plan(&seen, &left_out, now) {
+            Ok(plan) => plan,
+            Err(Blocked::Nothing(why)) => return Err(why),
+            Err(Blocked::InTheWay { missing, longest }) => {
+                let only_time = missing.values().all(|why| matches!(why, Missing::LeftOutTooLately(_)));
+                let longest = if only_time { Duration::from_nanos(longest) } else { Duration::ZERO };
+                // Where it cannot be done, all who are in the way are named: whoever may yet have a say is waited for.
+                let never = missing.values().any(|why| matches!(why, Missing::Cannot(_) | Missing::Keeper));
+                let silent = missing.values().any(|why| *why == Missing::Silent);
+                if begun.elapsed() > wait + longest || never && !silent {
+                    let names = missing.iter().map(|(name, why)| format!("\n  {name} {why}"));
+                    return Err(format!("not activated; in the way are:{}", names.collect::<String>()));
+                }
+                thread::sleep(Duration::from_millis(50));
+                continue;
             }
-        }
-        let mut only_time = true;
-        for why in missing.values() {
-            only_time &= matches!(why, Missing::LeftOutTooLately(_));
-        }
-        let over = if only_time {
-            begun.elapsed() > wait + Duration::from_nanos(longest)
-        } else {
-            begun.elapsed() > wait
         };
-        // Where it cannot be done, all who are in the way are named: whoever may yet have a say is waited for.
-        let never = missing.values().any(|why| matches!(why, Missing::Cannot(_) | Missing::Keeper));
-        if over || never && !missing.values().any(|why| *why == Missing::Silent) {
-            let names = missing.iter().map(|(name, why)| format!("\n  {name} {why}"));
-            return Err(format!("not activated; in the way are:{}", names.collect::<String>()));
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-}
-
-/// Why nothing was switched.
-enum Failed {
-    /// Something is not as it was read.
-    Changed(String),
-    /// Anything else.
-    Other(String),
-}
-
-fn switch(
-    client: &Client,
-    seen: &Seen,
-    next: &Json,
-    proposal: u64,
-    fleet: &BTreeMap<String, Member>,
-    as_json: bool,
-) -> Result<String, Failed> {
-    // All of what was read has to be so still at the revision of the switch.
-    let mut checks: Vec<Check> = vec![seen.unchanged(NEXT), seen.unchanged(ACTIVE)];
-    for (name, member) in fleet {
-        checks.push(seen.unchanged(&format!("{GATHERERS}{name}")));
-        let word = if member.left_out.is_some() { OUT } else { WORD };
-        checks.push(seen.unchanged(&format!("{word}{name}")));
-    }
-    let with: Vec<&str> =
-        fleet.iter().filter(|(_, m)| m.left_out.is_none()).map(|(name, _)| name.as_str()).collect();
-    let least = next["least"].as_f64().unwrap_or(0.5);
-    let keepers: Vec<&str> = keepers(with.iter().copied(), proposal, least).into_iter().collect();
-    let document = json!({"format": next["format"].as_u64().unwrap_or(1), "settings": next["settings"],
-                          "keepers": keepers, "proposal": proposal});
-    let past = json!({"settings": next["settings"]});
-    let mut sets = vec![
-        set(ACTIVE, Some(document.to_string())),
-        set(format!("{PAST}{proposal}"), Some(past.to_string())),
-        set(format!("{WAS}{proposal}"), Some("{}".to_owned())),
-    ];
-    // The store is small: of documents the last few are kept, and of what was ever active the fact, for longer.
-    for (prefix, most) in [(PAST, PAST_KEPT), (WAS, WAS_KEPT)] {
-        let mut all: Vec<u64> = seen.names(prefix).filter_map(|name| name.parse().ok()).collect();
-        all.sort_unstable();
-        let gone = all.len().saturating_sub(most - 1);
-        sets.extend(all[..gone].iter().map(|proposal| set(format!("{prefix}{proposal}"), None)));
-    }
-    // Whoever was left out has stopped: it may be brought up from here on.
-    sets.extend(
-        fleet.iter().filter(|(_, m)| m.left_out.is_some()).map(|(name, _)| set(format!("{OUT}{name}"), None)),
-    );
-    match client.change(checks, sets).map_err(Failed::Other)? {
-        Changed::Applied(version) if as_json => {
-            Ok(json!({"version": version, "proposal": proposal, "keepers": keepers}).to_string())
-        }
-        Changed::Applied(version) => Ok(format!(
-            "version {version} is active for {} gatherers; without a store go on: {}",
-            with.len(),
-            keepers.join(", ")
-        )),
-        Changed::Refused(why) => {
-            Err(Failed::Changed(format!("not activated, something has changed meanwhile: {why}")))
-        }
-        Changed::Unknown => {
-            Err(Failed::Other("not known whether it was activated: look with `fleet versions`".to_owned()))
+        let (proposal, with, keepers) = (plan.proposal, plan.with, plan.keepers);
+        match client.change(plan.checks, plan.sets)? {
+            Changed::Applied(version) if call.place.json => {
+                return Ok(json!({"version": version, "proposal": proposal, "keepers": keepers}).to_string());
+            }
+            Changed::Applied(version) => {
+                let keepers = keepers.join(", ");
+                return Ok(format!(
+                    "version {version} is active for {with} gatherers; without a store go on: {keepers}"
+                ));
+            }
+            // Somebody had another word, or started anew, since it was read: it is read again.
+            Changed::Refused(_) if begun.elapsed() <= wait => {}
+            Changed::Refused(why) => {
+                return Err(format!("not activated, something has changed meanwhile: {why}"));
+            }
+            Changed::Unknown => {
+                return Err("not known whether it was activated: look with `fleet versions`".to_owned());
+            }
         }
     }
 }
--- a/bitternsill/src/versions/mod.rs
+++ b/bitternsill/src/versions/mod.rs
@@ -2,6 +2,7 @@
 //! clients are taken, and what was done under which version is noted. The package `versions` decides; off where no operator's
 //! file has it.
 
+pub mod activation;
 pub mod audit;
 pub mod cli;
 pub mod collect;
