A store has an era: later each time that an operator begins it anew

Need: tokens that only grow, also over a backup that is put back. It is a key like any other and decides nothing in the store. Stores that began before have none, which counts as 0. Seen: the simulations and the model run as before; they ask for no era.

--- a/bitternsill/src/serve.rs
+++ b/bitternsill/src/serve.rs
@@ -225,11 +225,12 @@
         history: limits.store_history,
     };
     let Some(setup) = setup else {
-        let lone = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
+        let lone = Membership { id: 0, members: BTreeSet::from([0]), begins: true, era: 0 };
         return Ok((Store::start(&lone, pace, bounds, seed, None, now), BTreeMap::new(), None));
     };
     let members = setup.members.keys().copied().collect();
-    let membership = Membership { id: setup.member, members, begins: setup.begins };
+    let era = now / 1_000_000_000;
+    let membership = Membership { id: setup.member, members, begins: setup.begins, era };
     let full_rest = std::time::Duration::from_nanos(limits.store_full_rest);
     let behaviour = Behaviour { sync: setup.test_sync, full_while: setup.test_full_while.clone(), full_rest };
     let (disk, kept) = Disk::open(&setup.file, limits.store_log, behaviour)?;
--- a/bitternsill/src/store/cli.rs
+++ b/bitternsill/src/store/cli.rs
@@ -78,7 +78,9 @@
         return Err(format!("{told}. Nothing is changed. To do it, stop every member and add --accept-loss"));
     }
     let store = crate::serve::random_seed().max(1);
-    let former = disk::replace(file, &kept.anew(store, &members)).map_err(|problem| problem.to_string())?;
+    let clock = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let anew = kept.anew(store, &members, clock.map_or(0, |since| since.as_secs()));
+    let former = disk::replace(file, &anew).map_err(|problem| problem.to_string())?;
     let others: Vec<String> = members.iter().map(u64::to_string).collect();
     Ok(format!(
         "{told}.\nDone: store {store:016x}; the former file is {}. Now move away, on every other member of {}, its file and the \
--- a/ownership/src/keys.rs
+++ b/ownership/src/keys.rs
@@ -2,8 +2,8 @@
 
 use crate::kind::Kind;
 
-/// Which life of the store this is: written when it begins, and higher each time an operator begins it anew.
-pub const ERA: &str = "era";
+pub use store::state::ERA;
+
 /// Lists that an owner publishes.
 pub const LIST: &str = "hosts/list";
 /// Hosts that somebody wants probed, by their name.
--- a/ownership/src/lease.rs
+++ b/ownership/src/lease.rs
@@ -128,7 +128,7 @@
     /// What a gatherer of this name sees.
     pub fn of(state: &State, kind: Kind, name: &str) -> View {
         let held = |key: &str| state.held(key).map(|held| (held.revision, held.value.as_str()));
-        let era = state.get(keys::ERA).and_then(|era| era.parse().ok()).unwrap_or(0);
+        let era = state.era();
         let grant = held(&keys::owner(kind)).map(|(revision, text)| (revision, Grant::read(text)));
         let token = grant.as_ref().map(|(revision, _)| Token { era, revision: *revision });
         let doubts = keys::doubt(kind, "");
--- a/store/src/member.rs
+++ b/store/src/member.rs
@@ -37,6 +37,9 @@
     pub members: BTreeSet<u64>,
     /// Whether this member begins the store, where there is none yet.
     pub begins: bool,
+    /// The era of a store that it begins: later than that of any store before it, as a wall clock in seconds tells; 0 where
+    /// nobody asks for one.
+    pub era: u64,
 }
 
 /// What bounds a store.
@@ -130,6 +133,7 @@
     /// When what was not answered is asked again.
     ask_at: Option<Time>,
     members: BTreeSet<u64>,
+    era: u64,
     rejoin: Rejoin,
     /// The members that are part of the store that this one begins.
     joined: BTreeSet<u64>,
@@ -185,6 +189,7 @@
             due: None,
             ask_at: None,
             members: membership.members.clone(),
+            era: membership.era,
             rejoin,
             joined: BTreeSet::new(),
             unvoted,
--- a/store/src/member/rejoining.rs
+++ b/store/src/member/rejoining.rs
@@ -106,7 +106,10 @@
     pub(super) fn found(&mut self) {
         self.cluster = self.rng.u64(1..);
         let members = self.members.clone();
-        let snapshot = Snapshot { members, ..Snapshot::default() };
+        let mut snapshot = Snapshot { members, ..Snapshot::default() };
+        if self.era > 0 {
+            snapshot.state.begin_era(self.era);
+        }
         self.begin(&snapshot);
         if self.members.len() == 1 {
             self.founded();
--- a/store/src/member/tests.rs
+++ b/store/src/member/tests.rs
@@ -11,7 +11,7 @@
 }
 
 fn member(id: u64, begins: bool) -> Store {
-    let membership = Membership { id, members: BTreeSet::from([1, 2, 3]), begins };
+    let membership = Membership { id, members: BTreeSet::from([1, 2, 3]), begins, era: 0 };
     let pace = Pace { heartbeat: 10 * MS, election: 50 * MS };
     let bounds =
         Bounds { log: 8, keys: 100, value_bytes: 100, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_lone_member_commits_at_once_and_needs_no_timer() {
-    let membership = Membership { id: 0, members: BTreeSet::from([0]), begins: true };
+    let membership = Membership { id: 0, members: BTreeSet::from([0]), begins: true, era: 0 };
     let pace = Pace { heartbeat: MS, election: MS };
     let bounds = Bounds { log: 8, keys: 2, value_bytes: 10, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
     let mut store = Store::start(&membership, pace, bounds, 1, None, 0);
--- a/store/src/state.rs
+++ b/store/src/state.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+/// The key that says which life of the store this is: each that is begun anew has a higher number than those before it.
+pub const ERA: &str = "era";
+
 /// What bounds it; the same at every member.
 #[derive(Debug, Clone, Copy)]
 pub struct Room {
@@ -90,6 +93,16 @@
 }
 
 impl State {
+    /// Says which life of the store this is, at its begin.
+    pub fn begin_era(&mut self, era: u64) {
+        self.keys.insert(ERA.to_owned(), Held { value: era.to_string(), revision: 0 });
+    }
+
+    /// Which life of the store this is; 0 where it does not say.
+    pub fn era(&self) -> u64 {
+        self.get(ERA).and_then(|era| era.parse().ok()).unwrap_or(0)
+    }
+
     /// A key's value.
     pub fn get(&self, key: &str) -> Option<&str> {
         self.keys.get(key).map(|held| held.value.as_str())
--- a/store/tests/load.rs
+++ b/store/tests/load.rs
@@ -32,7 +32,7 @@
         Bounds { log: 256, keys: 64, value_bytes: 1000, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
     let members = BTreeSet::from([1, 2, 3]);
     let start = |id| {
-        let membership = Membership { id, members: members.clone(), begins: id == 1 };
+        let membership = Membership { id, members: members.clone(), begins: id == 1, era: 0 };
         let store = Store::start(&membership, pace, bounds, id, Some(Kept::default()), 0);
         (id, Member { store, waiting: Vec::new(), syncing: None })
     };
--- a/store/tests/world/mod.rs
+++ b/store/tests/world/mod.rs
@@ -94,7 +94,7 @@
             records.retain(|record| !matches!(record, Record::Vote(_)));
         }
         // What its settings say stays as it was at the first start.
-        let membership = Membership { id, members, begins: id == 1 };
+        let membership = Membership { id, members, begins: id == 1, era: 0 };
         let pace = Pace { heartbeat: 40 * MS, election: 160 * MS };
         let bounds =
             Bounds { log: 12, keys: 100, value_bytes: 100, sessions: 8, txn_keys: 8, calls: 8, history: 40 };
