Of two processes of one name that register at once, the earlier is displaced

Cause: each process looked only at the store's present content. Where the two registrations were committed in one step again and again, the first process never saw its own one, went on registering, and neither was displaced. Beside it, a member of the store held a command for under way whose log entry another leader had taken out, and did not propose it again.

Change: the agent is told every committed registration, in order, and versions/src/registration.rs decides from these. `is_under_way` counts only commands whose entry still stands in the log.

--- a/bitternsill/src/front/mod.rs
+++ b/bitternsill/src/front/mod.rs
@@ -29,6 +29,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use store::member::{Reply, Write};
+use store::packet::Change;
 use turned::Turned;
 use versions::standing::Standing;
 use versions::trail::Entry;
@@ -64,8 +65,8 @@
     WakeAt(Time),
     /// What came of something that was asked of the store.
     Replied(Reply),
-    /// Keys of the store that this object is to be told of have changed.
-    StoreChanged,
+    /// Keys of the store that this object is to be told of have changed: every committed change of them, in order.
+    StoreChanged(Vec<Change>),
     /// A connection wants this gatherer's trail: which segment, and from which byte on.
     TrailWanted(Token, u64, u64),
     /// Entries for this gatherer's trail.
--- a/bitternsill/src/store/links.rs
+++ b/bitternsill/src/store/links.rs
@@ -29,7 +29,7 @@
     pub(super) waiting: BTreeMap<CallId, Asker>,
     calls: CallId,
     /// Who is told of each change of a key that begins so.
-    told_of: Option<(Token, &'static str)>,
+    told_of: Option<(Token, Vec<String>)>,
     /// Who writes the member's file, where it has one.
     pages: Option<Token>,
     /// What was last told of the member's standing, and when it is told again that it waits.
@@ -84,9 +84,9 @@
         self.calls
     }
 
-    /// Has an object told, by a message, whenever a key that begins so has changed.
-    pub fn tell_of(&mut self, prefix: &'static str, token: Token) {
-        self.told_of = Some((token, prefix));
+    /// Has an object told, by a message, whenever a key that begins with one of these has changed.
+    pub fn tell_of(&mut self, prefixes: Vec<String>, token: Token) {
+        self.told_of = Some((token, prefixes));
     }
 
     /// Records something of this gatherer under its name.
@@ -150,7 +150,7 @@
                 net.post(*token, Message::Line(packet.write()));
             }
         }
-        let mut changed = false;
+        let mut changed = Vec::new();
         for (revision, change) in self.store.take_committed() {
             let line = watch_line(&change);
             for token in &self.watchers {
@@ -159,10 +159,13 @@
             for token in &self.followers {
                 net.post(*token, Message::Line(asks::watch_line(revision, &change)));
             }
-            changed |= self.told_of.is_some_and(|(_, prefix)| change.key.starts_with(prefix));
+            let told = self.told_of.as_ref().map_or(&[][..], |(_, prefixes)| prefixes);
+            if told.iter().any(|prefix| change.key.starts_with(prefix)) {
+                changed.push(change);
+            }
         }
-        if let Some((token, _)) = self.told_of.filter(|_| changed) {
-            net.post(token, Message::StoreChanged);
+        if let Some((token, _)) = self.told_of.as_ref().filter(|_| !changed.is_empty()) {
+            net.post(*token, Message::StoreChanged(changed));
         }
         for (id, reply) in self.store.take_replies() {
             if let Some(asker) = self.waiting.remove(&id) {
--- a/bitternsill/src/versions/mod.rs
+++ b/bitternsill/src/versions/mod.rs
@@ -21,7 +21,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use store::member::{Call, Reply};
+use store::packet::Change;
 use versions::Version;
+use versions::registration::Registration;
 use versions::standing::{Account, Standing, Terms};
 use versions::trail::{Entry, Ledger, Mark};
 
@@ -100,10 +102,8 @@
     /// The proposal and the version that it has had its say on.
     said: u64,
     tried: Version,
-    /// Another life has taken its name.
-    displaced: bool,
-    /// Whether it has put its own name into the store.
-    registered: bool,
+    /// Whether this process has its gatherer's name.
+    registration: Registration,
 }
 
 impl Versions {
@@ -141,8 +141,7 @@
             note_at,
             said: 0,
             tried: 0,
-            displaced: false,
-            registered: false,
+            registration: Registration::new(life),
         };
         let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let wall = wall.map_or(0, |since| since.as_millis() as u64);
@@ -180,7 +179,7 @@
     pub fn line(&self, now: Time) -> Json {
         let left = self.account.valid_until().map(|until| until.saturating_sub(now) / 1_000_000);
         json!({"runs": self.runs(), "standing": self.standing().to_string(), "held": self.account.is_held(),
-               "valid_ms": left, "displaced": self.displaced})
+               "valid_ms": left, "displaced": self.registration.is_displaced()})
     }
 
     fn note(&self, marks: Vec<(Time, Mark)>, net: &mut Net<Gatherer>) {
@@ -261,6 +260,23 @@
         }
     }
 
+    /// Takes every committed registration of this gatherer's name, in order.
+    fn note_registrations(&mut self, changes: &[Change]) {
+        let Some(versions) = &mut self.versions else { return };
+        let key = format!("{GATHERERS}{}", versions.name);
+        let values =
+            changes.iter().filter(|change| change.key == key).filter_map(|change| change.value.as_ref());
+        let lives = values.filter_map(|value| serde_json::from_str::<Json>(value).ok()?["life"].as_u64());
+        for life in lives {
+            if versions.registration.committed(life) {
+                tracing::error!(
+                    name = versions.name,
+                    "another process has taken this gatherer's name: this one takes no clients"
+                );
+            }
+        }
+    }
+
     /// Looks at what the store holds, and does what is due: switches, has its say on a proposal, takes an operator's word.
     fn look_at_versions(&mut self, net: &mut Net<Self>, now: Time) {
         let (Some(shelf), Some(versions)) = (&mut self.shelf, &mut self.versions) else { return };
@@ -272,18 +288,8 @@
         };
         let active = json(ACTIVE);
         let (next, held) = (json(NEXT), state.get(&format!("{HELD}{name}")).is_some());
-        let registered = json(&format!("{GATHERERS}{name}")).and_then(|(_, own)| own["life"].as_u64());
         let mut wants: Vec<(String, Json)> = Vec::new();
-        if versions.registered && registered.is_some_and(|life| life != versions.life) && !versions.displaced
-        {
-            tracing::error!(
-                name,
-                "another process has taken this gatherer's name: this one takes no clients"
-            );
-            versions.displaced = true;
-        }
-        versions.registered |= registered == Some(versions.life);
-        versions.account.hold(held || versions.displaced, now);
+        versions.account.hold(held || versions.registration.is_displaced(), now);
         if let Some((proposal, document)) = next.filter(|(proposal, _)| *proposal > versions.said) {
             versions.said = proposal;
             let cannot = versions.usable(&document).err();
@@ -298,7 +304,7 @@
         let (Some(shelf), Some(versions)) = (&mut self.shelf, &mut self.versions) else { return };
         let own = json!({"life": versions.life, "runs": versions.runs(), "program": env!("CARGO_PKG_VERSION"),
                          "validity_ms": versions.setup.validity_ms, "reads": FORMAT});
-        if !versions.displaced {
+        if !versions.registration.is_displaced() {
             wants.push((format!("{GATHERERS}{name}"), own));
         }
         wants.into_iter().for_each(|(key, value)| shelf.want(&key, &value.to_string(), net));
@@ -365,7 +371,10 @@
 
     fn deliver(&mut self, cx: &mut Cx<'_>, message: Message) {
         match message {
-            Message::StoreChanged => cx.world.look_at_versions(cx.net, cx.now),
+            Message::StoreChanged(changes) => {
+                cx.world.note_registrations(&changes);
+                cx.world.look_at_versions(cx.net, cx.now);
+            }
             Message::Replied(Reply::Read(_)) => {
                 // What this member holds is now as new as anything told before the question.
                 cx.world.look_at_versions(cx.net, cx.now);
@@ -404,7 +413,7 @@
     let now = net.now();
     let (Some(shelf), Some(versions)) = (&mut gatherer.shelf, &mut gatherer.versions) else { return };
     if let Some(agent) = versions.agent {
-        shelf.tell_of("config/", agent);
+        shelf.tell_of(vec!["config/".to_owned(), format!("{GATHERERS}{}", versions.name)], agent);
     }
     let store = shelf.store();
     let known = store.foreseen(ACTIVE);
--- a/store/src/member.rs
+++ b/store/src/member.rs
@@ -424,10 +424,16 @@
         }
     }
 
-    /// Whether something stands in the log and is not applied yet.
+    /// Whether something stands in the log and is not applied yet. A command whose entry another leader took out of the log is
+    /// kept beside it for a while, and is not under way.
     fn is_under_way(&self, command: &Command) -> bool {
+        let entries = self.node.log().entries();
+        let stands = |position: &Position| {
+            let term = entries.get_term(LogIndex::new(position.index));
+            term.is_some_and(|term| term.get() == position.term)
+        };
         let ahead = self.commands.range(Position { index: self.applied + 1, term: 0 }..);
-        ahead.map(|(_, ahead)| ahead).any(|ahead| ahead == command)
+        ahead.filter(|(position, _)| stands(position)).any(|(_, ahead)| ahead == command)
     }
 
     /// Proposes what is wanted and not yet on its way, or hands it to the leader.
--- a/store/src/member/tests.rs
+++ b/store/src/member/tests.rs
@@ -97,3 +97,34 @@
     assert!(store.node.log().entries().len() <= 9 && store.commands.len() <= 9, "the log is folded");
     assert_eq!((store.due(), store.take_outbox().len()), (None, 0));
 }
+
+/// A leader that is cut off proposes a key's value; the others choose another leader and give the key another value, and the
+/// former leader's entry is taken out of its log. What it wants is proposed again, although nothing else changes any more.
+#[test]
+fn what_a_former_leader_wants_is_proposed_again_once_its_entry_was_taken_out() {
+    let members = (1..=3).map(|id| (id, member(id, id == 1))).collect();
+    let mut cluster = Cluster { members, now: 0 };
+    cluster.run(300 * MS);
+    let leader = *cluster.members.iter().find(|(_, store)| store.leads()).expect("a leader").0;
+    let former = cluster.members.remove(&leader).expect("the leader");
+    let mut alone = Cluster { members: BTreeMap::from([(leader, former)]), now: cluster.now };
+    // Entries ahead of what the others will ever commit.
+    for i in 0..4 {
+        alone.put(leader, &format!("alone{i}"), "v");
+    }
+    alone.put(leader, "name", "former");
+    cluster.run(500 * MS);
+    let other = *cluster.members.keys().next().expect("another member");
+    cluster.put(other, "name", "other");
+    cluster.run(100 * MS);
+    let mut former = alone.members.remove(&leader).expect("the former leader");
+    former.take_outbox();
+    former.wanted.retain(|key, _| key == "name");
+    cluster.members.insert(leader, former);
+    cluster.run(500 * MS);
+    assert!(
+        (1..=3).all(|id| cluster.value(id, "name") == Some("former")),
+        "{:?}",
+        cluster.value(leader, "name")
+    );
+}
--- a/versions/src/lib.rs
+++ b/versions/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod audit;
+pub mod registration;
 pub mod rollout;
 pub mod standing;
 pub mod trail;
