--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -36,6 +36,15 @@
 enum Command {
     /// Serve until SIGTERM.
     Serve(Serve),
+    /// Run a router of a fleet until SIGTERM.
+    Router {
+        /// The settings of the process [default: $BITTERNSILL_SETTINGS].
+        #[arg(long, value_name = "FILE")]
+        settings: Option<PathBuf>,
+        /// Only say whether the settings can be used.
+        #[arg(long)]
+        check: bool,
+    },
     /// Say whether an operator's file can be used, and where not.
     Check {
         /// A set-up, the platform's configuration, or an OpenAPI or AsyncAPI description in JSON.
@@ -106,6 +115,11 @@
     Settings,
 }
 
+fn failed(problem: &dyn fmt::Display) -> ExitCode {
+    eprintln!("bitternsill: {problem}");
+    ExitCode::FAILURE
+}
+
 /// Runs the program.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let call = match Call::try_parse_from(args) {
@@ -158,6 +172,14 @@
                 serve::platform(config, beside)
             }))
         }
+        Command::Router { settings, check: true } => match router::cli::check(settings) {
+            Ok(words) => print(format_args!("{words}")),
+            Err(problem) => failed(&problem),
+        },
+        Command::Router { settings, check: false } => match router::cli::run(settings) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(problem) => failed(&problem),
+        },
         Command::Store(call) => match store_file::run(&call) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => {
--- /dev/null
+++ b/control/src/directory.rs
@@ -0,0 +1,315 @@
+//! Soft state that spreads by version vectors: backends, members, and orders under way.
+//!
+//! Each life of a node is an origin that numbers its records. A holder tells how far it knows each origin, and gets
+//! the records that are newer. Which of two records of one thing holds is decided by their rank, not by their order
+//! of arrival, so that holders converge whatever the paths.
+
+use crate::view::ReplicaId;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddrV4;
+
+/// One life of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Origin(pub u64);
+
+/// Who wrote a record, and its number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamp {
+    /// Who wrote it.
+    pub origin: Origin,
+    /// Its number, from 1.
+    pub counter: u64,
+}
+
+/// How far each origin is known.
+pub type VersionVector = BTreeMap<Origin, u64>;
+
+/// What a record is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Key {
+    /// A backend, by its instance id.
+    Backend(CompactString),
+    /// A member of the fleet, by its node name.
+    Member(CompactString),
+    /// The last order given to a backend, by its instance id.
+    Order(CompactString),
+}
+
+/// How a backend stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum BackendPhase {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Has left.
+    Gone,
+}
+
+/// A backend as it registered.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Backend {
+    /// Its service.
+    pub service: CompactString,
+    /// Where it takes requests.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How it stands.
+    pub phase: BackendPhase,
+    /// The number of the heartbeat that said so.
+    pub sequence: u64,
+    /// Its heartbeats have stopped coming.
+    pub silent: bool,
+    /// The node that takes its heartbeats.
+    pub owner: CompactString,
+    /// Version of each model's weights that it has.
+    pub models: Vec<(CompactString, u64)>,
+}
+
+/// Whether a member is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum MemberStatus {
+    /// It is.
+    Up,
+    /// A monitor misses its heartbeats.
+    Down,
+    /// It has left in order.
+    Left,
+}
+
+/// A member of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Its zone.
+    pub zone: CompactString,
+    /// Where its internal protocol listens.
+    pub internal: SocketAddrV4,
+    /// Where it takes calls of backends and operators.
+    pub control: Option<SocketAddrV4>,
+    /// The replica of the control state that it runs, if any.
+    pub replica: Option<ReplicaId>,
+    /// Its present life.
+    pub life: u64,
+    /// Rises with each life and each refutation.
+    pub incarnation: u64,
+    /// Whether it is there.
+    pub status: MemberStatus,
+}
+
+/// How far an order has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum OrderPhase {
+    /// The backend is about to load weights: send it nothing.
+    UnderWay,
+    /// It has the version.
+    Done,
+}
+
+/// An order to a backend.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Order {
+    /// The fencing token under which it is given.
+    pub fence: u64,
+    /// Its number under that token.
+    pub number: u64,
+    /// The model.
+    pub model: CompactString,
+    /// The version.
+    pub version: u64,
+    /// How far it has come.
+    pub phase: OrderPhase,
+}
+
+/// The content of a record.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Value {
+    /// A backend.
+    Backend(Backend),
+    /// A member.
+    Member(Member),
+    /// An order.
+    Order(Order),
+}
+
+impl Value {
+    /// Of two records of one thing, the one of the higher rank holds.
+    fn rank(&self) -> (u64, u64) {
+        match self {
+            Value::Backend(backend) if backend.phase == BackendPhase::Gone => (u64::MAX, 0),
+            Value::Backend(backend) => (backend.sequence, u64::from(backend.silent)),
+            Value::Member(member) => {
+                let later = match member.status {
+                    MemberStatus::Up => 0,
+                    MemberStatus::Down => 1,
+                    MemberStatus::Left => 2,
+                };
+                (member.incarnation, later)
+            }
+            Value::Order(order) => (order.fence, order.number),
+        }
+    }
+}
+
+/// A record as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// What it is about.
+    pub key: Key,
+    /// Who wrote it.
+    pub stamp: Stamp,
+    /// What it says.
+    pub value: Value,
+}
+
+/// The records that one node holds.
+#[derive(Debug)]
+pub struct Directory {
+    own: Origin,
+    vector: VersionVector,
+    records: BTreeMap<Key, (Stamp, Value)>,
+    by_stamp: BTreeMap<(Origin, u64), Key>,
+}
+
+impl Directory {
+    /// An empty directory of a node's new life.
+    pub fn new(own: Origin) -> Self {
+        Directory { own, vector: VersionVector::new(), records: BTreeMap::new(), by_stamp: BTreeMap::new() }
+    }
+
+    /// How far each origin is known.
+    pub fn vector(&self) -> &VersionVector {
+        &self.vector
+    }
+
+    /// What is held about a thing.
+    pub fn get(&self, key: &Key) -> Option<&Value> {
+        self.records.get(key).map(|(_, value)| value)
+    }
+
+    /// Every backend with its id.
+    pub fn backends(&self) -> impl Iterator<Item = (&CompactString, &Backend)> {
+        self.records.iter().filter_map(|(key, (_, value))| match (key, value) {
+            (Key::Backend(id), Value::Backend(backend)) => Some((id, backend)),
+            _ => None,
+        })
+    }
+
+    /// Every member with its name.
+    pub fn members(&self) -> impl Iterator<Item = (&CompactString, &Member)> {
+        self.records.iter().filter_map(|(key, (_, value))| match (key, value) {
+            (Key::Member(name), Value::Member(member)) => Some((name, member)),
+            _ => None,
+        })
+    }
+
+    /// The last order to a backend.
+    pub fn order(&self, backend: &str) -> Option<&Order> {
+        match self.get(&Key::Order(backend.into())) {
+            Some(Value::Order(order)) => Some(order),
+            _ => None,
+        }
+    }
+
+    /// Writes a record of this node's own. False where what is held ranks higher or says the same.
+    pub fn put(&mut self, key: Key, value: Value) -> bool {
+        if let Some((_, held)) = self.records.get(&key)
+            && (held.rank() > value.rank() || *held == value)
+        {
+            return false;
+        }
+        let counter = self.vector.entry(self.own).or_default();
+        *counter += 1;
+        let stamp = Stamp { origin: self.own, counter: *counter };
+        self.hold(key, stamp, value);
+        true
+    }
+
+    fn hold(&mut self, key: Key, stamp: Stamp, value: Value) {
+        if let Some((former, _)) = self.records.insert(key.clone(), (stamp, value)) {
+            self.by_stamp.remove(&(former.origin, former.counter));
+        }
+        self.by_stamp.insert((stamp.origin, stamp.counter), key);
+    }
+
+    /// Forgets a record. As its stamp stays covered by the vector, nobody sends it again.
+    pub fn forget(&mut self, key: &Key) {
+        if let Some((stamp, _)) = self.records.remove(key) {
+            self.by_stamp.remove(&(stamp.origin, stamp.counter));
+        }
+    }
+
+    /// Whether there is anything that the holder of `vector` lacks.
+    pub fn has_news_for(&self, vector: &VersionVector) -> bool {
+        self.vector.iter().any(|(origin, counter)| vector.get(origin).copied().unwrap_or(0) < *counter)
+    }
+
+    /// Everything that the holder of `vector` lacks.
+    pub fn news_for(&self, vector: &VersionVector) -> Vec<Record> {
+        let mut news = Vec::new();
+        for (origin, newest) in &self.vector {
+            let known = vector.get(origin).copied().unwrap_or(0);
+            if known >= *newest {
+                continue;
+            }
+            for ((origin, counter), key) in self.by_stamp.range((*origin, known + 1)..=(*origin, *newest)) {
+                if let Some((_, value)) = self.records.get(key) {
+                    let stamp = Stamp { origin: *origin, counter: *counter };
+                    news.push(Record { key: key.clone(), stamp, value: value.clone() });
+                }
+            }
+        }
+        news
+    }
+
+    /// Takes everything that a holder had beyond this directory's vector. Returns what has changed here.
+    pub fn merge(&mut self, news: Vec<Record>, vector: &VersionVector) -> BTreeSet<Key> {
+        let mut changed = BTreeSet::new();
+        for record in news {
+            let held = self.records.get(&record.key);
+            let wins = held.is_none_or(|(stamp, held)| {
+                let (ours, theirs) = (held.rank(), record.value.rank());
+                theirs > ours
+                    || theirs == ours
+                        && (record.stamp.origin, record.stamp.counter) > (stamp.origin, stamp.counter)
+            });
+            if wins {
+                changed.insert(record.key.clone());
+                self.hold(record.key, record.stamp, record.value);
+            }
+        }
+        for (origin, counter) in vector {
+            let known = self.vector.entry(*origin).or_default();
+            *known = (*known).max(*counter);
+        }
+        changed
+    }
+
+    /// Hashes of keys and contents, for comparing with another holder.
+    pub fn hashes(&self) -> Vec<(u64, u64)> {
+        let entries = self.records.iter();
+        entries.map(|(key, (_, value))| (hash_of(key), hash_of(value))).collect()
+    }
+
+    /// The records whose key hashes are named, with their stamps.
+    pub fn by_hash(&self, wanted: &BTreeSet<u64>) -> Vec<Record> {
+        let chosen = self.records.iter().filter(|(key, _)| wanted.contains(&hash_of(key)));
+        let record = |(key, (stamp, value)): (&Key, &(Stamp, Value))| Record {
+            key: key.clone(),
+            stamp: *stamp,
+            value: value.clone(),
+        };
+        chosen.map(record).collect()
+    }
+}
+
+fn hash_of(thing: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    thing.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/control/src/silence.rs
@@ -0,0 +1,54 @@
+//! Detecting silence by counted time: time in which the observer itself stood still does not count.
+
+use crate::Millis;
+use std::collections::BTreeMap;
+
+/// The most that one step of the observer's clock counts for.
+const LONGEST_STEP: Millis = 250;
+
+/// Notes when things were last heard.
+#[derive(Debug, Clone)]
+pub struct Silence<K> {
+    counted: Millis,
+    now: Millis,
+    heard: BTreeMap<K, Millis>,
+}
+
+impl<K: Ord + Clone> Silence<K> {
+    /// Nothing was heard yet.
+    pub fn new(now: Millis) -> Self {
+        Silence { counted: 0, now, heard: BTreeMap::new() }
+    }
+
+    /// The observer's clock goes on; to be called several times within each patience.
+    pub fn advance(&mut self, now: Millis) {
+        self.counted += now.saturating_sub(self.now).min(LONGEST_STEP);
+        self.now = now;
+    }
+
+    /// Something was heard.
+    pub fn heard(&mut self, key: K) {
+        self.heard.insert(key, self.counted);
+    }
+
+    /// Something is no longer awaited.
+    pub fn forget(&mut self, key: &K) {
+        self.heard.remove(key);
+    }
+
+    /// Goes on awaiting only some.
+    pub fn retain(&mut self, wanted: impl Fn(&K) -> bool) {
+        self.heard.retain(|key, _| wanted(key));
+    }
+
+    /// Whether something is awaited.
+    pub fn knows(&self, key: &K) -> bool {
+        self.heard.contains_key(key)
+    }
+
+    /// What was not heard for so long.
+    pub fn silent_for(&self, patience: Millis) -> Vec<K> {
+        let silent = self.heard.iter().filter(|(_, at)| self.counted >= **at + patience);
+        silent.map(|(key, _)| key.clone()).collect()
+    }
+}
--- /dev/null
+++ b/control/src/state.rs
@@ -0,0 +1,139 @@
+//! The durable control state: the configuration in force, the versions of weights, and what was acknowledged.
+
+use crate::changes::{Change, Outcome, Refusal};
+use crate::configuration::{self, Configuration};
+use crate::view::Epoch;
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+
+/// How many accepted configurations are remembered, so that one sent again is known.
+const REMEMBERED: usize = 4096;
+
+/// The position of a change: who ordered it, and its number.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Position {
+    /// The number of the change, from 1.
+    pub index: u64,
+    /// The epoch in which it was ordered.
+    pub epoch: Epoch,
+}
+
+/// A change at its position.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// Its position.
+    pub position: Position,
+    /// What changes.
+    pub change: Change,
+}
+
+/// Identifies a configuration together with the version that it builds on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint([u8; 16]);
+
+impl Fingerprint {
+    /// The fingerprint of a body sent on top of a version.
+    pub fn of(base: u64, body: &[u8]) -> Self {
+        let digest = Sha256::new().chain_update(base.to_be_bytes()).chain_update(body).finalize();
+        let mut short = [0; 16];
+        short.copy_from_slice(&digest[..16]);
+        Fingerprint(short)
+    }
+}
+
+/// A configuration as the operator sent it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredConfiguration {
+    /// Its version.
+    pub version: u64,
+    /// The body, byte for byte.
+    pub body: Vec<u8>,
+}
+
+/// The version that a model's weights are to have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsTarget {
+    /// The version.
+    pub version: u64,
+    /// The index of the change that named it.
+    pub index: u64,
+}
+
+/// The durable control state after some number of changes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlState {
+    /// The last change.
+    pub position: Position,
+    /// The configuration in force.
+    pub configuration: Option<StoredConfiguration>,
+    /// The newest version of each model's weights that was named.
+    pub weights: BTreeMap<CompactString, WeightsTarget>,
+    accepted: Vec<(u64, Fingerprint)>,
+}
+
+impl ControlState {
+    /// The version of the configuration in force; 0 where there is none.
+    pub fn version(&self) -> u64 {
+        self.configuration.as_ref().map_or(0, |configuration| configuration.version)
+    }
+
+    /// Whether this very configuration was taken before.
+    fn was_taken(&self, fingerprint: Fingerprint) -> bool {
+        self.accepted.iter().rev().any(|(_, known)| *known == fingerprint)
+    }
+
+    /// What a change would come to now: nothing to do, a refusal, or that it is to be made.
+    pub fn judge(&self, change: &Change) -> Option<Outcome> {
+        match change {
+            Change::Configuration { base, body } => self.judge_configuration(*base, body),
+            Change::Weights { model, version } => {
+                let known = self.weights.get(model).is_some_and(|target| target.version >= *version);
+                known.then_some(Outcome::Done)
+            }
+        }
+    }
+
+    fn judge_configuration(&self, base: u64, body: &[u8]) -> Option<Outcome> {
+        if self.was_taken(Fingerprint::of(base, body)) {
+            return Some(Outcome::Done);
+        }
+        if base != self.version() {
+            return Some(Outcome::Refused(Refusal::OtherVersion { current: self.version() }));
+        }
+        match Configuration::parse(body) {
+            Err(problem) => Some(Outcome::Refused(Refusal::Invalid(problem.to_string()))),
+            Ok(parsed) if parsed.version <= base => {
+                let problem = configuration::Problem::OldVersion { found: parsed.version, current: base };
+                Some(Outcome::Refused(Refusal::Invalid(problem.to_string())))
+            }
+            Ok(_) => None,
+        }
+    }
+
+    /// Makes a change that was judged to be made.
+    pub fn apply(&mut self, update: &Update) {
+        self.position = update.position;
+        match &update.change {
+            Change::Configuration { base, body } => {
+                let Ok(parsed) = Configuration::parse(body) else { return };
+                self.accepted.push((parsed.version, Fingerprint::of(*base, body)));
+                if self.accepted.len() > REMEMBERED {
+                    self.accepted.remove(0);
+                }
+                self.configuration =
+                    Some(StoredConfiguration { version: parsed.version, body: body.clone() });
+            }
+            Change::Weights { model, version } => {
+                let target = WeightsTarget { version: *version, index: update.position.index };
+                self.weights.insert(model.clone(), target);
+            }
+        }
+    }
+
+    /// Versions of configurations in the order in which they were accepted.
+    pub fn history(&self) -> impl Iterator<Item = u64> + '_ {
+        self.accepted.iter().map(|(version, _)| *version)
+    }
+}
--- /dev/null
+++ b/control/src/storage.rs
@@ -0,0 +1,169 @@
+//! What is kept on disk: records in checksummed frames, in segments with a snapshot beside them.
+//!
+//! A segment is a sequence of frames `length, checksum, record`. A frame that is cut off at the end of the last
+//! segment was never acknowledged and is dropped; any other damage is an error that names the place and the remedy.
+
+use crate::state::{ControlState, Update};
+use crate::witness::Votes;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Bytes before a record: its length and its checksum.
+const HEADER: usize = 8;
+/// The longest record; a longer length can only be damage.
+const LONGEST: usize = 48 << 20;
+/// The format written by this program.
+pub const FORMAT: u32 = 1;
+
+/// One record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// The first record of a snapshot or of the first segment.
+    Disk {
+        /// The format of the records.
+        format: u32,
+        /// Drawn when the disk was first used.
+        disk: u64,
+    },
+    /// The witness's votes.
+    Votes(Votes),
+    /// A change that is stored and not yet known to be committed.
+    Update(Update),
+    /// A state that takes the place of all before.
+    Install {
+        /// The committed state.
+        state: ControlState,
+        /// A stored change that is not known to be committed.
+        tail: Option<Update>,
+    },
+}
+
+/// Why stored records can't be used.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Damage {
+    /// A record does not match its checksum, or makes no sense.
+    #[error(
+        "record at byte {offset} is damaged: move the data directory away and start the node again, it then rejoins with an empty disk"
+    )]
+    Record {
+        /// Where it begins.
+        offset: usize,
+    },
+    /// Written by a later program.
+    #[error(
+        "the records are of format {found}, this program reads up to {FORMAT}: start the newer program again"
+    )]
+    Format {
+        /// The format found.
+        found: u32,
+    },
+    /// There is no first record.
+    #[error("the first record is missing: move the data directory away and start the node again")]
+    NoDisk,
+}
+
+/// Appends a record's frame to `bytes`.
+pub fn encode(record: &Record, bytes: &mut Vec<u8>) {
+    let body = postcard::to_stdvec(record).unwrap_or_default();
+    bytes.extend((body.len() as u32).to_be_bytes());
+    bytes.extend(crc32fast::hash(&body).to_be_bytes());
+    bytes.extend(body);
+}
+
+/// Reads the frames of a file; the second value is the length of its sound part.
+pub fn decode(bytes: &[u8]) -> Result<(Vec<Record>, usize), Damage> {
+    let mut records = Vec::new();
+    let mut offset = 0;
+    while let Some((record, next)) = frame(bytes, offset)? {
+        records.push(record);
+        offset = next;
+    }
+    Ok((records, offset))
+}
+
+fn number(bytes: &[u8], at: usize) -> Option<usize> {
+    let four: [u8; 4] = bytes.get(at..at + 4)?.try_into().ok()?;
+    Some(u32::from_be_bytes(four) as usize)
+}
+
+/// One frame, and where the next one begins; none where the file ends, be it within a frame.
+fn frame(bytes: &[u8], offset: usize) -> Result<Option<(Record, usize)>, Damage> {
+    let (Some(length), Some(checksum)) = (number(bytes, offset), number(bytes, offset + 4)) else {
+        return Ok(None);
+    };
+    let next = offset + HEADER + length;
+    let Some(body) = bytes.get(offset + HEADER..next) else {
+        return if length > LONGEST { torn_or_damaged(bytes, offset) } else { Ok(None) };
+    };
+    if crc32fast::hash(body) as usize != checksum || length == 0 {
+        return torn_or_damaged(bytes, offset);
+    }
+    match postcard::from_bytes(body) {
+        Ok(record) => Ok(Some((record, next))),
+        Err(_) => Err(Damage::Record { offset }),
+    }
+}
+
+/// A torn write leaves no sound frame behind it; damage in the middle does.
+fn torn_or_damaged(bytes: &[u8], offset: usize) -> Result<Option<(Record, usize)>, Damage> {
+    let sound_frame_at = |at: usize| {
+        let length = number(bytes, at).filter(|length| (1..=LONGEST).contains(length))?;
+        let checksum = number(bytes, at + 4)?;
+        let body = bytes.get(at + HEADER..at + HEADER + length)?;
+        (crc32fast::hash(body) as usize == checksum).then_some(())
+    };
+    let sound_behind =
+        (offset + 1..bytes.len().saturating_sub(HEADER)).any(|at| sound_frame_at(at).is_some());
+    if sound_behind { Err(Damage::Record { offset }) } else { Ok(None) }
+}
+
+/// What a disk holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Drawn when the disk was first used.
+    pub disk: u64,
+    /// The witness's votes.
+    pub votes: Votes,
+    /// The committed state, as far as it is known to be committed.
+    pub state: ControlState,
+    /// A stored change that is not known to be committed.
+    pub tail: Option<Update>,
+}
+
+impl Recovered {
+    /// Replays records in their order.
+    pub fn replay(records: impl IntoIterator<Item = Record>) -> Result<Self, Damage> {
+        let mut recovered = Recovered::default();
+        for record in records {
+            recovered.take(record)?;
+        }
+        if recovered.disk == 0 { Err(Damage::NoDisk) } else { Ok(recovered) }
+    }
+
+    fn take(&mut self, record: Record) -> Result<(), Damage> {
+        match record {
+            Record::Disk { format, .. } if format > FORMAT => return Err(Damage::Format { found: format }),
+            Record::Disk { disk, .. } => self.disk = disk,
+            Record::Votes(votes) => self.votes = votes,
+            Record::Install { state, tail } => (self.state, self.tail) = (state, tail),
+            Record::Update(update) => {
+                // A change is only ordered once the one before it is committed.
+                let committed = self.tail.take().filter(|tail| tail.position.index < update.position.index);
+                if let Some(committed) = committed {
+                    self.state.apply(&committed);
+                }
+                self.tail = Some(update);
+            }
+        }
+        Ok(())
+    }
+
+    /// The records that a snapshot of this consists of.
+    pub fn records(&self) -> Vec<Record> {
+        vec![
+            Record::Disk { format: FORMAT, disk: self.disk },
+            Record::Votes(self.votes.clone()),
+            Record::Install { state: self.state.clone(), tail: self.tail.clone() },
+        ]
+    }
+}
--- /dev/null
+++ b/router/src/disk.rs
@@ -0,0 +1,246 @@
+//! The thread that writes the control state's records: a log in segments with a snapshot beside it.
+
+use control::storage::{Damage, FORMAT, Record, Recovered, decode, encode};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use thiserror::Error;
+
+/// A segment that has grown to so many bytes is replaced by a snapshot and a new segment.
+const SEGMENT_BYTES: u64 = 4 << 20;
+/// Time between two tries to write to a disk that refuses.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// Why a data directory can't be used.
+#[derive(Debug, Error)]
+pub enum DiskError {
+    /// The system refuses.
+    #[error("{path}: {problem}; check that the folder exists, can be written and has room")]
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system said.
+        problem: io::Error,
+    },
+    /// What is stored makes no sense.
+    #[error("{path}: {damage}")]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        damage: Damage,
+    },
+}
+
+fn io_error(path: &Path) -> impl FnOnce(io::Error) -> DiskError {
+    let path = path.to_owned();
+    move |problem| DiskError::Io { path, problem }
+}
+
+/// What the thread is asked to do.
+#[derive(Debug)]
+enum Job {
+    /// Append records and sync them.
+    Append { sequence: u64, bytes: Vec<u8> },
+    /// Put a snapshot in place of everything before, and go on in a new segment.
+    Compact { bytes: Vec<u8> },
+}
+
+/// The files of a data directory.
+#[derive(Debug, Default)]
+struct Files {
+    snapshots: Vec<u64>,
+    segments: Vec<u64>,
+}
+
+fn snapshot_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("snapshot-{number:08}"))
+}
+
+fn segment_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("segment-{number:08}"))
+}
+
+fn list(folder: &Path) -> io::Result<Files> {
+    let mut files = Files::default();
+    for entry in fs::read_dir(folder)? {
+        let name = entry?.file_name().to_string_lossy().into_owned();
+        let number = |prefix: &str| name.strip_prefix(prefix)?.parse::<u64>().ok();
+        files.snapshots.extend(number("snapshot-"));
+        files.segments.extend(number("segment-"));
+    }
+    files.snapshots.sort_unstable();
+    files.segments.sort_unstable();
+    Ok(files)
+}
+
+/// What a data directory holds; none where it has never been used.
+pub fn read(folder: &Path) -> Result<Option<Recovered>, DiskError> {
+    let files = list(folder).map_err(io_error(folder))?;
+    let mut records = Vec::new();
+    let first = files.snapshots.last().copied().unwrap_or(0);
+    let snapshot = (first > 0).then(|| snapshot_path(folder, first));
+    let segments = files.segments.iter().filter(|number| **number >= first);
+    let paths = snapshot.into_iter().chain(segments.map(|number| segment_path(folder, *number)));
+    for path in paths {
+        let bytes = fs::read(&path).map_err(io_error(&path))?;
+        let damaged = |damage| DiskError::Damaged { path: path.clone(), damage };
+        records.extend(decode(&bytes).map_err(damaged)?.0);
+    }
+    if records.is_empty() {
+        return Ok(None);
+    }
+    Recovered::replay(records)
+        .map(Some)
+        .map_err(|damage| DiskError::Damaged { path: folder.to_owned(), damage })
+}
+
+/// Writes that are done are told with their number.
+pub type Done = tokio::sync::mpsc::UnboundedSender<u64>;
+
+/// The writer of one data directory.
+#[derive(Debug)]
+pub struct Disk {
+    jobs: mpsc::Sender<Job>,
+    since_snapshot: u64,
+}
+
+impl Disk {
+    /// Opens a folder for writing, beginning with a snapshot of what it holds.
+    pub fn open(folder: &Path, recovered: &Recovered, done: Done) -> Result<Self, DiskError> {
+        let files = list(folder).map_err(io_error(folder))?;
+        let newest = files.snapshots.iter().chain(&files.segments).max().copied().unwrap_or(0);
+        let (jobs, queue) = mpsc::channel();
+        let writer = Writer { folder: folder.to_owned(), number: newest, segment: None, length: 0, done };
+        let spawned = thread::Builder::new().name("disk".into()).spawn(move || writer.run(&queue));
+        spawned.map_err(io_error(folder))?;
+        let disk = Disk { jobs, since_snapshot: 0 };
+        disk.compact(recovered);
+        Ok(disk)
+    }
+
+    /// Appends records; `sequence` is told once they are on the disk.
+    pub fn append(&mut self, sequence: u64, records: &[Record]) {
+        let mut bytes = Vec::new();
+        records.iter().for_each(|record| encode(record, &mut bytes));
+        self.since_snapshot += bytes.len() as u64;
+        // The thread lives as long as this value.
+        let _ = self.jobs.send(Job::Append { sequence, bytes });
+    }
+
+    /// Whether it is time for a snapshot.
+    pub fn wants_snapshot(&self) -> bool {
+        self.since_snapshot > SEGMENT_BYTES
+    }
+
+    /// Puts a snapshot in place of everything that was appended so far.
+    pub fn snapshot(&mut self, recovered: &Recovered) {
+        self.since_snapshot = 0;
+        self.compact(recovered);
+    }
+
+    fn compact(&self, recovered: &Recovered) {
+        let mut bytes = Vec::new();
+        recovered.records().iter().for_each(|record| encode(record, &mut bytes));
+        let _ = self.jobs.send(Job::Compact { bytes });
+    }
+}
+
+struct Writer {
+    folder: PathBuf,
+    number: u64,
+    segment: Option<File>,
+    length: u64,
+    done: Done,
+}
+
+impl Writer {
+    fn run(mut self, queue: &mpsc::Receiver<Job>) {
+        while let Ok(job) = queue.recv() {
+            match job {
+                Job::Append { sequence, bytes } => {
+                    self.until_done(|writer| writer.append(&bytes));
+                    // Nobody listens any more where the process is about to end.
+                    let _ = self.done.send(sequence);
+                }
+                Job::Compact { bytes } => self.until_done(|writer| writer.compact(&bytes)),
+            }
+        }
+    }
+
+    fn until_done(&mut self, mut work: impl FnMut(&mut Self) -> io::Result<()>) {
+        let mut told = false;
+        while let Err(problem) = work(self) {
+            if !std::mem::replace(&mut told, true) {
+                log::warn!(
+                    "{}: {problem}; writing is tried again until there is room",
+                    self.folder.display()
+                );
+            }
+            thread::sleep(RETRY);
+        }
+        if told {
+            log::info!("{}: writing works again", self.folder.display());
+        }
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+
+    /// Appends to the segment. What an earlier try left behind its sound end is overwritten.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let Some(segment) = &mut self.segment else {
+            return Err(io::Error::other("no segment is open"));
+        };
+        segment.set_len(self.length)?;
+        segment.seek(SeekFrom::Start(self.length))?;
+        segment.write_all(bytes)?;
+        segment.sync_data()?;
+        self.length += bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Writes a snapshot beside the old files, opens a new segment, and only then removes what both replace.
+    fn compact(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let number = self.number + 1;
+        let beside = self.folder.join("snapshot.new");
+        let mut file = File::create(&beside)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        // The segment comes first: a snapshot without one has nothing behind it, which is sound.
+        let segment = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(segment_path(&self.folder, number))?;
+        segment.sync_all()?;
+        fs::rename(&beside, snapshot_path(&self.folder, number))?;
+        self.sync_folder()?;
+        (self.segment, self.length, self.number) = (Some(segment), 0, number);
+        self.remove_older();
+        Ok(())
+    }
+
+    /// Old files that stay are no harm: the newest snapshot counts.
+    fn remove_older(&self) {
+        let Ok(files) = list(&self.folder) else { return };
+        let older = |number: &&u64| **number < self.number;
+        let snapshots = files.snapshots.iter().filter(older).map(|at| snapshot_path(&self.folder, *at));
+        let segments = files.segments.iter().filter(older).map(|at| segment_path(&self.folder, *at));
+        for path in snapshots.chain(segments) {
+            if let Err(problem) = fs::remove_file(&path) {
+                log::debug!("{}: {problem}", path.display());
+            }
+        }
+    }
+}
+
+/// What a new disk begins with.
+pub fn empty(disk: u64) -> Recovered {
+    let record = Record::Disk { format: FORMAT, disk };
+    Recovered::replay([record]).unwrap_or_default()
+}
--- /dev/null
+++ b/router/src/fleet.rs
@@ -0,0 +1,491 @@
+//! What a router knows of its fleet, and how it gets to know it: pulls by version vectors, and member heartbeats.
+
+use crate::clock;
+use crate::links::{Links, Service, lock};
+use crate::protocol::{MOST_HOPS, PullRequest, Pulled, Request, Response};
+use crate::published::Published;
+use crate::replica::ReplicaHandle;
+use crate::settings::Settings;
+use compact_str::CompactString;
+use control::Millis;
+use control::changes::{Change, Outcome};
+use control::digest::Digests;
+use control::directory::{Backend, BackendPhase, Directory, Key, Member, MemberStatus, Origin, Value};
+use control::silence::Silence;
+use control::view::{Epoch, ReplicaId};
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long a pull may wait for news.
+pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
+/// How long one try to reach a node with a replica may take.
+const FORWARD_PATIENCE: Duration = Duration::from_millis(900);
+/// How long an acknowledgement of a draining backend waits for another node to know of it.
+const DRAIN_SPREAD: Duration = Duration::from_millis(300);
+
+/// The shared state of a router.
+pub struct Fleet {
+    /// The settings of the process.
+    pub settings: Arc<Settings>,
+    /// Connections to other routers.
+    pub links: Links,
+    /// Soft state.
+    pub directory: Mutex<Directory>,
+    /// Durable state, as committed.
+    pub published: Mutex<Published>,
+    /// The replica that this node runs, if any.
+    pub replica: Option<ReplicaHandle>,
+    /// This process's own life.
+    pub life: u64,
+    /// Members whose heartbeats this node receives.
+    pub monitored: Mutex<Silence<CompactString>>,
+    heard_backends: Mutex<Silence<CompactString>>,
+    leader: Mutex<Option<(Epoch, ReplicaId)>>,
+    leaving: AtomicBool,
+    news: watch::Sender<u64>,
+    spread: watch::Sender<u64>,
+}
+
+impl Fleet {
+    /// A router that knows nothing yet.
+    pub fn new(settings: Arc<Settings>, replica: Option<ReplicaHandle>, life: u64) -> Arc<Self> {
+        let now = clock::now();
+        let fleet = Fleet {
+            links: Links::default(),
+            directory: Mutex::new(Directory::new(Origin(life))),
+            published: Mutex::new(Published::default()),
+            replica,
+            life,
+            monitored: Mutex::new(Silence::new(now)),
+            heard_backends: Mutex::new(Silence::new(now)),
+            leader: Mutex::new(None),
+            leaving: AtomicBool::new(false),
+            news: watch::Sender::new(0),
+            spread: watch::Sender::new(0),
+            settings,
+        };
+        let fleet = Arc::new(fleet);
+        fleet.put(Key::Member(fleet.settings.node_name.clone()), Value::Member(fleet.own_member(1)));
+        fleet
+    }
+
+    /// Is told whenever anything has changed.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
+    /// Tells that something has changed.
+    pub fn announce(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// What this node is.
+    fn own_member(&self, incarnation: u64) -> Member {
+        Member {
+            zone: self.settings.zone.clone(),
+            internal: self.settings.internal_address(),
+            control: self.settings.listen.control_plane,
+            replica: self.replica.as_ref().map(|replica| replica.id.clone()),
+            life: self.life,
+            incarnation,
+            status: if self.leaving.load(Ordering::Relaxed) { MemberStatus::Left } else { MemberStatus::Up },
+        }
+    }
+
+    /// The process is about to end.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.announce();
+    }
+
+    /// Whether the process is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Writes a record of this node's own.
+    pub fn put(&self, key: Key, value: Value) -> bool {
+        let changed = lock(&self.directory).put(key, value);
+        if changed {
+            self.announce();
+        }
+        changed
+    }
+
+    /// The newest primary that this node has heard of.
+    pub fn leader(&self) -> Option<(Epoch, ReplicaId)> {
+        lock(&self.leader).clone()
+    }
+
+    /// Takes news of who is primary.
+    pub fn hear_of_leader(&self, leader: Option<(Epoch, ReplicaId)>) {
+        let mut known = lock(&self.leader);
+        let newer = |(epoch, _): &(Epoch, ReplicaId)| known.as_ref().is_none_or(|known| *epoch > known.0);
+        if let Some(leader) = leader.filter(newer) {
+            *known = Some(leader);
+            drop(known);
+            self.announce();
+        }
+    }
+
+    /// Members that hold replicas and are not known to have left, with whether they are thought to be up.
+    pub fn replica_members(&self) -> Vec<(CompactString, Member)> {
+        let directory = lock(&self.directory);
+        let members = directory.members().filter(|(_, member)| member.replica.is_some());
+        members.map(|(name, member)| (name.clone(), member.clone())).collect()
+    }
+
+    /// How many members take traffic, this one included.
+    pub fn members_up(&self) -> usize {
+        let directory = lock(&self.directory);
+        directory.members().filter(|(_, member)| member.status == MemberStatus::Up).count().max(1)
+    }
+
+    // ---- pulls ---------------------------------------------------------------------------------------------
+
+    fn pull_request(&self, wait: Duration) -> PullRequest {
+        let directory = lock(&self.directory);
+        let published = lock(&self.published);
+        let own = directory.get(&Key::Member(self.settings.node_name.clone()));
+        let incarnation = match own {
+            Some(Value::Member(member))
+                if member.life != self.life || member.status == MemberStatus::Down =>
+            {
+                member.incarnation + 1
+            }
+            Some(Value::Member(member)) => member.incarnation,
+            _ => 1,
+        };
+        PullRequest {
+            name: self.settings.node_name.clone(),
+            member: self.own_member(incarnation),
+            vector: directory.vector().clone(),
+            position: published.position(),
+            base: published.version(),
+            epoch: lock(&self.leader).as_ref().map_or(0, |leader| leader.0),
+            wait_ms: wait.as_millis() as u64,
+            missing: self.missing_members(&directory),
+        }
+    }
+
+    /// Members that this node monitors and does not hear.
+    pub fn missing(&self) -> Vec<(CompactString, u64)> {
+        self.missing_members(&lock(&self.directory))
+    }
+
+    fn missing_members(&self, directory: &Directory) -> Vec<(CompactString, u64)> {
+        let silent = lock(&self.monitored).silent_for(MEMBER_PATIENCE);
+        let incarnation = |name: &CompactString| match directory.get(&Key::Member(name.clone())) {
+            Some(Value::Member(member)) if member.status == MemberStatus::Up => Some(member.incarnation),
+            _ => None,
+        };
+        silent.into_iter().filter_map(|name| Some((name.clone(), incarnation(&name)?))).collect()
+    }
+
+    /// Asks one node for news once. False where it does not answer.
+    pub async fn pull(&self, from: SocketAddrV4, wait: Duration) -> bool {
+        let request = self.pull_request(wait);
+        let patience = wait + Duration::from_millis(900);
+        let response = self.links.ask(from, Request::Pull(request), patience).await;
+        let Some(Response::Pulled(pulled)) = response else { return false };
+        let changed = lock(&self.directory).merge(pulled.records, &pulled.vector);
+        let news = pulled.state.is_some_and(|state| lock(&self.published).take(state));
+        self.hear_of_leader(pulled.leader);
+        if !changed.is_empty() || news {
+            self.announce();
+        }
+        true
+    }
+
+    /// Answers a pull as soon as there is news for the asker.
+    async fn answer_pull(&self, request: PullRequest) -> Response {
+        self.take_member(&request);
+        let mut news = self.subscribe();
+        // Whoever asks with a vector has what this node wrote up to there.
+        let knows = request.vector.get(&Origin(self.life)).copied().unwrap_or(0);
+        if request.member.replica.is_some() {
+            self.spread.send_modify(|spread| *spread = (*spread).max(knows));
+        }
+        let wait = tokio::time::sleep(Duration::from_millis(request.wait_ms));
+        tokio::pin!(wait);
+        loop {
+            if self.has_news_for(&request) {
+                break;
+            }
+            tokio::select! {
+                () = &mut wait => break,
+                changed = news.changed() => if changed.is_err() { break },
+            }
+        }
+        let directory = lock(&self.directory);
+        let pulled = Pulled {
+            records: directory.news_for(&request.vector),
+            vector: directory.vector().clone(),
+            state: lock(&self.published).news_for(request.position, request.base),
+            leader: self.leader(),
+        };
+        Response::Pulled(Box::new(pulled))
+    }
+
+    fn has_news_for(&self, request: &PullRequest) -> bool {
+        lock(&self.directory).has_news_for(&request.vector)
+            || lock(&self.published).position().index > request.position.index
+            || self.leader().is_some_and(|(epoch, _)| epoch > request.epoch)
+    }
+
+    /// Notes the asker as a member, and the members that it misses as down.
+    fn take_member(&self, request: &PullRequest) {
+        let key = Key::Member(request.name.clone());
+        let held = match lock(&self.directory).get(&key) {
+            Some(Value::Member(member)) => Some(member.clone()),
+            _ => None,
+        };
+        let mut member = request.member.clone();
+        if let Some(held) = &held {
+            let same = held.life == member.life && held.status == member.status;
+            let refutes = held.life != member.life || held.status == MemberStatus::Down;
+            member.incarnation = match (same, refutes) {
+                (true, _) => held.incarnation,
+                (_, true) => held.incarnation.max(member.incarnation - 1) + 1,
+                _ => held.incarnation,
+            };
+        }
+        if held.as_ref() != Some(&member) {
+            self.put(key, Value::Member(member));
+        }
+        for (name, incarnation) in &request.missing {
+            self.mark_down(name, *incarnation);
+        }
+    }
+
+    /// A monitor misses a member.
+    pub fn mark_down(&self, name: &CompactString, incarnation: u64) {
+        let key = Key::Member(name.clone());
+        let held = match lock(&self.directory).get(&key) {
+            Some(Value::Member(member)) => member.clone(),
+            _ => return,
+        };
+        if held.incarnation == incarnation && held.status == MemberStatus::Up {
+            log::info!("member {name} is down: a monitor misses its heartbeats");
+            self.put(key, Value::Member(Member { status: MemberStatus::Down, ..held }));
+        }
+    }
+
+    // ---- backends ------------------------------------------------------------------------------------------
+
+    /// Takes a backend's heartbeat or end, here or at a node with a replica. The value says whether it is
+    /// acknowledged, and where later heartbeats should go.
+    pub async fn register(&self, id: CompactString, backend: Backend) -> Option<Option<SocketAddrV4>> {
+        if self.replica.is_some() && !self.is_leaving() {
+            return Some(self.take_backend(id, backend).await);
+        }
+        for (_, member) in self.nearest_replicas().into_iter().take(2) {
+            let request = Request::Register { id: id.clone(), backend: backend.clone() };
+            let asked = self.links.ask(member.internal, request, FORWARD_PATIENCE / 2).await;
+            if let Some(Response::Registered(address)) = asked {
+                return Some(address);
+            }
+        }
+        None
+    }
+
+    /// Nodes with replicas that are up: the leader's zone does not matter, this node's own does.
+    pub fn nearest_replicas(&self) -> Vec<(CompactString, Member)> {
+        let mut members = self.replica_members();
+        members
+            .retain(|(name, member)| member.status == MemberStatus::Up && *name != self.settings.node_name);
+        members.sort_by_key(|(name, member)| (member.zone != self.settings.zone, name.clone()));
+        members
+    }
+
+    async fn take_backend(&self, id: CompactString, mut backend: Backend) -> Option<SocketAddrV4> {
+        backend.owner = self.settings.node_name.clone();
+        let key = Key::Backend(id.clone());
+        let leaves = backend.phase != BackendPhase::Ready;
+        if backend.phase == BackendPhase::Gone {
+            lock(&self.heard_backends).forget(&id);
+        } else {
+            lock(&self.heard_backends).heard(id.clone());
+        }
+        let zone = backend.zone.clone();
+        let changed = self.put_backend(key, backend);
+        if leaves && changed {
+            self.wait_until_spread().await;
+        }
+        self.address_for(&zone)
+    }
+
+    /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on.
+    fn put_backend(&self, key: Key, mut backend: Backend) -> bool {
+        let mut directory = lock(&self.directory);
+        if let Some(Value::Backend(held)) = directory.get(&key) {
+            if held.phase == BackendPhase::Gone || held.sequence > backend.sequence {
+                return false;
+            }
+            let counts_up = Backend { sequence: held.sequence, ..backend.clone() };
+            if counts_up == *held {
+                return false;
+            }
+            // A deregistration carries nothing but the id.
+            if backend.phase == BackendPhase::Gone {
+                backend = Backend { phase: BackendPhase::Gone, ..held.clone() };
+            }
+        }
+        let changed = directory.put(key, Value::Backend(backend));
+        drop(directory);
+        if changed {
+            self.announce();
+        }
+        changed
+    }
+
+    /// Waits until another node with a replica has what this one has written, as far as there is one in reach.
+    async fn wait_until_spread(&self) {
+        let own = lock(&self.directory).vector().get(&Origin(self.life)).copied().unwrap_or(0);
+        let mut spread = self.spread.subscribe();
+        let known = spread.wait_for(|known| *known >= own);
+        // Without another node in reach the backend's own repetition has to do.
+        let _ = tokio::time::timeout(DRAIN_SPREAD, known).await;
+    }
+
+    /// Where a backend of a zone should send its heartbeats: to a node with a replica in its zone.
+    fn address_for(&self, zone: &str) -> Option<SocketAddrV4> {
+        if self.settings.zone == zone {
+            return self.settings.listen.control_plane;
+        }
+        let members = self.replica_members();
+        let mut near = members.iter().filter(|(_, m)| m.zone == zone && m.status == MemberStatus::Up);
+        let near = near.find_map(|(_, member)| member.control);
+        near.or(self.settings.listen.control_plane)
+    }
+
+    /// Marks backends as silent whose heartbeats have stopped coming here.
+    pub fn watch_backends(&self, now: Millis) {
+        let patience = 5 * self.settings.heartbeat_interval_ms / 2;
+        let silent = {
+            let mut heard = lock(&self.heard_backends);
+            heard.advance(now);
+            heard.silent_for(patience)
+        };
+        for id in silent {
+            let key = Key::Backend(id.clone());
+            let held = match lock(&self.directory).get(&key) {
+                Some(Value::Backend(backend)) => backend.clone(),
+                _ => continue,
+            };
+            lock(&self.heard_backends).forget(&id);
+            if held.owner == self.settings.node_name && !held.silent {
+                log::info!("backend {id} is silent");
+                self.put(key, Value::Backend(Backend { silent: true, ..held }));
+            }
+        }
+    }
+
+    // ---- operators -----------------------------------------------------------------------------------------
+
+    /// Makes an operator's change, here or at the primary.
+    pub async fn submit(&self, change: Change, hops: u8) -> Outcome {
+        let leads = self.replica.as_ref().is_some_and(ReplicaHandle::leads);
+        if leads && let Some(replica) = &self.replica {
+            return replica.submit(change).await;
+        }
+        if hops == 0 {
+            return Outcome::Unknown;
+        }
+        let request = || Request::Submit { change: change.clone(), hops: hops - 1 };
+        for address in self.way_to_the_primary() {
+            let patience = Duration::from_millis(self.settings.bounds.ack_timeout_ms.min(3_000));
+            match self.links.ask(address, request(), patience).await {
+                Some(Response::Outcome(Outcome::Unknown)) | None => {}
+                Some(Response::Outcome(outcome)) => return outcome,
+                Some(_) => {}
+            }
+        }
+        Outcome::Unknown
+    }
+
+    /// The newest configuration. The outer value is none where nobody can tell at present.
+    pub async fn read_configuration(&self, hops: u8) -> Option<Option<Vec<u8>>> {
+        if let Some(replica) = self.replica.as_ref().filter(|replica| replica.leads()) {
+            return replica.read().await;
+        }
+        if hops == 0 {
+            return None;
+        }
+        for address in self.way_to_the_primary() {
+            let request = Request::ReadConfiguration { hops: hops - 1 };
+            let asked = self.links.ask(address, request, FORWARD_PATIENCE).await;
+            if let Some(Response::Configuration(Some(body))) = asked {
+                return Some(body);
+            }
+        }
+        None
+    }
+
+    /// Addresses to pass a call on to: the primary, then another node that may know a newer one.
+    fn way_to_the_primary(&self) -> Vec<SocketAddrV4> {
+        let own = self.settings.internal_address();
+        let leader = self.leader().map(|(_, replica)| replica.address);
+        let others = self.nearest_replicas().into_iter().map(|(_, member)| member.internal);
+        let mut way: Vec<SocketAddrV4> = Vec::new();
+        for address in leader.into_iter().chain(others) {
+            if address != own && !way.contains(&address) {
+                way.push(address);
+            }
+        }
+        way.truncate(2);
+        way
+    }
+
+    /// Takes what this node's own replica has committed.
+    pub fn publish_own(&self, state: &control::state::ControlState) {
+        if lock(&self.published).take_own(state) {
+            self.announce();
+        }
+    }
+}
+
+/// Counted time after which a monitored member is missed.
+const MEMBER_PATIENCE: Millis = 3_500;
+
+impl Service for Fleet {
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Response>> + Send>> {
+        Box::pin(async move {
+            match request {
+                Request::Replica(envelope) => {
+                    if let Some(replica) = &self.replica {
+                        replica.receive(*envelope);
+                    }
+                    None
+                }
+                Request::Pull(request) => Some(self.answer_pull(request).await),
+                Request::Submit { change, hops } => {
+                    Some(Response::Outcome(self.submit(change, hops.min(MOST_HOPS)).await))
+                }
+                Request::ReadConfiguration { hops } => {
+                    Some(Response::Configuration(self.read_configuration(hops.min(MOST_HOPS)).await))
+                }
+                Request::Register { id, backend } => {
+                    if self.replica.is_none() || self.is_leaving() {
+                        return None;
+                    }
+                    Some(Response::Registered(self.take_backend(id, backend).await))
+                }
+                Request::Compare { range } => {
+                    let digests = Digests::new(lock(&self.directory).hashes());
+                    Some(Response::Summary(digests.summary(range)))
+                }
+                Request::Fetch { keys } => {
+                    let keys: BTreeSet<u64> = keys.into_iter().collect();
+                    Some(Response::Records(lock(&self.directory).by_hash(&keys)))
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,21 @@
+//! A router of the fleet: it takes requests of clients and sends them to backends, keeps the fleet's control state
+//! together with the other routers, and takes the calls of operators and backends.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod cli;
+pub mod clock;
+pub mod control_api;
+pub mod disk;
+pub mod fleet;
+pub mod links;
+pub mod membership;
+pub mod protocol;
+pub mod proxy;
+pub mod published;
+pub mod replica;
+pub mod serve;
+pub mod settings;
+pub mod status;
+pub mod weights;
--- /dev/null
+++ b/router/src/links.rs
@@ -0,0 +1,196 @@
+//! Connections between routers: length-prefixed postcard frames over TCP, requests with answers and without.
+
+use crate::protocol::{Frame, LONGEST, Request, Response};
+use socket2::{SockRef, TcpKeepalive};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// How long a connection may take to come up.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(800);
+/// Unacknowledged bytes break a connection after this.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Frames that wait for a connection; more are dropped.
+const QUEUE: usize = 256;
+
+/// Locks a mutex whose content is sound even if a holder panicked.
+pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Has a socket notice a silent peer, and send small frames at once.
+pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let second = Duration::from_secs(1);
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(second).with_interval(second))
+}
+
+async fn write_frame(writer: &mut OwnedWriteHalf, frame: &Frame) -> io::Result<()> {
+    let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
+    let mut bytes = Vec::with_capacity(4 + body.len());
+    bytes.extend((body.len() as u32).to_be_bytes());
+    bytes.extend(body);
+    writer.write_all(&bytes).await
+}
+
+async fn read_frame(reader: &mut OwnedReadHalf) -> io::Result<Frame> {
+    let length = reader.read_u32().await? as usize;
+    if length > LONGEST {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame is too long"));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await?;
+    postcard::from_bytes(&body).map_err(|problem| io::Error::new(io::ErrorKind::InvalidData, problem))
+}
+
+type Pending = Arc<Mutex<HashMap<u32, oneshot::Sender<Response>>>>;
+
+/// One connection to another router, made when it is first used.
+#[derive(Clone)]
+struct Link {
+    frames: mpsc::Sender<Frame>,
+    pending: Pending,
+}
+
+/// Connections to other routers, by address.
+#[derive(Default)]
+pub struct Links {
+    links: Mutex<HashMap<SocketAddrV4, Link>>,
+    next: AtomicU32,
+}
+
+impl Links {
+    fn link(&self, address: SocketAddrV4) -> Link {
+        let mut links = lock(&self.links);
+        if let Some(link) = links.get(&address).filter(|link| !link.frames.is_closed()) {
+            return link.clone();
+        }
+        let (frames, queue) = mpsc::channel(QUEUE);
+        let link = Link { frames, pending: Pending::default() };
+        tokio::spawn(run_link(address, queue, link.pending.clone()));
+        links.insert(address, link.clone());
+        link
+    }
+
+    /// Sends a request that has no answer; dropped where the connection can't take it.
+    pub fn tell(&self, address: SocketAddrV4, request: Request) {
+        // A link that has just ended is made anew by the next message.
+        let _ = self.link(address).frames.try_send(Frame::Request(0, request));
+    }
+
+    /// Sends a request and waits for its answer; none where there is none in time.
+    pub async fn ask(&self, address: SocketAddrV4, request: Request, patience: Duration) -> Option<Response> {
+        let id = self.next.fetch_add(1, Ordering::Relaxed) | 1 << 31;
+        let link = self.link(address);
+        let (answer, answered) = oneshot::channel();
+        lock(&link.pending).insert(id, answer);
+        let response = match link.frames.try_send(Frame::Request(id, request)) {
+            Ok(()) => timeout(patience, answered).await.ok().and_then(Result::ok),
+            Err(_) => None,
+        };
+        lock(&link.pending).remove(&id);
+        response
+    }
+}
+
+async fn run_link(address: SocketAddrV4, mut queue: mpsc::Receiver<Frame>, pending: Pending) {
+    let connected = timeout(CONNECT_PATIENCE, TcpStream::connect(address)).await;
+    if let Ok(Ok(stream)) = connected
+        && prepare(&stream).is_ok()
+    {
+        let (mut reader, mut writer) = stream.into_split();
+        let write = async {
+            while let Some(frame) = queue.recv().await {
+                write_frame(&mut writer, &frame).await?;
+            }
+            io::Result::Ok(())
+        };
+        let read = async {
+            loop {
+                if let Frame::Response(id, response) = read_frame(&mut reader).await?
+                    && let Some(answer) = lock(&pending).remove(&id)
+                {
+                    // The asker may have given up.
+                    let _ = answer.send(response);
+                }
+            }
+            #[expect(unreachable_code, reason = "names the type of the block")]
+            io::Result::Ok(())
+        };
+        let ended = tokio::select! { ended = write => ended, ended = read => ended };
+        if let Err(problem) = ended {
+            log::debug!("the connection to {address} ended: {problem}");
+        }
+    }
+    queue.close();
+    lock(&pending).clear();
+}
+
+/// Answers requests.
+pub trait Service: Send + Sync + 'static {
+    /// Answers one request; none for requests that have no answer.
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Response>> + Send>>;
+}
+
+/// Serves requests of other routers.
+pub async fn serve(listener: TcpListener, service: Arc<impl Service>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_connection(stream, service.clone()));
+            }
+            Err(problem) => {
+                log::warn!("a connection of another router could not be taken: {problem}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, service: Arc<impl Service>) {
+    if prepare(&stream).is_err() {
+        return;
+    }
+    let (mut reader, mut writer) = stream.into_split();
+    let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    let write = async {
+        while let Some(frame) = queue.recv().await {
+            write_frame(&mut writer, &frame).await?;
+        }
+        io::Result::Ok(())
+    };
+    let read = async {
+        loop {
+            let Frame::Request(id, request) = read_frame(&mut reader).await? else { continue };
+            if id == 0 {
+                service.clone().answer(request).await;
+                continue;
+            }
+            let (service, answers) = (service.clone(), answers.clone());
+            tokio::spawn(async move {
+                if let Some(response) = service.answer(request).await {
+                    // The asker may be gone.
+                    let _ = answers.send(Frame::Response(id, response)).await;
+                }
+            });
+        }
+        #[expect(unreachable_code, reason = "names the type of the block")]
+        io::Result::Ok(())
+    };
+    let ended: io::Result<()> = tokio::select! { ended = write => ended, ended = read => ended };
+    if let Err(problem) = ended {
+        log::debug!("a connection of another router ended: {problem}");
+    }
+}
--- /dev/null
+++ b/router/src/membership.rs
@@ -0,0 +1,293 @@
+//! The tasks that keep this node in touch with its fleet: pulls, heartbeats to monitors, the founding, and repair.
+
+use crate::clock;
+use crate::fleet::{Fleet, PULL_WAIT};
+use crate::links::lock;
+use crate::protocol::{MemberHeartbeat, Request, Response};
+use compact_str::CompactString;
+use control::digest::{Digests, Range};
+use control::directory::{Key, Member, MemberStatus, Value, VersionVector};
+use control::message::{Envelope, Message};
+use control::ring;
+use control::view::{ReplicaId, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::UdpSocket;
+use tokio::task::JoinHandle;
+
+/// From how many nodes with replicas a router pulls.
+const UPSTREAMS: usize = 2;
+/// How many members receive a member's heartbeats.
+const MONITORS: usize = 3;
+/// Time between two heartbeats to monitors.
+const HEARTBEAT: Duration = Duration::from_millis(1_000);
+/// Time between two choices of whom to pull from.
+const CHOICE: Duration = Duration::from_millis(250);
+/// Wait after a pull that failed.
+const PULL_AGAIN: Duration = Duration::from_millis(250);
+/// For so long after its start a node pulls from its seeds as well.
+const SEED_TIME: Duration = Duration::from_secs(4);
+/// A founder waits until no further replica has come up for so long.
+const FOUNDING_CALM: Duration = Duration::from_millis(400);
+/// The longest that a founder waits, so that replicas that never come do not hold up the system.
+const FOUNDING_PATIENCE: Duration = Duration::from_millis(2_500);
+/// Time between two comparisons with another holder.
+const REPAIR: Duration = Duration::from_secs(10);
+
+struct Upstream {
+    task: JoinHandle<()>,
+    failed: Arc<std::sync::atomic::AtomicU32>,
+}
+
+/// Keeps pulling from the right nodes.
+pub async fn keep_pulling(fleet: Arc<Fleet>) {
+    let begun = Instant::now();
+    let mut upstreams: BTreeMap<SocketAddrV4, Upstream> = BTreeMap::new();
+    let mut choices = tokio::time::interval(CHOICE);
+    loop {
+        choices.tick().await;
+        let failing: BTreeSet<SocketAddrV4> = upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.failed.load(std::sync::atomic::Ordering::Relaxed) >= 2)
+            .map(|(address, _)| *address)
+            .collect();
+        let wanted = choose_upstreams(&fleet, &failing, begun.elapsed() < SEED_TIME);
+        upstreams.retain(|address, upstream| {
+            let kept = wanted.contains(address);
+            if !kept {
+                upstream.task.abort();
+            }
+            kept
+        });
+        for address in wanted {
+            upstreams.entry(address).or_insert_with(|| {
+                let failed = Arc::default();
+                let task = tokio::spawn(pull_from(fleet.clone(), address, Arc::clone(&failed)));
+                Upstream { task, failed }
+            });
+        }
+    }
+}
+
+async fn pull_from(fleet: Arc<Fleet>, address: SocketAddrV4, failed: Arc<std::sync::atomic::AtomicU32>) {
+    use std::sync::atomic::Ordering;
+    // The first answer comes at once, so that a new node knows what there is.
+    let mut wait = Duration::ZERO;
+    loop {
+        if fleet.pull(address, wait).await {
+            failed.store(0, Ordering::Relaxed);
+            wait = PULL_WAIT;
+        } else {
+            failed.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(PULL_AGAIN).await;
+        }
+    }
+}
+
+/// Nodes with replicas pull from all others of these; the rest from two, in their own zone first. Seeds serve while
+/// nobody else is known.
+fn choose_upstreams(fleet: &Fleet, failing: &BTreeSet<SocketAddrV4>, young: bool) -> BTreeSet<SocketAddrV4> {
+    let settings = &fleet.settings;
+    let own = settings.internal_address();
+    let mut members = fleet.replica_members();
+    members.retain(|(name, m)| *name != settings.node_name && m.status != MemberStatus::Left);
+    // Spread over the nodes with replicas by the node's place on the ring.
+    let names: BTreeSet<CompactString> =
+        members.iter().map(|(name, _)| name.clone()).chain([settings.node_name.clone()]).collect();
+    let order = ring::successors(&names, &settings.node_name, names.len());
+    members.sort_by_key(|(name, member)| {
+        let place = order.iter().position(|other| other == name);
+        let down = member.status != MemberStatus::Up || failing.contains(&member.internal);
+        (down, member.zone != settings.zone, place)
+    });
+    let wanted = if fleet.replica.is_some() { members.len() } else { UPSTREAMS };
+    let mut chosen: BTreeSet<SocketAddrV4> =
+        members.iter().take(wanted).map(|(_, member)| member.internal).collect();
+    let reachable = chosen.iter().filter(|address| !failing.contains(address)).count();
+    if young && (fleet.replica.is_some() || reachable == 0) || reachable == 0 {
+        chosen.extend(settings.seeds.iter().map(|seed| settings.internal_address_of(*seed)));
+    }
+    chosen.remove(&own);
+    chosen
+}
+
+/// Sends heartbeats to this node's monitors, and receives those of the members that it monitors.
+pub async fn monitor(fleet: Arc<Fleet>, socket: UdpSocket) {
+    let mut beats = tokio::time::interval(HEARTBEAT);
+    let mut buffer = [0; 512];
+    loop {
+        tokio::select! {
+            _ = beats.tick() => {
+                send_heartbeats(&fleet, &socket).await;
+                watch_members(&fleet);
+            }
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, _)) = received else { continue };
+                if let Ok(heartbeat) = postcard::from_bytes::<MemberHeartbeat>(&buffer[..length]) {
+                    lock(&fleet.monitored).heard(heartbeat.name);
+                }
+            }
+        }
+    }
+}
+
+fn members_up(fleet: &Fleet) -> BTreeMap<CompactString, Member> {
+    let directory = lock(&fleet.directory);
+    let up = directory.members().filter(|(_, member)| member.status == MemberStatus::Up);
+    up.map(|(name, member)| (name.clone(), member.clone())).collect()
+}
+
+async fn send_heartbeats(fleet: &Fleet, socket: &UdpSocket) {
+    if fleet.is_leaving() {
+        return;
+    }
+    let name = fleet.settings.node_name.clone();
+    let members = members_up(fleet);
+    let names: BTreeSet<CompactString> = members.keys().cloned().collect();
+    let heartbeat = MemberHeartbeat { name: name.clone(), life: fleet.life };
+    let Ok(bytes) = postcard::to_stdvec(&heartbeat) else { return };
+    for monitor in ring::successors(&names, &name, MONITORS) {
+        if let Some(member) = members.get(&monitor) {
+            // A lost heartbeat is followed by the next one.
+            let _ = socket.send_to(&bytes, member.internal).await;
+        }
+    }
+}
+
+/// Counts the silence of the members that this node monitors; nodes with replicas write down what they miss.
+fn watch_members(fleet: &Fleet) {
+    let members = members_up(fleet);
+    let names: BTreeSet<CompactString> = members.keys().cloned().collect();
+    let monitored = ring::monitored_by(&names, &fleet.settings.node_name, MONITORS);
+    let mut silence = lock(&fleet.monitored);
+    // Steps longer than the counted ones are split, as the ring is looked at once a second only.
+    let now = clock::now();
+    for at in (0..4).rev() {
+        silence.advance(now.saturating_sub(at * HEARTBEAT.as_millis() as u64 / 4));
+    }
+    silence.retain(|name| monitored.contains(name));
+    for name in monitored {
+        if !silence.knows(&name) {
+            silence.heard(name);
+        }
+    }
+    drop(silence);
+    if fleet.replica.is_some() {
+        for (name, incarnation) in fleet.missing() {
+            fleet.mark_down(&name, incarnation);
+        }
+    }
+}
+
+/// Marks backends as silent whose heartbeats have stopped.
+pub async fn watch_backends(fleet: Arc<Fleet>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(200));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        fleet.watch_backends(clock::now());
+    }
+}
+
+/// The first seed of a system that starts for the first time names the replicas.
+pub async fn found(fleet: Arc<Fleet>) {
+    let settings = &fleet.settings;
+    let is_founder = settings.listen.control_plane.is_some_and(|own| settings.seeds.first() == Some(&own));
+    if !settings.bootstrap || !is_founder {
+        return;
+    }
+    let begun = Instant::now();
+    let mut known = BTreeSet::new();
+    let mut since = Instant::now();
+    loop {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        if fleet.leader().is_some() {
+            return;
+        }
+        let members = fleet.replica_members();
+        let replicas: BTreeSet<ReplicaId> = members.into_iter().filter_map(|(_, m)| m.replica).collect();
+        if replicas != known {
+            (known, since) = (replicas, Instant::now());
+        }
+        let calm = since.elapsed() > FOUNDING_CALM && begun.elapsed() > 2 * FOUNDING_CALM;
+        if known.is_empty() || !(calm || begun.elapsed() > FOUNDING_PATIENCE) {
+            continue;
+        }
+        propose_first_view(&fleet, &known);
+        since = Instant::now();
+    }
+}
+
+fn propose_first_view(fleet: &Fleet, replicas: &BTreeSet<ReplicaId>) {
+    let Some(primary) = replicas.iter().min_by_key(|replica| &replica.node).cloned() else { return };
+    let view =
+        View { epoch: 1, primary: primary.clone(), in_sync: replicas.clone(), witnesses: replicas.clone() };
+    log::info!("founding the control state with {} replicas", replicas.len());
+    for replica in replicas {
+        let message = Message::Found { view: view.clone() };
+        let envelope = Envelope { from: primary.clone(), to: replica.clone(), message };
+        if let Some(own) = fleet.replica.as_ref().filter(|own| own.id == *replica) {
+            own.receive(envelope);
+        } else {
+            fleet.links.tell(replica.address, Request::Replica(Box::new(envelope)));
+        }
+    }
+}
+
+/// Now and then compares records with another holder, and fetches what differs.
+pub async fn repair(fleet: Arc<Fleet>) {
+    let mut turn = 0;
+    loop {
+        tokio::time::sleep(REPAIR).await;
+        let others = fleet.nearest_replicas();
+        if others.is_empty() {
+            continue;
+        }
+        turn += 1;
+        let (_, other) = &others[turn % others.len()];
+        if let Some(keys) = differing_keys(&fleet, other.internal).await
+            && !keys.is_empty()
+        {
+            fetch(&fleet, other.internal, keys).await;
+        }
+    }
+}
+
+/// Hashes of keys whose records differ at the other holder. None where it does not answer.
+async fn differing_keys(fleet: &Fleet, other: SocketAddrV4) -> Option<Vec<u64>> {
+    const PATIENCE: Duration = Duration::from_millis(800);
+    let mut ranges = vec![Range::ALL];
+    let mut differing = Vec::new();
+    while let Some(range) = ranges.pop() {
+        let response = fleet.links.ask(other, Request::Compare { range }, PATIENCE).await;
+        let Some(Response::Summary(summary)) = response else { return None };
+        let digests = Digests::new(lock(&fleet.directory).hashes());
+        let (narrower, keys) = digests.compare(range, &summary);
+        ranges.extend(narrower);
+        differing.extend(keys);
+    }
+    Some(differing)
+}
+
+async fn fetch(fleet: &Fleet, other: SocketAddrV4, keys: Vec<u64>) {
+    const PATIENCE: Duration = Duration::from_millis(800);
+    let response = fleet.links.ask(other, Request::Fetch { keys }, PATIENCE).await;
+    if let Some(Response::Records(records)) = response {
+        let changed = lock(&fleet.directory).merge(records, &VersionVector::new());
+        if !changed.is_empty() {
+            log::info!("repair brought {} records", changed.len());
+            fleet.announce();
+        }
+    }
+}
+
+/// Whether this node is known to be up, as others see it.
+pub fn is_known(fleet: &Fleet) -> bool {
+    let directory = lock(&fleet.directory);
+    matches!(
+        directory.get(&Key::Member(fleet.settings.node_name.clone())),
+        Some(Value::Member(member)) if member.status == MemberStatus::Up
+    )
+}
--- /dev/null
+++ b/router/src/protocol.rs
@@ -0,0 +1,145 @@
+//! What the routers of a fleet say to each other.
+
+use compact_str::CompactString;
+use control::changes::{Change, Outcome};
+use control::delta::Piece;
+use control::digest::{Range, Summary};
+use control::directory::{Backend, Member, Record, VersionVector};
+use control::message::Envelope;
+use control::state::{Position, WeightsTarget};
+use control::view::{Epoch, ReplicaId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// The longest message; a longer one ends the connection.
+pub const LONGEST: usize = 16 << 20;
+/// How often a call may be passed on.
+pub const MOST_HOPS: u8 = 2;
+
+/// What is asked.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Request {
+    /// A message between replicas of the control state; has no answer.
+    Replica(Box<Envelope>),
+    /// Asks for everything that is newer.
+    Pull(PullRequest),
+    /// An operator's change.
+    Submit {
+        /// The change.
+        change: Change,
+        /// How often it may still be passed on.
+        hops: u8,
+    },
+    /// Asks for the newest configuration.
+    ReadConfiguration {
+        /// How often it may still be passed on.
+        hops: u8,
+    },
+    /// A backend's heartbeat or end.
+    Register {
+        /// The backend's instance id.
+        id: CompactString,
+        /// What it says of itself.
+        backend: Backend,
+    },
+    /// Compares what both hold of a range.
+    Compare {
+        /// The range.
+        range: Range,
+    },
+    /// Asks for records by the hashes of their keys.
+    Fetch {
+        /// The hashes.
+        keys: Vec<u64>,
+    },
+}
+
+/// What is answered.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Response {
+    /// To a pull.
+    Pulled(Box<Pulled>),
+    /// To a change.
+    Outcome(Outcome),
+    /// To a question for the configuration: whether it could be told, and its body.
+    Configuration(Option<Option<Vec<u8>>>),
+    /// To a heartbeat: where later ones are to go. None where it was not taken.
+    Registered(Option<SocketAddrV4>),
+    /// To a comparison.
+    Summary(Summary),
+    /// To a fetch.
+    Records(Vec<Record>),
+}
+
+/// Asks for everything that is newer than what the asker has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PullRequest {
+    /// The asker's name.
+    pub name: CompactString,
+    /// What it is.
+    pub member: Member,
+    /// How far it knows each origin.
+    pub vector: VersionVector,
+    /// The last change of the control state that it has.
+    pub position: Position,
+    /// The version of the configuration that it has, as a base for a difference.
+    pub base: Option<u64>,
+    /// The newest epoch that it knows.
+    pub epoch: Epoch,
+    /// How long the answer may wait for news.
+    pub wait_ms: u64,
+    /// Members whose heartbeats it misses, with their incarnations.
+    pub missing: Vec<(CompactString, u64)>,
+}
+
+/// Everything that is newer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Pulled {
+    /// Records.
+    pub records: Vec<Record>,
+    /// How far the answerer knows each origin.
+    pub vector: VersionVector,
+    /// The control state, where it is newer.
+    pub state: Option<PublishedState>,
+    /// The newest epoch and its primary.
+    pub leader: Option<(Epoch, ReplicaId)>,
+}
+
+/// A configuration as it travels.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Body {
+    /// Byte for byte.
+    Whole(Vec<u8>),
+    /// Made of the body of the base.
+    Difference(Vec<Piece>),
+}
+
+/// The committed control state as routers use it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PublishedState {
+    /// The last change in it.
+    pub position: Position,
+    /// The configuration: its version and body; none where it has not changed.
+    pub configuration: Option<(u64, Body)>,
+    /// The newest version of each model's weights.
+    pub weights: BTreeMap<CompactString, WeightsTarget>,
+}
+
+/// One message on a connection between routers. A request with the id 0 has no answer.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum Frame {
+    /// A request and its id.
+    Request(u32, Request),
+    /// The answer to the request with that id.
+    Response(u32, Response),
+}
+
+/// A heartbeat between members, as a datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MemberHeartbeat {
+    /// The sender's name.
+    pub name: CompactString,
+    /// Its life.
+    pub life: u64,
+}
--- /dev/null
+++ b/router/src/proxy/backend.rs
@@ -0,0 +1,289 @@
+//! A backend as this router sees it: what it was told of it, its load, its connections, and what it keeps.
+
+use super::connection::Connection;
+use crate::clock;
+use crate::links::lock;
+use compact_str::CompactString;
+use control::Millis;
+use control::directory::{Backend as Registered, BackendPhase, Order, OrderPhase};
+use routing::index::HolderIndex;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Idle connections that are kept for a backend.
+const IDLE: usize = 16;
+/// A backend that could not be reached or broke off is avoided for this long, longer with each failure in a row.
+const AVOID: Millis = 400;
+const LONGEST_AVOID: Millis = 3_200;
+/// What a backend told of its load counts for this long.
+const LOAD_GOOD: Millis = 1_500;
+/// An order that was not said to be done counts as under way for this long.
+const LOADING: Millis = 3_000;
+
+/// A load that a backend told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that it can work on.
+    pub slots: u32,
+    /// When it was told.
+    pub at: Millis,
+}
+
+impl Told {
+    /// Reads the header by which backends tell their load.
+    pub fn read(text: &str, at: Millis) -> Option<Self> {
+        let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+        Some(Told { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()??, at })
+    }
+}
+
+/// What changes about a backend.
+struct Live {
+    phase: BackendPhase,
+    silent: bool,
+    order: Option<(Order, Millis)>,
+    versions: HashMap<CompactString, u64>,
+    outstanding: u32,
+    unread_tokens: u64,
+    told: Option<Told>,
+    failures: u32,
+    avoid_until: Millis,
+    idle: Vec<Connection>,
+    index: HolderIndex,
+}
+
+/// One incarnation of a backend.
+pub struct Backend {
+    /// Its instance id.
+    pub id: CompactString,
+    /// Its service.
+    pub service: CompactString,
+    /// Where it takes requests.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: CompactString,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    live: Mutex<Live>,
+}
+
+/// A look at a backend's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// This router's requests there.
+    pub outstanding: u32,
+    /// Prompt tokens of this router's requests that it has not begun to answer.
+    pub unread_tokens: u64,
+    /// What it told last, where that is not too old.
+    pub told: Option<Told>,
+}
+
+/// Whether a backend may be sent requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fitness {
+    /// It may.
+    Fit,
+    /// Only where no other may.
+    Doubtful,
+    /// It may not.
+    Unfit,
+}
+
+impl Backend {
+    /// A backend that has just become known.
+    pub fn new(id: CompactString, registered: &Registered, kv_capacity: u64) -> Self {
+        let live = Live {
+            phase: registered.phase,
+            silent: registered.silent,
+            order: None,
+            versions: HashMap::new(),
+            outstanding: 0,
+            unread_tokens: 0,
+            told: None,
+            failures: 0,
+            avoid_until: 0,
+            idle: Vec::new(),
+            index: HolderIndex::new(kv_capacity),
+        };
+        Backend {
+            id,
+            service: registered.service.clone(),
+            address: registered.address,
+            zone: registered.zone.clone(),
+            slots: registered.slots,
+            live: Mutex::new(live),
+        }
+    }
+
+    /// Takes what the directory says of it.
+    pub fn update(&self, registered: &Registered, order: Option<&Order>) {
+        let mut live = lock(&self.live);
+        live.phase = registered.phase;
+        live.silent = registered.silent;
+        for (model, version) in &registered.models {
+            live.learn_version(model, *version);
+        }
+        if let Some(order) = order {
+            let news = live.order.as_ref().is_none_or(|(known, _)| known != order);
+            if news {
+                live.order = Some((order.clone(), clock::now()));
+            }
+            if order.phase == OrderPhase::Done {
+                live.learn_version(&order.model, order.version);
+            }
+        }
+        if live.phase == BackendPhase::Gone {
+            live.idle.clear();
+        }
+    }
+
+    /// Whether it may be sent requests for a model, where these need one of at least some version.
+    pub fn fitness(&self, model: Option<(&str, Option<u64>)>) -> Fitness {
+        let now = clock::now();
+        let live = lock(&self.live);
+        if live.phase != BackendPhase::Ready {
+            return Fitness::Unfit;
+        }
+        if let Some((model, least)) = model {
+            if live.is_loading(model, now) {
+                return Fitness::Unfit;
+            }
+            if least.is_some_and(|least| live.versions.get(model).is_none_or(|version| *version < least)) {
+                return Fitness::Unfit;
+            }
+        }
+        if live.silent || now < live.avoid_until { Fitness::Doubtful } else { Fitness::Fit }
+    }
+
+    /// The version of a model's weights that it has, as far as is known.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        lock(&self.live).versions.get(model).copied()
+    }
+
+    /// An answer told the version of a model's weights.
+    pub fn learn_version(&self, model: &str, version: u64) {
+        lock(&self.live).learn_version(&CompactString::from(model), version);
+    }
+
+    /// A look at its load.
+    pub fn load(&self) -> Load {
+        let now = clock::now();
+        let live = lock(&self.live);
+        let told = live.told.filter(|told| now < told.at + LOAD_GOOD);
+        Load { outstanding: live.outstanding, unread_tokens: live.unread_tokens, told }
+    }
+
+    /// It told its load.
+    pub fn tell(&self, told: Told) {
+        lock(&self.live).told = Some(told);
+    }
+
+    /// Its index of kept parts.
+    pub fn with_index<T>(&self, look: impl FnOnce(&mut HolderIndex) -> T) -> T {
+        look(&mut lock(&self.live).index)
+    }
+
+    /// A connection: an idle one, or a new one.
+    pub async fn connect(&self, patience: Duration) -> io::Result<Connection> {
+        let idle = {
+            let mut live = lock(&self.live);
+            live.idle.retain(|connection| !connection.is_closed());
+            let usable = live.idle.iter().rposition(Connection::is_usable);
+            usable.map(|at| live.idle.remove(at))
+        };
+        match idle {
+            Some(connection) => Ok(connection),
+            None => Connection::open(self.address, patience).await,
+        }
+    }
+
+    /// Keeps a connection for another request.
+    pub fn keep(&self, connection: Connection) {
+        let mut live = lock(&self.live);
+        if live.phase == BackendPhase::Ready && live.idle.len() < IDLE {
+            live.idle.push(connection);
+        }
+    }
+
+    /// A request could not be brought to an answer by its fault.
+    pub fn failed(&self) {
+        let now = clock::now();
+        let mut live = lock(&self.live);
+        if now >= live.avoid_until {
+            let longer = AVOID << live.failures.min(3);
+            live.avoid_until = now + longer.min(LONGEST_AVOID);
+            live.failures += 1;
+        }
+        live.idle.clear();
+    }
+
+    /// A request was answered.
+    pub fn succeeded(&self) {
+        let mut live = lock(&self.live);
+        live.failures = 0;
+        live.avoid_until = 0;
+    }
+
+    /// It said that it is full.
+    pub fn is_full_until(&self, until: Millis) {
+        let mut live = lock(&self.live);
+        live.avoid_until = live.avoid_until.max(until);
+    }
+}
+
+impl Live {
+    fn learn_version(&mut self, model: &CompactString, version: u64) {
+        let known = self.versions.entry(model.clone()).or_default();
+        if version > *known {
+            *known = version;
+            // What it kept was made with the former weights, and it has dropped it.
+            self.index.clear();
+        }
+    }
+
+    fn is_loading(&self, model: &str, now: Millis) -> bool {
+        self.order.as_ref().is_some_and(|(order, since)| {
+            order.phase == OrderPhase::UnderWay
+                && order.model == model
+                && now < since + LOADING
+                && self.versions.get(model).is_none_or(|version| *version < order.version)
+        })
+    }
+}
+
+/// Counts a request at a backend for as long as it lives.
+pub struct Outstanding {
+    backend: Arc<Backend>,
+    unread_tokens: u64,
+}
+
+impl Outstanding {
+    /// A request is about to be sent whose prompt takes so many tokens to read.
+    pub fn begin(backend: Arc<Backend>, unread_tokens: u64) -> Self {
+        let mut live = lock(&backend.live);
+        live.outstanding += 1;
+        live.unread_tokens += unread_tokens;
+        drop(live);
+        Outstanding { backend, unread_tokens }
+    }
+
+    /// The backend has begun to answer: the prompt is read.
+    pub fn was_read(&mut self) {
+        lock(&self.backend.live).unread_tokens -= std::mem::take(&mut self.unread_tokens);
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        let mut live = lock(&self.backend.live);
+        live.outstanding -= 1;
+        live.unread_tokens -= self.unread_tokens;
+    }
+}
--- /dev/null
+++ b/router/src/proxy/connection.rs
@@ -0,0 +1,131 @@
+//! One connection to a backend: what was written on it, and whether it can be used again.
+
+use crate::clock;
+use crate::links::prepare;
+use bytes::Bytes;
+use control::Millis;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::io;
+use std::net::SocketAddrV4;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Why a request got no answer on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No byte of it was written: it has not run.
+    NotWritten,
+    /// It may have run.
+    MayHaveRun,
+}
+
+/// A socket that counts what was written.
+struct Counting {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl AsyncRead for Counting {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Counting {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let Poll::Ready(Ok(count)) = &written {
+            self.written.fetch_add(*count as u64, Ordering::Relaxed);
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// A connection to a backend. It is closed when it is dropped.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    written: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+    /// The backend closes it when it was idle up to then.
+    pub idle_until: Millis,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects to a backend.
+    pub async fn open(address: SocketAddrV4, patience: Duration) -> io::Result<Self> {
+        let late = || io::Error::from(io::ErrorKind::TimedOut);
+        let stream = timeout(patience, TcpStream::connect(address)).await.map_err(|_| late())??;
+        prepare(&stream)?;
+        let written = Arc::new(AtomicU64::new(0));
+        let counting = Counting { stream, written: written.clone() };
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(counting)).await.map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(problem) = connection.await {
+                log::debug!("a connection to a backend ended: {problem}");
+            }
+        });
+        Ok(Connection { sender, written, task, idle_until: Millis::MAX })
+    }
+
+    /// Whether it can take a request now.
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready() && clock::now() < self.idle_until
+    }
+
+    /// Whether its end has been noticed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        let before = self.written.load(Ordering::Relaxed);
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let wrote = self.written.load(Ordering::Relaxed) > before;
+                Err(if unsent || !wrote { Failure::NotWritten } else { Failure::MayHaveRun })
+            }
+        }
+    }
+
+    /// Waits until it can take another request. False where it ends instead.
+    pub async fn becomes_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+}
--- /dev/null
+++ b/router/src/proxy/exchange.rs
@@ -0,0 +1,358 @@
+//! One request of a client, from its first send to the start of its answer: first sends, copies, repeats.
+
+use super::attempt::{self, Begun, Call, Content, Ended, Sent, Variant};
+use super::pick::{Choice, Need, pick};
+use super::table::Table;
+use crate::clock;
+use crate::fleet::Fleet;
+use crate::links::lock;
+use compact_str::CompactString;
+use control::Millis;
+use control::configuration::{Kind, Route};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use hyper::header::HeaderName;
+use routing::budget::{Permitted, RetryBudget};
+use routing::hedging::{CopyAllowance, Pace};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The header by which a backend names itself.
+pub const INSTANCE_ID: HeaderName = HeaderName::from_static("x-instance-id");
+
+/// Part of the retry budget that copies leave to repeats after failures.
+const KEPT_FOR_FAILURES: f64 = 0.4;
+/// How often a request is sent on after backends turned it away.
+const MOST_REJECTIONS: u32 = 3;
+/// Time between two looks for a backend while there is none.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// Part of the objective that a request may wait for a backend before it is refused.
+const WAIT_SHARE: u32 = 5;
+/// Advice to clients that are refused, in seconds.
+const RETRY_AFTER: f64 = 0.15;
+/// So long before new weights must be everywhere, backends without them are used no more.
+const VERSION_MARGIN: Millis = 1_300;
+
+/// A request was given up.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum GivenUp {
+    /// It has not run and will not: the client may come back after so many seconds.
+    NotRun {
+        /// The advice.
+        retry_after: f64,
+    },
+    /// It may have run.
+    MayHaveRun {
+        /// Whether its time was over.
+        late: bool,
+    },
+}
+
+/// What is learned about one kind of request.
+#[derive(Debug)]
+struct Learned {
+    pace: Pace,
+    copies: CopyAllowance,
+}
+
+/// A kind of request: its service, how it is answered, and its objective.
+type KindKey = (CompactString, bool, u64);
+
+/// The state that requests share.
+pub struct Exchanges {
+    /// The fleet.
+    pub fleet: Arc<Fleet>,
+    /// The backends.
+    pub table: Arc<Table>,
+    learned: Mutex<HashMap<KindKey, Learned>>,
+    budgets: Mutex<HashMap<CompactString, RetryBudget>>,
+    targets: Mutex<HashMap<CompactString, (u64, Millis)>>,
+}
+
+/// How often a request was sent, and where.
+#[derive(Debug, Clone, Default)]
+pub struct Tries {
+    /// Backends that it was sent to.
+    pub tried: Vec<CompactString>,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// Sends that backends turned away.
+    pub rejections: u32,
+}
+
+/// What is fixed for one request.
+pub struct Job {
+    /// What goes to backends.
+    pub call: Arc<Call>,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service.
+    pub service: CompactString,
+    /// When the router has to be done.
+    pub until: Instant,
+}
+
+impl Exchanges {
+    /// Nothing is under way.
+    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>) -> Arc<Self> {
+        Arc::new(Exchanges {
+            fleet,
+            table,
+            learned: Mutex::default(),
+            budgets: Mutex::default(),
+            targets: Mutex::default(),
+        })
+    }
+
+    fn kind(job: &Job) -> KindKey {
+        (job.service.clone(), job.route.kind == Kind::Streaming, job.route.target_latency_ms)
+    }
+
+    fn with_learned<T>(&self, job: &Job, look: impl FnOnce(&mut Learned) -> T) -> T {
+        let mut learned = lock(&self.learned);
+        let entry = learned.entry(Self::kind(job)).or_insert_with(|| Learned {
+            pace: Pace::starting(job.route.target_latency_ms * 1_000_000),
+            copies: CopyAllowance::default(),
+        });
+        look(entry)
+    }
+
+    fn with_budget<T>(&self, service: &CompactString, look: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = &self.fleet.settings.bounds;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let permitted = Permitted {
+                ratio: bounds.retry_budget_ratio,
+                slack: bounds.retry_budget_slack,
+                window: (bounds.budget_window_s * 1_000.0) as Millis,
+            };
+            RetryBudget::new(permitted, clock::now())
+        });
+        look(budget)
+    }
+
+    /// Takes one repeat out of the budget.
+    fn take_repeat(&self, service: &CompactString, kept: f64) -> bool {
+        let routers = self.fleet.members_up();
+        self.with_budget(service, |budget| budget.take(routers, kept, clock::now()))
+    }
+
+    /// The least version of a model's weights that a request may start on by now.
+    fn least_version(&self, model: &str) -> Option<u64> {
+        let target = lock(&self.fleet.published).weights().get(model).map(|target| target.version)?;
+        let now = clock::now();
+        let mut targets = lock(&self.targets);
+        let (version, since) = targets.entry(model.into()).or_insert((target, now));
+        if *version != target {
+            (*version, *since) = (target, now);
+        }
+        let patience = self.fleet.settings.bounds.version_ms.saturating_sub(VERSION_MARGIN);
+        (now >= *since + patience).then_some(target)
+    }
+
+    fn choose(&self, job: &Job, tried: &[CompactString]) -> Option<Choice> {
+        let backends = self.table.backends(&job.service);
+        let prompt = job.call.prompt.as_ref();
+        let need = Need {
+            prompt,
+            wall: &job.call.wall,
+            least_version: prompt.and_then(|prompt| self.least_version(&prompt.model)),
+            zone: &self.fleet.settings.zone,
+        };
+        pick(&backends, need, tried)
+    }
+
+    /// Waits a little for a backend where there is none at present.
+    async fn choose_soon(&self, job: &Job, tried: &[CompactString]) -> Option<Choice> {
+        let patience = Duration::from_millis(job.route.target_latency_ms) / WAIT_SHARE;
+        let until = (Instant::now() + patience).min(job.until);
+        loop {
+            if let Some(choice) = self.choose(job, tried) {
+                return Some(choice);
+            }
+            if Instant::now() + LOOK_AGAIN > until {
+                return None;
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Sends a request until there is an answer to pass on, or none can be had.
+    pub async fn run(&self, job: &Job) -> Result<(Begun, Tries), GivenUp> {
+        self.with_budget(&job.service, |budget| budget.request(clock::now()));
+        let mut exchange = Exchange {
+            exchanges: self,
+            job,
+            tries: Tries::default(),
+            running: FuturesUnordered::new(),
+            sent: Vec::new(),
+            copied: false,
+            advice: None,
+        };
+        exchange.run().await
+    }
+
+    /// Goes on with a stream that broke off, at another backend.
+    pub async fn resume(&self, job: &Job, tries: &mut Tries, last_event_id: String) -> Option<Begun> {
+        while tries.runs < job.route.attempts && tries.rejections <= MOST_REJECTIONS {
+            let choice = self.choose_soon(job, &tries.tried).await?;
+            if !self.take_repeat(&job.service, 0.0) {
+                return None;
+            }
+            let variant = Variant { version: choice.version, last_event_id: Some(last_event_id.clone()) };
+            tries.tried.push(choice.backend.id.clone());
+            tries.runs += 1;
+            let sent = Sent::default();
+            let send = attempt::send(job.call.clone(), choice.backend, variant, choice.unread, sent);
+            match tokio::time::timeout_at(job.until, send).await.ok()? {
+                Ok(begun) => return Some(begun),
+                Err(Ended::Broken) => {}
+                Err(Ended::NotSent | Ended::Rejected { .. }) => {
+                    tries.runs -= 1;
+                    tries.rejections += 1;
+                }
+            }
+        }
+        None
+    }
+}
+
+type Send<'a> = std::pin::Pin<Box<dyn Future<Output = attempt::Result> + std::marker::Send + 'a>>;
+
+/// One request under way.
+struct Exchange<'a> {
+    exchanges: &'a Exchanges,
+    job: &'a Job,
+    tries: Tries,
+    running: FuturesUnordered<Send<'a>>,
+    sent: Vec<Sent>,
+    copied: bool,
+    advice: Option<f64>,
+}
+
+impl Exchange<'_> {
+    async fn run(&mut self) -> Result<(Begun, Tries), GivenUp> {
+        let Some(choice) = self.exchanges.choose_soon(self.job, &[]).await else {
+            return Err(self.give_up(false));
+        };
+        self.send(choice);
+        self.exchanges.with_learned(self.job, |learned| learned.copies.sent());
+        let hedge_after = self.exchanges.with_learned(self.job, |learned| learned.pace.p95);
+        let hedge = tokio::time::sleep(Duration::from_nanos(hedge_after as u64));
+        tokio::pin!(hedge);
+        let mut may_copy = self.job.route.is_idempotent() && self.job.route.attempts > 1;
+        let late = tokio::time::sleep_until(self.job.until);
+        tokio::pin!(late);
+        loop {
+            tokio::select! {
+                biased;
+                Some(result) = self.running.next() => match result {
+                    Ok(begun) => return Ok((self.finish(begun), std::mem::take(&mut self.tries))),
+                    Err(ended) => {
+                        if !self.goes_on(ended) && self.running.is_empty() {
+                            return Err(self.give_up(false));
+                        }
+                        if self.running.is_empty() {
+                            self.send_again().await?;
+                        }
+                    }
+                },
+                () = &mut hedge, if may_copy => {
+                    may_copy = false;
+                    self.copy();
+                }
+                () = &mut late => return Err(self.give_up(true)),
+            }
+        }
+    }
+
+    fn send(&mut self, choice: Choice) {
+        self.tries.tried.push(choice.backend.id.clone());
+        self.tries.runs += 1;
+        if let Some(prompt) = &self.job.call.prompt {
+            let salt = attempt::salt(&self.job.call.wall, choice.version);
+            choice.backend.with_index(|index| index.will_keep(&salt, &prompt.parts));
+        }
+        let variant = Variant { version: choice.version, last_event_id: None };
+        let sent = Sent::default();
+        self.sent.push(sent.clone());
+        let send = attempt::send(self.job.call.clone(), choice.backend, variant, choice.unread, sent);
+        self.running.push(Box::pin(send));
+    }
+
+    /// One copy of a request that is pending for longer than most, at another backend.
+    fn copy(&mut self) {
+        if self.copied || self.running.len() != 1 || self.tries.runs >= self.job.route.attempts {
+            return;
+        }
+        let allowed = self.exchanges.with_learned(self.job, |learned| learned.copies.is_left());
+        if !allowed {
+            return;
+        }
+        let Some(choice) = self.exchanges.choose(self.job, &self.tries.tried) else { return };
+        if self.exchanges.take_repeat(&self.job.service, KEPT_FOR_FAILURES) {
+            self.exchanges.with_learned(self.job, |learned| learned.copies.take());
+            self.copied = true;
+            self.send(choice);
+        }
+    }
+
+    /// Notes how a send ended. Whether the request may be sent once more.
+    fn goes_on(&mut self, ended: Ended) -> bool {
+        let route = &self.job.route;
+        match ended {
+            Ended::NotSent => {
+                self.tries.runs -= 1;
+                self.tries.rejections += 1;
+                self.tries.rejections <= MOST_REJECTIONS
+            }
+            Ended::Rejected { retry_after, .. } => {
+                self.tries.runs -= 1;
+                self.tries.rejections += 1;
+                self.advice = retry_after.or(self.advice);
+                self.tries.rejections <= MOST_REJECTIONS
+            }
+            Ended::Broken => route.is_idempotent() && self.tries.runs < route.attempts,
+        }
+    }
+
+    async fn send_again(&mut self) -> Result<(), GivenUp> {
+        if !self.exchanges.take_repeat(&self.job.service, 0.0) {
+            return Err(self.give_up(false));
+        }
+        let tried = self.tries.tried.clone();
+        match self.exchanges.choose_soon(self.job, &tried).await {
+            Some(choice) => {
+                self.send(choice);
+                Ok(())
+            }
+            None => Err(self.give_up(false)),
+        }
+    }
+
+    /// The first answer wins. Dropping the other sends closes their connections.
+    fn finish(&mut self, begun: Begun) -> Begun {
+        self.running.clear();
+        if begun.status.is_success() {
+            let took = begun.took.as_nanos() as u64;
+            self.exchanges.with_learned(self.job, |learned| learned.pace.add(took));
+        }
+        begun
+    }
+
+    fn give_up(&mut self, late: bool) -> GivenUp {
+        self.running.clear();
+        if self.sent.iter().any(Sent::may_run) {
+            GivenUp::MayHaveRun { late }
+        } else {
+            GivenUp::NotRun { retry_after: self.advice.unwrap_or(RETRY_AFTER) }
+        }
+    }
+}
+
+/// Whether an answer is a stream.
+pub fn is_stream(begun: &Begun) -> bool {
+    matches!(begun.content, Content::Events(_))
+}
--- /dev/null
+++ b/router/src/proxy/relay.rs
@@ -0,0 +1,116 @@
+//! Passing a stream of events on to a client, whole event by whole event.
+
+use super::attempt::{Begun, Content, Events, recycle};
+use super::backend::Backend;
+use super::exchange::{Exchanges, Job, Tries};
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use std::io;
+use std::sync::Arc;
+
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// A stream that is being passed on.
+pub struct Relay {
+    exchanges: Arc<Exchanges>,
+    job: Job,
+    tries: Tries,
+    backend: Arc<Backend>,
+    events: Option<Box<Events>>,
+    buffer: BytesMut,
+    last_event_id: Option<String>,
+}
+
+impl Relay {
+    /// Passes on a stream that has begun.
+    pub fn new(
+        exchanges: Arc<Exchanges>,
+        job: Job,
+        tries: Tries,
+        backend: Arc<Backend>,
+        mut events: Box<Events>,
+    ) -> Self {
+        let buffer = BytesMut::from(&std::mem::take(&mut events.first)[..]);
+        Relay { exchanges, job, tries, backend, events: Some(events), buffer, last_event_id: None }
+    }
+
+    /// The bytes for the client. An error breaks the answer off, so that it does not look complete.
+    pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
+        stream::unfold(Some(self), |relay| async move {
+            let mut relay = relay?;
+            match relay.next().await {
+                Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
+                Ok(None) => None,
+                Err(problem) => Some((Err(problem), None)),
+            }
+        })
+    }
+
+    /// The next whole events; none at the end.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            if let Some(whole) = self.take_whole_events() {
+                return Ok(Some(whole));
+            }
+            let Some(events) = &mut self.events else { return Ok(None) };
+            match events.rest.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) => self.go_on_elsewhere().await?,
+                None => return Ok(self.end()),
+            }
+        }
+    }
+
+    fn take_whole_events(&mut self) -> Option<Bytes> {
+        let end = find_last(&self.buffer, EVENT_END)? + EVENT_END.len();
+        let whole = self.buffer.split_to(end).freeze();
+        if let Some(id) = last_id(&whole) {
+            self.last_event_id = Some(id);
+        }
+        Some(whole)
+    }
+
+    /// The backend has ended its answer in order.
+    fn end(&mut self) -> Option<Bytes> {
+        if let Some(events) = self.events.take() {
+            let Events { connection, keep_alive, closes, .. } = *events;
+            recycle(self.backend.clone(), connection, closes, keep_alive);
+        }
+        let rest = self.buffer.split().freeze();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// The backend broke off: what it sent of an unfinished event is dropped, and the stream goes on elsewhere.
+    async fn go_on_elsewhere(&mut self) -> io::Result<()> {
+        let broken = || io::Error::new(io::ErrorKind::ConnectionReset, "the backend broke its answer off");
+        self.backend.failed();
+        self.events = None;
+        self.buffer.clear();
+        let id = self.last_event_id.clone().filter(|_| self.job.route.is_idempotent()).ok_or_else(broken)?;
+        let resumed = self.exchanges.resume(&self.job, &mut self.tries, id).await.ok_or_else(broken)?;
+        let Begun { backend, content: Content::Events(mut events), .. } = resumed else {
+            return Err(broken());
+        };
+        self.buffer.extend_from_slice(&std::mem::take(&mut events.first));
+        (self.backend, self.events) = (backend, Some(events));
+        Ok(())
+    }
+}
+
+fn find_last(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes.windows(wanted.len()).rposition(|window| window == wanted)
+}
+
+/// The last event id in whole events.
+fn last_id(events: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(events).ok()?;
+    let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
+    Some(id.trim().to_owned())
+}
--- /dev/null
+++ b/router/src/proxy/table.rs
@@ -0,0 +1,78 @@
+//! The backends that this router may send to, by service.
+
+use super::backend::Backend;
+use crate::fleet::Fleet;
+use crate::links::lock;
+use compact_str::CompactString;
+use control::directory::BackendPhase;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+/// Tokens that fit a backend of which the configuration says nothing.
+const USUAL_CAPACITY: u64 = 200_000;
+
+/// Backends by service.
+pub type Services = HashMap<CompactString, Vec<Arc<Backend>>>;
+
+/// The table.
+#[derive(Default)]
+pub struct Table {
+    services: Mutex<Arc<Services>>,
+    known: Mutex<HashMap<CompactString, Arc<Backend>>>,
+}
+
+impl Table {
+    /// The backends of a service.
+    pub fn backends(&self, service: &str) -> Vec<Arc<Backend>> {
+        let services = lock(&self.services).clone();
+        services.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Whether any backend is known.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.services).is_empty()
+    }
+
+    /// Every backend that may be there.
+    pub fn all(&self) -> Vec<Arc<Backend>> {
+        lock(&self.services).values().flatten().cloned().collect()
+    }
+
+    /// Takes what the directory holds now.
+    pub fn refresh(&self, fleet: &Fleet) {
+        let configuration = lock(&fleet.published).configuration().map(|loaded| loaded.parsed.clone());
+        let capacity = |service: &str| {
+            let service = configuration.as_ref().and_then(|parsed| parsed.services.get(service));
+            let engine = service.and_then(|service| service.engine.as_ref());
+            engine.map_or(USUAL_CAPACITY, |engine| engine.kv_capacity)
+        };
+        let directory = lock(&fleet.directory);
+        let mut known = lock(&self.known);
+        let mut services = Services::new();
+        for (id, registered) in directory.backends() {
+            if registered.phase == BackendPhase::Gone {
+                if let Some(backend) = known.remove(id) {
+                    backend.update(registered, None);
+                }
+                continue;
+            }
+            let backend = known.entry(id.clone()).or_insert_with(|| {
+                Arc::new(Backend::new(id.clone(), registered, capacity(&registered.service)))
+            });
+            backend.update(registered, directory.order(id));
+            services.entry(registered.service.clone()).or_default().push(backend.clone());
+        }
+        *lock(&self.services) = Arc::new(services);
+    }
+}
+
+/// Keeps the table in step with the directory.
+pub async fn keep_in_step(table: Arc<Table>, fleet: Arc<Fleet>) {
+    let mut news = fleet.subscribe();
+    loop {
+        table.refresh(&fleet);
+        if news.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/serve.rs
@@ -0,0 +1,223 @@
+//! Running a router: starting its parts, answering whether it is ready, and ending in order.
+
+use crate::control_api::ControlApi;
+use crate::disk::{self, Disk, DiskError};
+use crate::fleet::Fleet;
+use crate::links::{self, lock};
+use crate::membership;
+use crate::proxy::exchange::Exchanges;
+use crate::proxy::ingress::Ingress;
+use crate::proxy::table::{self, Table};
+use crate::replica::{self, ReplicaHandle};
+use crate::settings::{Settings, SettingsError};
+use crate::weights::Orders;
+use control::node::{ControlNode, Timing};
+use control::storage::Recovered;
+use control::view::ReplicaId;
+use poem::http::StatusCode;
+use poem::listener::TcpListener;
+use poem::{Endpoint, Request, Response, Result, Server};
+use std::io;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// A router without any backend calls itself ready so long after it has a configuration.
+const BACKENDS_PATIENCE: Duration = Duration::from_millis(3_000);
+/// After SIGTERM new connections are taken for so long, as the platform takes two questions to stay away.
+const STILL_TAKING: Duration = Duration::from_millis(2_300);
+/// Part of the grace period within which everything has to be over.
+const GRACE_SHARE: f64 = 0.9;
+/// Idle connections of clients are closed after this.
+const CLIENT_IDLE: Duration = Duration::from_secs(20);
+
+/// Why a router can't run.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The data directory can't be used.
+    #[error(transparent)]
+    Disk(#[from] DiskError),
+    /// An address can't be listened on.
+    #[error(
+        "{address}: {problem}; check that the address is this machine's and that no other process has it"
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system said.
+        problem: io::Error,
+    },
+    /// The system refuses something that every process needs.
+    #[error("{0}; check the limits of the process")]
+    System(#[from] io::Error),
+    /// A client for calls can't be made.
+    #[error("calls to backends can't be made: {0}")]
+    Client(#[from] reqwest::Error),
+}
+
+/// Runs a router until it is told to end.
+pub fn run(path: &Path) -> std::result::Result<(), ServeError> {
+    let settings = Settings::read(path)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings, path.to_owned()))
+}
+
+/// The replica of a node with a disk.
+struct Replica {
+    node: ControlNode,
+    disk: Disk,
+    stored: mpsc::UnboundedReceiver<u64>,
+    handle: ReplicaHandle,
+    inputs: replica::Inputs,
+}
+
+fn open_replica(settings: &Settings) -> std::result::Result<Option<Replica>, ServeError> {
+    let Some(folder) = settings.data_directory.as_ref().filter(|_| settings.has_replica()) else {
+        return Ok(None);
+    };
+    let found = disk::read(folder)?;
+    let recovered: Recovered = found.unwrap_or_else(|| disk::empty(fastrand::u64(1..)));
+    let (done, stored) = mpsc::unbounded_channel();
+    let disk = Disk::open(folder, &recovered, done)?;
+    let id = ReplicaId {
+        disk: recovered.disk,
+        node: settings.node_name.clone(),
+        address: settings.internal_address(),
+    };
+    let timing = Timing::tolerating(settings.fault_tolerance.machines);
+    let node = ControlNode::new(id.clone(), recovered, timing, crate::clock::now());
+    let (handle, inputs) = ReplicaHandle::new(id);
+    Ok(Some(Replica { node, disk, stored, handle, inputs }))
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> std::result::Result<(), ServeError> {
+    let settings = Arc::new(settings);
+    let replica = open_replica(&settings)?;
+    let handle = replica.as_ref().map(|replica| replica.handle.clone());
+    let fleet = Fleet::new(settings.clone(), handle.clone(), fastrand::u64(1..));
+    let internal = settings.internal_address();
+    let failed = |address: SocketAddrV4| move |problem| ServeError::Listen { address, problem };
+    let listener = tokio::net::TcpListener::bind(internal).await.map_err(failed(internal))?;
+    let socket = UdpSocket::bind(internal).await.map_err(failed(internal))?;
+    let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    let table = Arc::new(Table::default());
+    let exchanges = Exchanges::new(fleet.clone(), table.clone());
+
+    tokio::spawn(links::serve(listener, fleet.clone()));
+    if let Some(Replica { node, disk, stored, handle, inputs }) = replica {
+        tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle.clone(), inputs));
+        tokio::spawn(Orders::new(fleet.clone(), handle, client).run());
+    }
+    tokio::spawn(membership::keep_pulling(fleet.clone()));
+    tokio::spawn(membership::monitor(fleet.clone(), socket));
+    tokio::spawn(membership::watch_backends(fleet.clone()));
+    tokio::spawn(membership::found(fleet.clone()));
+    tokio::spawn(membership::repair(fleet.clone()));
+    tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
+
+    let ready = Ready::new(fleet.clone(), table);
+    listen(settings.listen.readiness, ready, None);
+    listen(settings.listen.control_plane, ControlApi::new(fleet.clone()), None);
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let clients = listen(settings.listen.frontend, Ingress::new(exchanges), Some(stopped));
+    log::info!("{} serves, with settings from {}", settings.node_name, path.display());
+
+    end_in_order(&fleet, &settings, stop, clients).await
+}
+
+/// Serves an interface, until told to stop where that is wanted.
+fn listen(
+    address: Option<SocketAddrV4>,
+    endpoint: impl Endpoint<Output = Response> + 'static,
+    stopped: Option<tokio::sync::watch::Receiver<bool>>,
+) -> Option<tokio::task::JoinHandle<()>> {
+    let address = address?;
+    Some(tokio::spawn(async move {
+        let server = Server::new(TcpListener::bind(address.to_string())).idle_timeout(CLIENT_IDLE);
+        let ended = match stopped {
+            None => server.run(endpoint).await,
+            Some(mut stopped) => {
+                let stop = async move {
+                    // The sender lives until the process ends.
+                    let _ = stopped.wait_for(|stopped| *stopped).await;
+                };
+                server.run_with_graceful_shutdown(endpoint, stop, None).await
+            }
+        };
+        if let Err(problem) = ended {
+            log::error!("{address}: {problem}; check that no other process has the address");
+        }
+    }))
+}
+
+/// Waits for SIGTERM, then serves on until the platform stays away, and ends once every answer is out.
+async fn end_in_order(
+    fleet: &Fleet,
+    settings: &Settings,
+    stop: tokio::sync::watch::Sender<bool>,
+    clients: Option<tokio::task::JoinHandle<()>>,
+) -> std::result::Result<(), ServeError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => log::info!("SIGHUP: nothing in the settings changes while the process runs"),
+        }
+    }
+    log::info!("SIGTERM: no new clients, open requests are finished");
+    let grace = Duration::from_secs_f64(settings.bounds.grace_period_s * GRACE_SHARE);
+    let begun = Instant::now();
+    fleet.leave();
+    if let Some(replica) = &fleet.replica {
+        replica.resign();
+    }
+    tokio::time::sleep(STILL_TAKING.min(grace / 2)).await;
+    // Nobody waits any more where the interface has ended by itself.
+    let _ = stop.send(true);
+    if let Some(clients) = clients {
+        let left = grace.saturating_sub(begun.elapsed());
+        if tokio::time::timeout(left, clients).await.is_err() {
+            log::warn!("the grace period is over and requests are still open");
+        }
+    }
+    Ok(())
+}
+
+/// Whether clients may come.
+struct Ready {
+    fleet: Arc<Fleet>,
+    table: Arc<Table>,
+    configured: std::sync::Mutex<Option<Instant>>,
+}
+
+impl Ready {
+    fn new(fleet: Arc<Fleet>, table: Arc<Table>) -> Self {
+        Ready { fleet, table, configured: std::sync::Mutex::new(None) }
+    }
+
+    fn is_ready(&self) -> bool {
+        if self.fleet.is_leaving() || lock(&self.fleet.published).configuration().is_none() {
+            return false;
+        }
+        let since = *lock(&self.configured).get_or_insert_with(Instant::now);
+        !self.table.is_empty() || since.elapsed() > BACKENDS_PATIENCE
+    }
+}
+
+impl Endpoint for Ready {
+    type Output = Response;
+
+    async fn call(&self, _: Request) -> Result<Self::Output> {
+        let status = if self.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Ok(Response::builder().status(status).finish())
+    }
+}
--- /dev/null
+++ b/router/src/status.rs
@@ -0,0 +1,41 @@
+//! What a router says of itself and of its fleet to operators.
+
+use crate::fleet::Fleet;
+use crate::links::lock;
+use serde_json::{Value as Json, json};
+
+/// A report as JSON.
+pub fn report(fleet: &Fleet) -> Json {
+    let published = lock(&fleet.published);
+    let directory = lock(&fleet.directory);
+    let members: Vec<Json> = directory
+        .members()
+        .map(|(name, member)| {
+            json!({"name": name.as_str(), "zone": member.zone.as_str(), "status": format!("{:?}", member.status),
+                   "incarnation": member.incarnation, "replica": member.replica.as_ref().map(ToString::to_string)})
+        })
+        .collect();
+    let backends: Vec<Json> = directory
+        .backends()
+        .map(|(id, backend)| {
+            json!({"id": id.as_str(), "service": backend.service.as_str(), "address": backend.address.to_string(),
+                   "zone": backend.zone.as_str(), "phase": format!("{:?}", backend.phase),
+                   "silent": backend.silent})
+        })
+        .collect();
+    let weights: Vec<Json> = published
+        .weights()
+        .iter()
+        .map(|(model, target)| json!({"model": model.as_str(), "version": target.version}))
+        .collect();
+    json!({
+        "node": fleet.settings.node_name.as_str(),
+        "configuration": published.version(),
+        "change": published.position().index,
+        "primary": fleet.leader().map(|(epoch, replica)| json!({"epoch": epoch, "replica": replica.to_string()})),
+        "replica": fleet.replica.as_ref().map(crate::replica::ReplicaHandle::status),
+        "members": members,
+        "backends": backends,
+        "weights": weights,
+    })
+}
--- /dev/null
+++ b/routing/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of a router, without I/O or clocks: where a request goes first, when a copy follows it, what may be
+//! repeated, and which parts of prompts are kept where.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod budget;
+pub mod hedging;
+pub mod index;
+pub mod prompt;
+pub mod selection;
+pub mod split;
+
+/// A moment or a duration on a steady clock, in milliseconds.
+pub type Millis = u64;
