A view that is known to be decided is stored as such; a member that came back counts anew

Beside it, monitors took a member that came back for down again at once, a storm of records.

Change: Witness::learn stores a decided view over an accepted one; silence is counted by member and incarnation.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -65,7 +65,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
     /// Send a message.
-    Send(Envelope),
+    Send(Box<Envelope>),
     /// Store records, in order; then call [`ControlNode::stored`].
     Store {
         /// The number of the write.
@@ -493,7 +493,7 @@
         if envelope.to == self.id {
             self.inbox.push_back(envelope);
         } else {
-            self.effects.push(Effect::Send(envelope));
+            self.effects.push(Effect::Send(Box::new(envelope)));
         }
     }
 
--- a/control/src/proposer.rs
+++ b/control/src/proposer.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Phase {
     /// Waiting for promises of the present witnesses.
-    Preparing { promises: BTreeSet<ReplicaId>, found: Option<Accepted> },
+    Preparing { promises: BTreeSet<ReplicaId>, found: Option<Box<Accepted>> },
     /// Waiting for the view to be accepted.
     Accepting { accepts: BTreeSet<ReplicaId> },
 }
@@ -89,7 +89,7 @@
                     (told, _) => told.is_some(),
                 };
                 if newer {
-                    *found = accepted;
+                    *found = accepted.map(Box::new);
                 }
             }
             Vote::Passed { accepted } => return Progress::Overtaken(accepted),
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -69,6 +69,6 @@
     pub ballot: Ballot,
     /// The view.
     pub view: View,
-    /// The decided view that it follows; none for the first.
+    /// The decided view that it follows; none where the view itself is known to be decided.
     pub previous: Option<View>,
 }
--- a/control/src/witness.rs
+++ b/control/src/witness.rs
@@ -161,10 +161,11 @@
         }
     }
 
-    /// Notes a view that is known to be decided. True where that is news to be stored.
+    /// Notes a view that is known to be decided. True where that is news to be stored: after a restart only a view that is
+    /// known to be decided can be built on.
     pub fn learn(&mut self, view: &View, ballot: &Ballot) -> bool {
-        let known = self.accepted().is_some_and(|accepted| accepted.view == *view);
-        if self.votes.epoch() > view.epoch || known {
+        let is_decided = |accepted: &Accepted| accepted.view == *view && accepted.previous.is_none();
+        if self.votes.epoch() > view.epoch || self.accepted().is_some_and(is_decided) {
             return false;
         }
         let accepted = Accepted { ballot: ballot.clone(), view: view.clone(), previous: None };
--- /dev/null
+++ b/control/tests/replication.rs
@@ -0,0 +1,199 @@
+//! Replicas of the control state under faults: nothing acknowledged is lost, nobody goes back, one primary at a time.
+
+mod world;
+
+use assert_matches::assert_matches;
+use control::changes::{Outcome, Refusal};
+use world::{World, change, configuration};
+
+/// Long enough for a lease to end and another primary to be found.
+const FAILOVER: u64 = 3_000;
+
+fn acknowledged(world: &mut World, version: u64) {
+    let primary = world.primary().expect("a primary");
+    let ticket = world.submit(&primary, change("m", version));
+    assert!(world.until(FAILOVER, |world| world.outcomes.contains_key(&ticket)));
+    assert_matches!(world.outcomes[&ticket], Outcome::Done);
+}
+
+#[test]
+fn a_change_is_acknowledged_and_known_everywhere() {
+    let mut world = World::founded(1, 3, 1);
+    acknowledged(&mut world, 2);
+    world.run(100);
+    let known =
+        |world: &World, name: &str| world.machines[name].node.as_ref().unwrap().state().position.index;
+    assert!(world.names().iter().all(|name| known(&world, name) == 1));
+}
+
+#[test]
+fn the_primary_is_killed_and_another_one_goes_on() {
+    let mut world = World::founded(2, 3, 1);
+    acknowledged(&mut world, 2);
+    let first = world.primary().unwrap();
+    world.kill(&first, 60_000, true);
+    assert!(world.until(FAILOVER, |world| world.primary().is_some_and(|name| name != first)));
+    acknowledged(&mut world, 3);
+    world.assert_nothing_lost();
+}
+
+/// The machine that acknowledged loses its disk, and all others lose power in the same moment.
+#[test]
+fn what_was_acknowledged_outlives_one_disk_and_the_power_of_all_others() {
+    for (seed, count) in [(3, 3), (4, 4), (5, 5)] {
+        let mut world = World::founded(seed, count, 1);
+        for version in 2..5 {
+            acknowledged(&mut world, version);
+            let wiped = world.primary().unwrap();
+            for name in world.names() {
+                if name == wiped { world.wipe(&name, 1_300) } else { world.kill(&name, 1_300, true) }
+            }
+            assert!(
+                world.until(8_000, |world| world.primary().is_some()),
+                "{count} replicas have a primary again"
+            );
+            world.assert_nothing_lost();
+            // The wiped one is taken in again.
+            world.run(3_000);
+            let view = world.machines[&wiped].node.as_ref().unwrap().view().cloned().expect("a view");
+            assert!(view.in_sync.iter().any(|replica| replica.node == *wiped), "{view:?}");
+        }
+    }
+}
+
+/// A backup was cut off and taken out, another one is wiped at once after its return, everything else loses power.
+#[test]
+fn a_replica_that_lost_its_disk_twice_and_one_that_missed_changes_lose_nothing() {
+    let mut world = World::founded(6, 4, 1);
+    let primary = world.primary().unwrap();
+    let cut = world.names().into_iter().find(|name| *name != primary).unwrap();
+    world.cut_off(&cut);
+    world.run(2_000);
+    acknowledged(&mut world, 2);
+    world.heal();
+    world.run(2_000);
+    world.wipe(&cut, 3_000);
+    world.run(500);
+    acknowledged(&mut world, 3);
+    world.run(6_000);
+    acknowledged(&mut world, 4);
+    let wiped = world.primary().unwrap();
+    for name in world.names() {
+        if name == wiped { world.wipe(&name, 1_300) } else { world.kill(&name, 1_300, true) }
+    }
+    assert!(world.until(8_000, |world| world.primary().is_some()), "there is a primary again");
+    world.assert_nothing_lost();
+}
+
+#[test]
+fn all_processes_are_killed_in_the_middle_of_changes_and_come_back() {
+    for seed in 0..20 {
+        let mut world = World::founded(seed, 3, 1);
+        acknowledged(&mut world, 2);
+        let primary = world.primary().unwrap();
+        world.submit(&primary, change("m", 3));
+        world.run(seed % 8);
+        for name in world.names() {
+            world.kill(&name, 800, seed % 2 == 0);
+        }
+        assert!(world.until(6_000, |world| world.primary().is_some()), "seed {seed}");
+        world.assert_nothing_lost();
+        acknowledged(&mut world, 4);
+    }
+}
+
+/// Two operators send on top of the same version over a cut: one of them wins, and only on the side of the majority.
+#[test]
+fn of_two_changes_on_one_version_over_a_cut_one_wins() {
+    let mut world = World::founded(7, 3, 1);
+    let first = world.primary().unwrap();
+    let ticket = world.submit(&first, configuration(0, 3, "first"));
+    world.run(200);
+    assert_matches!(world.outcomes[&ticket], Outcome::Done);
+    world.cut_off(&first);
+    let minority = world.submit(&first, configuration(3, 5, "minority"));
+    assert!(world.until(FAILOVER, |world| world.primary().is_some_and(|name| name != first)));
+    let second = world.primary().unwrap();
+    let majority = world.submit(&second, configuration(3, 6, "majority"));
+    world.run(500);
+    assert_matches!(world.outcomes[&majority], Outcome::Done);
+    world.heal();
+    world.run(3_000);
+    assert_matches!(world.outcomes[&minority], Outcome::Unknown);
+    let again = world.submit(&second, configuration(3, 6, "majority"));
+    let other = world.submit(&second, configuration(3, 5, "minority"));
+    world.run(200);
+    assert_matches!(world.outcomes[&again], Outcome::Done, "a change that was taken is acknowledged again");
+    assert_matches!(world.outcomes[&other], Outcome::Refused(Refusal::OtherVersion { current: 6 }));
+}
+
+#[test]
+fn a_primary_whose_disk_hangs_hands_its_role_over() {
+    let mut world = World::founded(8, 3, 1);
+    acknowledged(&mut world, 2);
+    let first = world.primary().unwrap();
+    world.machines.get_mut(&first).unwrap().sync = None;
+    let ticket = world.submit(&first, change("m", 3));
+    assert!(world.until(FAILOVER, |world| world.primary().is_some_and(|name| name != first)));
+    assert!(world.outcomes.contains_key(&ticket), "nobody waits for a disk that hangs");
+    acknowledged(&mut world, 4);
+}
+
+#[test]
+fn a_frozen_primary_wakes_without_its_lease() {
+    let mut world = World::founded(9, 3, 1);
+    let first = world.primary().unwrap();
+    world.freeze(&first, 4_000);
+    assert!(world.until(FAILOVER, |world| world.primary().is_some()));
+    world.run(4_100);
+    assert!(world.leaders() <= 1);
+    acknowledged(&mut world, 2);
+}
+
+/// Days of faults by seed. At every moment there is one primary at the most; at the end everything acknowledged is there.
+#[test]
+fn days_of_faults_lose_nothing() {
+    let days = std::env::var("CONTROL_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(150);
+    for seed in 0..days {
+        day(seed);
+    }
+}
+
+fn day(seed: u64) {
+    let count = 3 + (seed % 3) as usize;
+    let mut world = World::founded(seed, count, 1);
+    world.loss = if seed % 4 == 0 { 0.02 } else { 0.0 };
+    world.latency = 1 + seed % 5;
+    let mut version = 1;
+    // One machine is lost at a time, and has time to catch up.
+    for _ in 0..6 {
+        let names = world.names();
+        let victim = names[world.rng.usize(0..names.len())].clone();
+        match world.rng.u8(0..8) {
+            0 => world.kill(&victim, 1_500, false),
+            1 => world.kill(&victim, 2_500, true),
+            2 => world.wipe(&victim, 1_000),
+            3 => world.freeze(&victim, 3_000),
+            4 => world.cut_off(&victim),
+            5 => world.machines.get_mut(&victim).unwrap().sync = None,
+            6 => world.machines.get_mut(&victim).unwrap().sync = Some(60),
+            _ => names.iter().for_each(|name| world.kill(name, 700, true)),
+        }
+        for _ in 0..40 {
+            if world.rng.u8(0..4) == 0 {
+                version += 1;
+                let name = names[world.rng.usize(0..names.len())].clone();
+                world.submit(&name, change("m", version));
+            }
+            world.run(100);
+            assert!(world.leaders() <= 1, "seed {seed}: two primaries");
+        }
+        world.heal();
+        world.restore_disks();
+        world.run(4_500);
+        // A lost message may have the view change at this very moment.
+        let led = world.until(2_000, |world| world.primary().is_some());
+        assert!(led, "seed {seed}: no primary after a fault is over");
+        world.assert_nothing_lost();
+    }
+}
--- /dev/null
+++ b/control/tests/world/mod.rs
@@ -0,0 +1,390 @@
+//! Replicas of the control state in virtual time: messages late, lost and cut; disks slow, stuck and wiped; power lost.
+#![allow(dead_code)] // each test program uses its share
+
+use control::Millis;
+use control::changes::{Change, Outcome};
+use control::message::{Envelope, Message};
+use control::node::{ControlNode, Effect, RoleName, Timing};
+use control::storage::{FORMAT, Record, Recovered, decode, encode};
+use control::view::{ReplicaId, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A change that is told apart from others.
+pub fn change(model: &str, version: u64) -> Change {
+    Change::Weights { model: model.into(), version }
+}
+
+/// A configuration of a version on top of another.
+pub fn configuration(base: u64, version: u64, mark: &str) -> Change {
+    let body = format!(r#"{{"version":{version},"mark":"{mark}","routes":[],"services":[]}}"#);
+    Change::Configuration { base, body: body.into_bytes() }
+}
+
+struct Write {
+    sequence: u64,
+    bytes: Vec<u8>,
+    done_at: Millis,
+}
+
+pub struct Machine {
+    pub node: Option<ControlNode>,
+    /// What has been synced.
+    disk: Vec<u8>,
+    writes: Vec<Write>,
+    /// Time that a sync takes; none where the disk hangs.
+    pub sync: Option<Millis>,
+    /// Stands still until then.
+    pub frozen_until: Millis,
+    back_at: Option<Millis>,
+    address: SocketAddrV4,
+    /// The highest change that this life has shown as committed.
+    shown: u64,
+}
+
+struct Wire {
+    at: Millis,
+    envelope: Envelope,
+}
+
+pub struct World {
+    pub rng: fastrand::Rng,
+    pub now: Millis,
+    pub machines: BTreeMap<String, Machine>,
+    pub timing: Timing,
+    wires: Vec<Wire>,
+    /// Pairs that can't reach each other, in one direction.
+    pub cut: BTreeSet<(String, String)>,
+    pub loss: f64,
+    pub latency: Millis,
+    tickets: u64,
+    pub outcomes: BTreeMap<u64, Outcome>,
+    /// Every change that any replica has shown as committed, by index.
+    pub committed: BTreeMap<u64, Change>,
+    /// Changes that were acknowledged.
+    pub acknowledged: Vec<Change>,
+    pub asked: BTreeMap<u64, Change>,
+    /// Holders of the lease, by epoch.
+    pub holders: BTreeMap<u64, ReplicaId>,
+    next_disk: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, count: usize, faults: usize) -> Self {
+        let mut world = World {
+            rng: fastrand::Rng::with_seed(seed),
+            now: 1_000,
+            machines: BTreeMap::new(),
+            timing: Timing::tolerating(faults),
+            wires: Vec::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            latency: 1,
+            tickets: 0,
+            outcomes: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            asked: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            next_disk: 1,
+        };
+        for number in 0..count {
+            let name = format!("n{number}");
+            let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8 + 1), 7000);
+            world.machines.insert(
+                name.clone(),
+                Machine {
+                    node: None,
+                    disk: Vec::new(),
+                    writes: Vec::new(),
+                    sync: Some(2),
+                    frozen_until: 0,
+                    back_at: None,
+                    address,
+                    shown: 0,
+                },
+            );
+            world.boot(&name);
+        }
+        world
+    }
+
+    /// A group that has been founded and has a primary.
+    pub fn founded(seed: u64, count: usize, faults: usize) -> Self {
+        let mut world = World::new(seed, count, faults);
+        let replicas: BTreeSet<ReplicaId> =
+            world.machines.values().map(|m| m.node.as_ref().expect("up").id().clone()).collect();
+        let primary = replicas.first().expect("a replica").clone();
+        let view = View { epoch: 1, primary, in_sync: replicas.clone(), witnesses: replicas };
+        let now = world.now;
+        for machine in world.machines.values_mut() {
+            machine.node.as_mut().expect("up").found(view.clone(), now);
+        }
+        world.run(500);
+        assert!(world.primary().is_some(), "the first view has a primary");
+        world
+    }
+
+    pub fn names(&self) -> Vec<String> {
+        self.machines.keys().cloned().collect()
+    }
+
+    pub fn boot(&mut self, name: &str) {
+        let disk = self.next_disk;
+        let machine = self.machines.get_mut(name).expect("a machine");
+        if machine.disk.is_empty() {
+            encode(&Record::Disk { format: FORMAT, disk }, &mut machine.disk);
+            self.next_disk += 1;
+        }
+        let (records, sound) = decode(&machine.disk).expect("a torn tail is no damage");
+        machine.disk.truncate(sound);
+        let recovered = Recovered::replay(records).expect("sound records");
+        let id = ReplicaId { disk: recovered.disk, node: name.into(), address: machine.address };
+        machine.shown = recovered.state.position.index;
+        machine.node = Some(ControlNode::new(id, recovered, self.timing, self.now));
+        machine.back_at = None;
+        machine.frozen_until = 0;
+    }
+
+    /// The process ends; what it wrote stays where power stays.
+    pub fn kill(&mut self, name: &str, for_: Millis, power: bool) {
+        let torn = self.rng.bool();
+        let machine = self.machines.get_mut(name).expect("a machine");
+        machine.node = None;
+        machine.back_at = Some(self.now + for_);
+        for write in std::mem::take(&mut machine.writes) {
+            if !power {
+                machine.disk.extend(write.bytes);
+            } else if torn {
+                let half = write.bytes.len() / 2;
+                machine.disk.extend(&write.bytes[..half]);
+                break;
+            }
+        }
+    }
+
+    pub fn wipe(&mut self, name: &str, for_: Millis) {
+        self.kill(name, for_, true);
+        self.machines.get_mut(name).expect("a machine").disk.clear();
+    }
+
+    pub fn freeze(&mut self, name: &str, for_: Millis) {
+        self.machines.get_mut(name).expect("a machine").frozen_until = self.now + for_;
+    }
+
+    pub fn cut_off(&mut self, name: &str) {
+        for other in self.names() {
+            if other != name {
+                self.cut.insert((name.to_owned(), other.clone()));
+                self.cut.insert((other, name.to_owned()));
+            }
+        }
+    }
+
+    /// Disks work again; what hung is written now.
+    pub fn restore_disks(&mut self) {
+        for machine in self.machines.values_mut() {
+            machine.sync = Some(2);
+            let hung = machine.writes.iter_mut().filter(|write| write.done_at == Millis::MAX);
+            hung.for_each(|write| write.done_at = self.now + 2);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// The machine whose replica leads under a lease.
+    pub fn primary(&self) -> Option<String> {
+        let leads = |machine: &Machine| {
+            machine.frozen_until <= self.now
+                && machine.node.as_ref().is_some_and(|node| node.leads(self.now).is_some())
+        };
+        self.machines.iter().find(|(_, machine)| leads(machine)).map(|(name, _)| name.clone())
+    }
+
+    pub fn role(&self, name: &str) -> Option<RoleName> {
+        self.machines[name].node.as_ref().map(ControlNode::role)
+    }
+
+    pub fn submit(&mut self, name: &str, change: Change) -> u64 {
+        self.tickets += 1;
+        let (ticket, now) = (self.tickets, self.now);
+        self.asked.insert(ticket, change.clone());
+        let machine = self.machines.get_mut(name).expect("a machine");
+        match &mut machine.node {
+            Some(node) => node.submit(ticket, change, now),
+            None => {
+                self.outcomes.insert(ticket, Outcome::Unknown);
+            }
+        }
+        self.collect(name);
+        ticket
+    }
+
+    pub fn run(&mut self, time: Millis) {
+        for _ in 0..time {
+            self.step();
+        }
+    }
+
+    /// Runs until something holds; false where it does not within a time.
+    pub fn until(&mut self, time: Millis, holds: impl Fn(&World) -> bool) -> bool {
+        for _ in 0..time {
+            if holds(self) {
+                return true;
+            }
+            self.step();
+        }
+        holds(self)
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        for name in self.names() {
+            if self.machines[&name].back_at.is_some_and(|at| at <= self.now) {
+                self.boot(&name);
+            }
+        }
+        self.finish_writes();
+        self.deliver();
+        if self.now % 50 == 0 {
+            self.tick();
+        }
+    }
+
+    fn is_up(&self, name: &str) -> bool {
+        let machine = &self.machines[name];
+        machine.node.is_some() && machine.frozen_until <= self.now
+    }
+
+    fn tick(&mut self) {
+        let known: BTreeSet<ReplicaId> =
+            self.machines.values().filter_map(|m| m.node.as_ref()).map(|node| node.id().clone()).collect();
+        for name in self.names().into_iter().filter(|name| self.is_up(name)).collect::<Vec<_>>() {
+            let now = self.now;
+            let node = self.machines.get_mut(&name).expect("a machine").node.as_mut().expect("up");
+            node.know(known.clone());
+            node.tick(now);
+            self.collect(&name);
+        }
+    }
+
+    fn finish_writes(&mut self) {
+        for name in self.names() {
+            let now = self.now;
+            let machine = self.machines.get_mut(&name).expect("a machine");
+            let mut done = None;
+            while machine.writes.first().is_some_and(|write| write.done_at <= now) {
+                let write = machine.writes.remove(0);
+                machine.disk.extend(write.bytes);
+                done = Some(write.sequence);
+            }
+            if let (Some(sequence), Some(node)) = (done, &mut machine.node) {
+                node.stored(sequence, now);
+                self.collect(&name);
+            }
+        }
+    }
+
+    fn name_of(&self, address: SocketAddrV4) -> String {
+        let found = self.machines.iter().find(|(_, machine)| machine.address == address);
+        found.map(|(name, _)| name.clone()).expect("an address of a machine")
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        let mut later = Vec::new();
+        for wire in std::mem::take(&mut self.wires) {
+            let to = self.name_of(wire.envelope.to.address);
+            let frozen = self.machines[&to].frozen_until > now;
+            if wire.at <= now && !frozen { due.push((to, wire.envelope)) } else { later.push(wire) }
+        }
+        self.wires.extend(later);
+        for (to, envelope) in due {
+            let machine = self.machines.get_mut(&to).expect("a machine");
+            if let Some(node) = &mut machine.node {
+                node.receive(envelope, now);
+                self.collect(&to);
+            }
+        }
+    }
+
+    /// Carries out the effects of a machine, and checks what it shows.
+    fn collect(&mut self, name: &str) {
+        let machine = self.machines.get_mut(name).expect("a machine");
+        let Some(node) = &mut machine.node else { return };
+        let effects = node.take_effects();
+        let now = self.now;
+        for effect in effects {
+            match effect {
+                Effect::Send(envelope) => self.send(name, *envelope),
+                Effect::Store { sequence, records } => {
+                    let mut bytes = Vec::new();
+                    records.iter().for_each(|record| encode(record, &mut bytes));
+                    let machine = self.machines.get_mut(name).expect("a machine");
+                    let done_at = machine.sync.map_or(Millis::MAX, |sync| now + sync);
+                    machine.writes.push(Write { sequence, bytes, done_at });
+                }
+                Effect::Reply { ticket, outcome } => {
+                    if outcome == Outcome::Done {
+                        self.acknowledged.push(self.asked[&ticket].clone());
+                    }
+                    self.outcomes.insert(ticket, outcome);
+                }
+                Effect::Committed | Effect::Entered { .. } => {}
+            }
+        }
+        self.check(name);
+    }
+
+    fn send(&mut self, from: &str, envelope: Envelope) {
+        let to = self.name_of(envelope.to.address);
+        if self.cut.contains(&(from.to_owned(), to)) || self.rng.f64() < self.loss {
+            return;
+        }
+        let bytes = encode_message(&envelope.message);
+        let message = decode_message(&bytes);
+        let at = self.now + self.latency + self.rng.u64(0..=self.latency);
+        self.wires.push(Wire { at, envelope: Envelope { message, ..envelope } });
+    }
+
+    /// No replica goes back, and no two of them commit different changes at one place.
+    fn check(&mut self, name: &str) {
+        let now = self.now;
+        let machine = self.machines.get_mut(name).expect("a machine");
+        let Some(node) = &machine.node else { return };
+        let index = node.state().position.index;
+        assert!(index >= machine.shown, "{name} went back from {} to {index}", machine.shown);
+        machine.shown = index;
+        if let Some(epoch) = node.leads(now) {
+            let id = node.id().clone();
+            let holder = self.holders.entry(epoch).or_insert_with(|| id.clone());
+            assert_eq!(*holder, id, "two holders in epoch {epoch}");
+        }
+    }
+
+    /// At most one replica leads at any moment.
+    pub fn leaders(&self) -> usize {
+        let leads = |node: &ControlNode| node.leads(self.now).is_some();
+        self.machines.values().filter_map(|machine| machine.node.as_ref()).filter(|node| leads(node)).count()
+    }
+
+    /// Everything that was acknowledged is in the newest state.
+    pub fn assert_nothing_lost(&self) {
+        let name = self.primary().expect("a primary");
+        let state = self.machines[&name].node.as_ref().expect("up").state();
+        for change in &self.acknowledged {
+            assert!(state.judge(change).is_some_and(|outcome| outcome == Outcome::Done), "lost: {change:?}");
+        }
+    }
+}
+
+fn encode_message(message: &Message) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("a message has bytes")
+}
+
+fn decode_message(bytes: &[u8]) -> Message {
+    postcard::from_bytes(bytes).expect("a message's bytes")
+}
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -29,6 +29,9 @@
 /// How long an acknowledgement of a draining backend waits for another node to know of it.
 const DRAIN_SPREAD: Duration = Duration::from_millis(300);
 
+/// A monitored member with its incarnation: after it was taken for down and came back, its silence is counted anew.
+pub type MonitoredLife = (CompactString, u64);
+
 /// The shared state of a router.
 pub struct Fleet {
     /// The settings of the process.
@@ -44,7 +47,7 @@
     /// This process's own life.
     pub life: u64,
     /// Members whose heartbeats this node receives.
-    pub monitored: Mutex<Silence<CompactString>>,
+    pub monitored: Mutex<Silence<MonitoredLife>>,
     heard_backends: Mutex<Silence<CompactString>>,
     leader: Mutex<Option<(Epoch, ReplicaId)>>,
     leaving: AtomicBool,
@@ -181,11 +184,13 @@
 
     fn missing_members(&self, directory: &Directory) -> Vec<(CompactString, u64)> {
         let silent = lock(&self.monitored).silent_for(MEMBER_PATIENCE);
-        let incarnation = |name: &CompactString| match directory.get(&Key::Member(name.clone())) {
-            Some(Value::Member(member)) if member.status == MemberStatus::Up => Some(member.incarnation),
-            _ => None,
+        let is_up = |(name, incarnation): &MonitoredLife| match directory.get(&Key::Member(name.clone())) {
+            Some(Value::Member(member)) => {
+                member.status == MemberStatus::Up && member.incarnation == *incarnation
+            }
+            _ => false,
         };
-        silent.into_iter().filter_map(|name| Some((name.clone(), incarnation(&name)?))).collect()
+        silent.into_iter().filter(is_up).collect()
     }
 
     /// Asks one node for news once. False where it does not answer.
@@ -460,7 +465,7 @@
             match request {
                 Request::Replica(envelope) => {
                     if let Some(replica) = &self.replica {
-                        replica.receive(*envelope);
+                        replica.receive(envelope);
                     }
                     None
                 }
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -1,7 +1,7 @@
 //! The tasks that keep this node in touch with its fleet: pulls, heartbeats to monitors, the founding, and repair.
 
 use crate::clock;
-use crate::fleet::{Fleet, PULL_WAIT};
+use crate::fleet::{Fleet, MonitoredLife, PULL_WAIT};
 use crate::links::lock;
 use crate::protocol::{MemberHeartbeat, Request, Response};
 use compact_str::CompactString;
@@ -106,7 +106,7 @@
     let mut chosen: BTreeSet<SocketAddrV4> =
         members.iter().take(wanted).map(|(_, member)| member.internal).collect();
     let reachable = chosen.iter().filter(|address| !failing.contains(address)).count();
-    if young && (fleet.replica.is_some() || reachable == 0) || reachable == 0 {
+    if reachable == 0 || young && fleet.replica.is_some() {
         chosen.extend(settings.seeds.iter().map(|seed| settings.internal_address_of(*seed)));
     }
     chosen.remove(&own);
@@ -126,13 +126,22 @@
             received = socket.recv_from(&mut buffer) => {
                 let Ok((length, _)) = received else { continue };
                 if let Ok(heartbeat) = postcard::from_bytes::<MemberHeartbeat>(&buffer[..length]) {
-                    lock(&fleet.monitored).heard(heartbeat.name);
+                    hear(&fleet, heartbeat);
                 }
             }
         }
     }
 }
 
+/// A member that this node monitors is there.
+fn hear(fleet: &Fleet, heartbeat: MemberHeartbeat) {
+    let held = match lock(&fleet.directory).get(&Key::Member(heartbeat.name.clone())) {
+        Some(Value::Member(member)) if member.life == heartbeat.life => member.incarnation,
+        _ => return,
+    };
+    lock(&fleet.monitored).heard((heartbeat.name, held));
+}
+
 fn members_up(fleet: &Fleet) -> BTreeMap<CompactString, Member> {
     let directory = lock(&fleet.directory);
     let up = directory.members().filter(|(_, member)| member.status == MemberStatus::Up);
@@ -167,10 +176,14 @@
     for at in (0..4).rev() {
         silence.advance(now.saturating_sub(at * HEARTBEAT.as_millis() as u64 / 4));
     }
-    silence.retain(|name| monitored.contains(name));
-    for name in monitored {
-        if !silence.knows(&name) {
-            silence.heard(name);
+    let lives: BTreeSet<MonitoredLife> = monitored
+        .into_iter()
+        .filter_map(|name| Some((name.clone(), members.get(&name)?.incarnation)))
+        .collect();
+    silence.retain(|life| lives.contains(life));
+    for life in lives {
+        if !silence.knows(&life) {
+            silence.heard(life);
         }
     }
     drop(silence);
@@ -229,7 +242,7 @@
         let message = Message::Found { view: view.clone() };
         let envelope = Envelope { from: primary.clone(), to: replica.clone(), message };
         if let Some(own) = fleet.replica.as_ref().filter(|own| own.id == *replica) {
-            own.receive(envelope);
+            own.receive(Box::new(envelope));
         } else {
             fleet.links.tell(replica.address, Request::Replica(Box::new(envelope)));
         }
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -23,7 +23,7 @@
 /// What the task is told.
 #[derive(Debug)]
 enum Input {
-    Message(Envelope),
+    Message(Box<Envelope>),
     Submit(Change, oneshot::Sender<Outcome>),
     Read(oneshot::Sender<Option<Option<Vec<u8>>>>),
     Found(View),
@@ -58,7 +58,7 @@
     }
 
     /// Passes on a message of another replica; dropped where too many wait.
-    pub fn receive(&self, envelope: Envelope) {
+    pub fn receive(&self, envelope: Box<Envelope>) {
         // A lost message is sent again by its sender.
         let _ = self.inputs.try_send(Input::Message(envelope));
     }
@@ -151,7 +151,7 @@
     fn take(&mut self, input: Input) {
         let now = clock::now();
         match input {
-            Input::Message(envelope) => self.node.receive(envelope, now),
+            Input::Message(envelope) => self.node.receive(*envelope, now),
             Input::Submit(change, reply) => {
                 self.tickets += 1;
                 self.callers.insert(self.tickets, reply);
@@ -181,7 +181,7 @@
             match effect {
                 Effect::Send(envelope) => {
                     let address = envelope.to.address;
-                    self.fleet.links.tell(address, Request::Replica(Box::new(envelope)));
+                    self.fleet.links.tell(address, Request::Replica(envelope));
                 }
                 Effect::Store { sequence, records } => self.disk.append(sequence, &records),
                 Effect::Reply { ticket, outcome } => {
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -88,10 +88,9 @@
                 if under_way.len() >= most {
                     break;
                 }
-                if !under_way.contains_key(&backend.id) {
-                    let task = tokio::spawn(Arc::clone(&self).bring(backend.clone()));
-                    under_way.insert(backend.id, task);
-                }
+                under_way
+                    .entry(backend.id.clone())
+                    .or_insert_with(|| tokio::spawn(Arc::clone(&self).bring(backend)));
             }
         }
     }
