--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -173,7 +173,7 @@
         // The fence is read right before the effect: it is none once the lease has ended.
         let fence = self.replica.fence()?;
         let body = serde_json::json!({
-            "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "wait",
+            "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
             "holder": self.fleet.settings.node_name.as_str(), "fenceToken": fence,
         });
         let url = format!("http://{}/v1/order", backend.address);
