--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod disk;
 pub mod fleet;
 pub mod links;
+pub mod listener;
 pub mod membership;
 pub mod protocol;
 pub mod proxy;
--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -273,6 +273,10 @@
                     self.backend.failed();
                     return Err(Ended::Broken);
                 }
+                None if self.connection.is_broken() => {
+                    self.backend.failed();
+                    return Err(Ended::Broken);
+                }
                 None => break Bytes::new(),
             }
         };
@@ -293,7 +297,11 @@
 
     /// Takes an answer whole, so that one which breaks off is never passed on as if it were.
     async fn whole(self, status: StatusCode, head: HeaderMap, body: Incoming) -> Result {
-        let Ok(collected) = Limited::new(body, LONGEST_BUFFERED).collect().await else {
+        let collected = Limited::new(body, LONGEST_BUFFERED).collect().await.map(Collected::to_bytes);
+        let told = headers::number(&head, &CONTENT_LENGTH);
+        let Some(bytes) = collected.ok().filter(|bytes| {
+            !self.connection.is_broken() && told.is_none_or(|length| length == bytes.len() as u64)
+        }) else {
             self.backend.failed();
             return Err(Ended::Broken);
         };
@@ -301,7 +309,7 @@
         let took = self.begun.elapsed();
         drop(self.outstanding);
         recycle(self.backend.clone(), self.connection, headers::closes(&head), keep_alive(&head));
-        let content = Content::Whole(collected.to_bytes());
+        let content = Content::Whole(bytes);
         Ok(Begun { head, status, content, backend: self.backend, took })
     }
 }
--- a/router/src/proxy/connection.rs
+++ b/router/src/proxy/connection.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddrV4;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -72,6 +72,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     written: Arc<AtomicU64>,
+    broken: Arc<AtomicBool>,
     task: JoinHandle<()>,
     /// The backend closes it when it was idle up to then.
     pub idle_until: Millis,
@@ -93,12 +94,15 @@
         let counting = Counting { stream, written: written.clone() };
         let (sender, connection) =
             http1::handshake(TokioIo::new(counting)).await.map_err(io::Error::other)?;
+        let broken = Arc::new(AtomicBool::new(false));
+        let breaks = broken.clone();
         let task = tokio::spawn(async move {
             if let Err(problem) = connection.await {
+                breaks.store(true, Ordering::Relaxed);
                 log::debug!("a connection to a backend ended: {problem}");
             }
         });
-        Ok(Connection { sender, written, task, idle_until: Millis::MAX })
+        Ok(Connection { sender, written, broken, task, idle_until: Millis::MAX })
     }
 
     /// Whether it can take a request now.
@@ -106,6 +110,12 @@
         self.sender.is_ready() && clock::now() < self.idle_until
     }
 
+    /// Whether it ended by a failure. A body whose connection fails may end as if it were whole, so this is asked where one
+    /// has ended.
+    pub fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::Relaxed)
+    }
+
     /// Whether its end has been noticed.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -1,10 +1,11 @@
 //! Requests of clients: finding the route, checking the key, and wording the answer.
 
 use super::attempt::{Begun, Call, Content};
-use super::exchange::{Exchanges, GivenUp, Job};
+use super::exchange::{Exchanges, GivenUp, Job, Tries};
 use super::headers;
 use super::relay::Relay;
 use crate::links::lock;
+use crate::listener::{Breaker, Breakers};
 use bytes::Bytes;
 use compact_str::CompactString;
 use control::configuration::{Access, Configuration, Kind, Route, Tenant};
@@ -33,6 +34,7 @@
 /// The interface for clients.
 pub struct Ingress {
     exchanges: Arc<Exchanges>,
+    breakers: Breakers,
 }
 
 /// Why a request is not sent on.
@@ -53,8 +55,8 @@
 
 impl Ingress {
     /// The interface for clients.
-    pub fn new(exchanges: Arc<Exchanges>) -> Self {
-        Ingress { exchanges }
+    pub fn new(exchanges: Arc<Exchanges>, breakers: Breakers) -> Self {
+        Ingress { exchanges, breakers }
     }
 
     async fn handle(&self, request: Request) -> Response {
@@ -70,6 +72,7 @@
 
     async fn serve(&self, mut request: Request) -> std::result::Result<Response, Refused> {
         let arrived = Instant::now();
+        let breaker = self.breakers.of(request.remote_addr().as_socket_addr());
         let configuration = self.configuration().ok_or_else(|| Refused::for_now(NOT_READY_RETRY_AFTER))?;
         let host = host_of(&request);
         let route = configuration.route(&host, request.uri().path());
@@ -84,7 +87,7 @@
         let body = read_body(&mut request, longest).await?;
         let job = self.job(&configuration, route, tenant, request, body, arrived)?;
         match self.exchanges.run(&job).await {
-            Ok((begun, tries)) => Ok(self.answer(job, begun, tries)),
+            Ok((begun, tries)) => Ok(self.answer(job, begun, tries, breaker)),
             Err(GivenUp::NotRun { retry_after }) => Err(Refused::for_now(&format!("{retry_after:.2}"))),
             Err(GivenUp::MayHaveRun { late: true }) => Err(Refused::with(StatusCode::GATEWAY_TIMEOUT)),
             Err(GivenUp::MayHaveRun { late: false }) => Err(Refused::with(StatusCode::BAD_GATEWAY)),
@@ -117,7 +120,7 @@
         Ok(Job { call: Arc::new(call), route: Arc::new(route.clone()), service: service.clone(), until })
     }
 
-    fn answer(&self, job: Job, begun: Begun, tries: super::exchange::Tries) -> Response {
+    fn answer(&self, job: Job, begun: Begun, tries: Tries, breaker: Breaker) -> Response {
         let Begun { mut head, status, content, backend, .. } = begun;
         headers::remove_hop_by_hop(&mut head);
         let body = match content {
@@ -126,7 +129,7 @@
                 Body::from_bytes(bytes)
             }
             Content::Events(events) => {
-                let relay = Relay::new(self.exchanges.clone(), job, tries, backend, events);
+                let relay = Relay::new(self.exchanges.clone(), job, tries, backend, events, breaker);
                 Body::from_bytes_stream(relay.into_stream())
             }
         };
--- a/router/src/proxy/relay.rs
+++ b/router/src/proxy/relay.rs
@@ -3,6 +3,7 @@
 use super::attempt::{Begun, Content, Events, recycle};
 use super::backend::Backend;
 use super::exchange::{Exchanges, Job, Tries};
+use crate::listener::Breaker;
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use futures_util::stream;
@@ -22,6 +23,7 @@
     events: Option<Box<Events>>,
     buffer: BytesMut,
     last_event_id: Option<String>,
+    breaker: Breaker,
 }
 
 impl Relay {
@@ -32,9 +34,10 @@
         tries: Tries,
         backend: Arc<Backend>,
         mut events: Box<Events>,
+        breaker: Breaker,
     ) -> Self {
         let buffer = BytesMut::from(&std::mem::take(&mut events.first)[..]);
-        Relay { exchanges, job, tries, backend, events: Some(events), buffer, last_event_id: None }
+        Relay { exchanges, job, tries, backend, events: Some(events), buffer, last_event_id: None, breaker }
     }
 
     /// The bytes for the client. An error breaks the answer off, so that it does not look complete.
@@ -44,7 +47,10 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
-                Err(problem) => Some((Err(problem), None)),
+                Err(problem) => {
+                    relay.breaker.break_off();
+                    Some((Err(problem), None))
+                }
             }
         })
     }
@@ -63,6 +69,7 @@
                     }
                 }
                 Some(Err(_)) => self.go_on_elsewhere().await?,
+                None if events.connection.is_broken() => self.go_on_elsewhere().await?,
                 None => return Ok(self.end()),
             }
         }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::disk::{self, Disk, DiskError};
 use crate::fleet::Fleet;
 use crate::links::{self, lock};
+use crate::listener::{BreakableAcceptor, Breakers};
 use crate::membership;
 use crate::proxy::exchange::Exchanges;
 use crate::proxy::ingress::Ingress;
@@ -124,38 +125,49 @@
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
 
     let ready = Ready::new(fleet.clone(), table);
-    listen(settings.listen.readiness, ready, None);
-    listen(settings.listen.control_plane, ControlApi::new(fleet.clone()), None);
+    listen(settings.listen.readiness, ready);
+    listen(settings.listen.control_plane, ControlApi::new(fleet.clone()));
     let (stop, stopped) = tokio::sync::watch::channel(false);
-    let clients = listen(settings.listen.frontend, Ingress::new(exchanges), Some(stopped));
+    let clients = match settings.listen.frontend {
+        Some(address) => {
+            let listener = tokio::net::TcpListener::bind(address).await.map_err(failed(address))?;
+            Some(tokio::spawn(take_clients(listener, exchanges, stopped)))
+        }
+        None => None,
+    };
     log::info!("{} serves, with settings from {}", settings.node_name, path.display());
 
     end_in_order(&fleet, &settings, stop, clients).await
 }
 
-/// Serves an interface, until told to stop where that is wanted.
-fn listen(
-    address: Option<SocketAddrV4>,
-    endpoint: impl Endpoint<Output = Response> + 'static,
-    stopped: Option<tokio::sync::watch::Receiver<bool>>,
-) -> Option<tokio::task::JoinHandle<()>> {
-    let address = address?;
-    Some(tokio::spawn(async move {
+/// Serves an interface for as long as the process lives.
+fn listen(address: Option<SocketAddrV4>, endpoint: impl Endpoint<Output = Response> + 'static) {
+    let Some(address) = address else { return };
+    tokio::spawn(async move {
         let server = Server::new(TcpListener::bind(address.to_string())).idle_timeout(CLIENT_IDLE);
-        let ended = match stopped {
-            None => server.run(endpoint).await,
-            Some(mut stopped) => {
-                let stop = async move {
-                    // The sender lives until the process ends.
-                    let _ = stopped.wait_for(|stopped| *stopped).await;
-                };
-                server.run_with_graceful_shutdown(endpoint, stop, None).await
-            }
-        };
-        if let Err(problem) = ended {
+        if let Err(problem) = server.run(endpoint).await {
             log::error!("{address}: {problem}; check that no other process has the address");
         }
-    }))
+    });
+}
+
+/// Serves clients until told to stop; ends once every answer is out.
+async fn take_clients(
+    listener: tokio::net::TcpListener,
+    exchanges: Arc<Exchanges>,
+    mut stopped: tokio::sync::watch::Receiver<bool>,
+) {
+    let breakers = Breakers::default();
+    let acceptor = BreakableAcceptor::new(listener, breakers.clone());
+    let stop = async move {
+        // The sender lives until the process ends.
+        let _ = stopped.wait_for(|stopped| *stopped).await;
+    };
+    let server = Server::new_with_acceptor(acceptor).idle_timeout(CLIENT_IDLE);
+    let ended = server.run_with_graceful_shutdown(Ingress::new(exchanges, breakers), stop, None).await;
+    if let Err(problem) = ended {
+        log::error!("clients are taken no more: {problem}");
+    }
 }
 
 /// Waits for SIGTERM, then serves on until the platform stays away, and ends once every answer is out.
