Shared parts of prompts are saved at the store and taken from there

Cause: most of the prices went to shared parts that were read again: a backend keeps its parts for some seconds only.

--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -3,6 +3,7 @@
 use super::backend::{Backend, Outstanding, Told};
 use super::connection::{Connection, Failure};
 use super::headers;
+use super::stores::Transfer;
 use crate::clock;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -53,6 +54,8 @@
     pub version: Option<u64>,
     /// Where a stream goes on.
     pub last_event_id: Option<String>,
+    /// What it tells about stores.
+    pub transfer: Transfer,
 }
 
 /// The start of an answer that may be passed on.
@@ -179,6 +182,12 @@
     if let Some(version) = variant.version {
         headers::set(&mut sent, headers::EXPECT_VERSION, &version.to_string());
     }
+    if let Some(store) = variant.transfer.fetch {
+        headers::set(&mut sent, headers::KV_FETCH, &store.to_string());
+    }
+    if let Some(store) = variant.transfer.save {
+        headers::set(&mut sent, headers::KV_SAVE, &store.to_string());
+    }
     if let Some(id) = &variant.last_event_id {
         headers::set(&mut sent, headers::LAST_EVENT_ID, id);
     }
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{self, Begun, Call, Content, Ended, Sent, Variant};
 use super::pick::{Choice, Need, pick};
+use super::stores::{Stores, Transfer};
 use super::table::Table;
 use crate::clock;
 use crate::fleet::Fleet;
@@ -66,6 +67,8 @@
     pub fleet: Arc<Fleet>,
     /// The backends.
     pub table: Arc<Table>,
+    /// The stores of kept prompts.
+    pub stores: Arc<Stores>,
     learned: Mutex<HashMap<KindKey, Learned>>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     targets: Mutex<HashMap<CompactString, (u64, Millis)>>,
@@ -96,10 +99,11 @@
 
 impl Exchanges {
     /// Nothing is under way.
-    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>) -> Arc<Self> {
+    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>, stores: Arc<Stores>) -> Arc<Self> {
         Arc::new(Exchanges {
             fleet,
             table,
+            stores,
             learned: Mutex::default(),
             budgets: Mutex::default(),
             targets: Mutex::default(),
@@ -160,10 +164,22 @@
             wall: &job.call.wall,
             least_version: prompt.and_then(|prompt| self.least_version(&prompt.model)),
             zone: &self.fleet.settings.zone,
+            stores: &self.stores,
         };
         pick(&backends, need, tried)
     }
 
+    /// What a send tells its backend about stores. Without a known version nothing is moved: the text under which parts are
+    /// found is all that tells versions apart.
+    fn transfer(&self, job: &Job, choice: &Choice) -> Transfer {
+        match (&job.call.prompt, choice.version) {
+            (Some(prompt), Some(version)) => {
+                self.stores.transfer(&attempt::salt(&job.call.wall, Some(version)), prompt)
+            }
+            _ => Transfer::default(),
+        }
+    }
+
     /// Waits a little for a backend where there is none at present.
     async fn choose_soon(&self, job: &Job, tried: &[CompactString]) -> Option<Choice> {
         let patience = Duration::from_millis(job.route.target_latency_ms) / WAIT_SHARE;
@@ -201,7 +217,9 @@
             if !self.take_repeat(&job.service, 0.0) {
                 return None;
             }
-            let variant = Variant { version: choice.version, last_event_id: Some(last_event_id.clone()) };
+            let transfer = self.transfer(job, &choice);
+            let last_event_id = Some(last_event_id.clone());
+            let variant = Variant { version: choice.version, last_event_id, transfer };
             tries.tried.push(choice.backend.id.clone());
             tries.runs += 1;
             let sent = Sent::default();
@@ -275,7 +293,8 @@
             let salt = attempt::salt(&self.job.call.wall, choice.version);
             choice.backend.with_index(|index| index.will_keep(&salt, &prompt.parts));
         }
-        let variant = Variant { version: choice.version, last_event_id: None };
+        let transfer = self.exchanges.transfer(self.job, &choice);
+        let variant = Variant { version: choice.version, last_event_id: None, transfer };
         let sent = Sent::default();
         self.sent.push(sent.clone());
         let send = attempt::send(self.job.call.clone(), choice.backend, variant, choice.unread, sent);
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -8,4 +8,5 @@
 pub mod ingress;
 pub mod pick;
 pub mod relay;
+pub mod stores;
 pub mod table;
--- a/router/src/proxy/pick.rs
+++ b/router/src/proxy/pick.rs
@@ -1,6 +1,7 @@
 //! Choosing the backend of a send: the least-loaded one, counting the work that the request would bring there.
 
 use super::backend::{Backend, Fitness};
+use super::stores::Stores;
 use compact_str::CompactString;
 use routing::prompt::Prompt;
 use routing::selection::{Candidate, least_loaded};
@@ -15,6 +16,8 @@
 const ZONE_TOKENS: f64 = 1_000.0;
 /// Share of a slot that the way to another zone counts for at services without prompts.
 const ZONE_LOAD: f64 = 0.25;
+/// What a token that is moved costs, as a share of one that is read.
+const MOVE_COST: f64 = 0.5;
 /// How much of a shared part its home is expected to keep where nothing is known.
 const HOME_SHARE: f64 = 0.7;
 
@@ -29,6 +32,8 @@
     pub least_version: Option<u64>,
     /// The zone of this router.
     pub zone: &'a str,
+    /// The stores of kept prompts.
+    pub stores: &'a Stores,
 }
 
 /// A chosen backend.
@@ -74,7 +79,7 @@
         return (held / slots + zone, choice);
     };
     let version = backend.version(&prompt.model);
-    let unread = unread_tokens(backend, need.wall, version, prompt, is_home);
+    let unread = unread_tokens(backend, need, version, prompt, is_home);
     let waiting = f64::from(load.told.map_or(0, |told| told.waiting));
     let zone = if elsewhere { ZONE_TOKENS } else { 0.0 };
     let weight =
@@ -83,12 +88,22 @@
 }
 
 /// Tokens of a prompt that a backend has to read: what the index knows, or what its home is expected to keep.
-fn unread_tokens(backend: &Backend, wall: &str, version: Option<u64>, prompt: &Prompt, is_home: bool) -> u64 {
-    let salt = super::attempt::salt(wall, version);
+fn unread_tokens(
+    backend: &Backend,
+    need: Need<'_>,
+    version: Option<u64>,
+    prompt: &Prompt,
+    is_home: bool,
+) -> u64 {
+    let salt = super::attempt::salt(need.wall, version);
     let known = backend.with_index(|index| index.kept_tokens(&salt, &prompt.parts));
     let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
     let expected = if is_home { (shared as f64 * HOME_SHARE) as u64 } else { 0 };
-    prompt.tokens_in.saturating_sub(known.max(expected))
+    let known = known.max(expected);
+    // What a store holds is moved instead of being read.
+    let movable = need.stores.held_tokens(&salt, prompt).saturating_sub(known);
+    let moved = (movable as f64 * (1.0 - MOVE_COST)) as u64;
+    prompt.tokens_in.saturating_sub(known + moved)
 }
 
 /// The backend that all routers agree on for prompts which share their parts with this one: rendezvous hashing.
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::membership;
 use crate::proxy::exchange::Exchanges;
 use crate::proxy::ingress::Ingress;
+use crate::proxy::stores::{self, Stores};
 use crate::proxy::table::{self, Table};
 use crate::replica::{self, ReplicaHandle};
 use crate::settings::{Settings, SettingsError};
@@ -110,18 +111,20 @@
     let socket = UdpSocket::bind(internal).await.map_err(failed(internal))?;
     let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
     let table = Arc::new(Table::default());
-    let exchanges = Exchanges::new(fleet.clone(), table.clone());
+    let stores = Arc::new(Stores::default());
+    let exchanges = Exchanges::new(fleet.clone(), table.clone(), stores.clone());
 
     tokio::spawn(links::serve(listener, fleet.clone()));
     if let Some(Replica { node, disk, stored, handle, inputs }) = replica {
         tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle.clone(), inputs));
-        tokio::spawn(Orders::new(fleet.clone(), handle, client).run());
+        tokio::spawn(Orders::new(fleet.clone(), handle, client.clone()).run());
     }
     tokio::spawn(membership::keep_pulling(fleet.clone()));
     tokio::spawn(membership::monitor(fleet.clone(), socket));
     tokio::spawn(membership::watch_backends(fleet.clone()));
     tokio::spawn(membership::found(fleet.clone()));
     tokio::spawn(membership::repair(fleet.clone()));
+    tokio::spawn(stores::keep_reading(stores, fleet.clone(), client));
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
 
     let ready = Ready::new(fleet.clone(), table);
