Only prompts of which the store lacks a good shared share are saved

Cause: each save brings the whole prompt to the store; saves of small shared parts made the large ones give way.

Change: a save needs a quarter of the prompt to be shared and missing.

--- a/router/src/proxy/stores.rs
+++ b/router/src/proxy/stores.rs
@@ -28,6 +28,8 @@
 const READERS_SHARE: f64 = 0.75;
 /// A part that was to be saved is not saved again within this.
 const SAVE_AGAIN: Millis = 2_500;
+/// A prompt is saved where the store lacks so much of it that others may ask for.
+const SAVE_SHARE: f64 = 0.25;
 /// Salts and parts that are remembered as being saved.
 const SAVES_KEPT: usize = 4_096;
 
@@ -98,7 +100,9 @@
         let held = store.index.kept_tokens(salt, shared);
         let whole: u64 = shared.iter().map(|part| part.tokens).sum();
         let fetch = (held > 0 || !store.reads).then_some(store.address);
-        let save = (store.reads && held < whole && store.begin_save(salt, shared)).then_some(store.address);
+        // A save brings the whole prompt to the store, and what nobody asks for again makes other parts give way.
+        let worthwhile = (whole - held) as f64 >= SAVE_SHARE * prompt.tokens_in as f64;
+        let save = (store.reads && worthwhile && store.begin_save(salt, shared)).then_some(store.address);
         Transfer { fetch, save, held }
     }
 
