A new node takes the place of a witness that has fallen silent

Change: a joiner that is new takes a silent witness's place, a witness that stores nothing is taken out after 2 s where enough others are left, and silence counts through the views of one primary.

Test: four machines replaced one after the other (failed before).

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -52,7 +52,7 @@
             stagger: 150,
             join_interval: 250,
             change_patience: 3_500,
-            witness_silence: 15_000,
+            witness_silence: 2_000,
             copies: faults + 1,
         }
     }
@@ -184,16 +184,16 @@
         caught_up.map(|(replica, _)| replica.clone()).collect()
     }
 
-    /// A witness that stores nothing and was not heard for very long.
-    fn long_silent_witness(
+    /// A witness outside the in-sync set that was not heard for so long.
+    fn silent_witness(
         &self,
         wanted: &View,
         own: &ReplicaId,
-        timing: Timing,
+        silence: Millis,
         now: Millis,
     ) -> Option<ReplicaId> {
         let mut idle = wanted.witnesses.difference(&wanted.in_sync).filter(|witness| *witness != own);
-        idle.find(|witness| now >= self.last_heard(witness) + timing.witness_silence).cloned()
+        idle.find(|witness| now >= self.last_heard(witness) + silence).cloned()
     }
 }
 
@@ -451,7 +451,11 @@
         self.view = Some(view);
         self.heard_primary = now;
         if leads {
-            let (lease_until, heard) = kept.unwrap_or_default();
+            let (lease_until, mut heard) = kept.unwrap_or_default();
+            // Silence counts from here on, also through later views of the same primary.
+            for replica in self.others() {
+                heard.entry(replica).or_insert(now);
+            }
             let primary = Primary {
                 stage: Stage::Starting { since: now, synced: BTreeSet::new() },
                 since: now,
@@ -970,10 +974,13 @@
         let blocked = wanted.in_sync.len() < view.in_sync.len();
         if blocked || primary.has_time_for_joiners(&view) {
             for replica in primary.caught_up(self.last(), self.timing.silence, now) {
-                wanted = with_joiner(wanted, &replica);
+                let silence = self.timing.silence;
+                let silent = primary.silent_witness(&wanted, &self.id, silence, now);
+                wanted = with_joiner(wanted, &replica, silent);
             }
         }
-        if let Some(witness) = primary.long_silent_witness(&wanted, &self.id, self.timing, now)
+        let silence = self.timing.witness_silence;
+        if let Some(witness) = primary.silent_witness(&wanted, &self.id, silence, now)
             && view.witnesses.len() > 2 * self.timing.copies - 1
         {
             wanted.witnesses.remove(&witness);
@@ -1089,11 +1096,16 @@
     }
 }
 
-/// A view with one more in-sync replica, which takes the place of a former disk of the same node.
-fn with_joiner(mut view: View, replica: &ReplicaId) -> View {
+/// A view with one more in-sync replica. It takes the place of a former disk of the same node; a new node takes that of a
+/// witness that has fallen silent, so that the next loss does not meet a majority that counts the dead.
+fn with_joiner(mut view: View, replica: &ReplicaId, silent: Option<ReplicaId>) -> View {
     let former = |other: &ReplicaId| other.node == replica.node && other != replica;
+    let is_known = view.witnesses.iter().any(|witness| witness.node == replica.node);
     view.in_sync.retain(|other| !former(other));
     view.witnesses.retain(|other| !former(other));
+    if let Some(silent) = silent.filter(|_| !is_known) {
+        view.witnesses.remove(&silent);
+    }
     view.in_sync.insert(replica.clone());
     view.witnesses.insert(replica.clone());
     view
--- a/control/tests/replication.rs
+++ b/control/tests/replication.rs
@@ -10,6 +10,8 @@
 const FAILOVER: u64 = 3_000;
 
 fn acknowledged(world: &mut World, version: u64) {
+    // A view may be changing at this very moment.
+    assert!(world.until(500, |world| world.primary().is_some()));
     let primary = world.primary().expect("a primary");
     let ticket = world.submit(&primary, change("m", version));
     assert!(world.until(FAILOVER, |world| world.outcomes.contains_key(&ticket)));
@@ -139,6 +141,23 @@
     acknowledged(&mut world, 4);
 }
 
+/// A machine is gone for good and an empty one comes at another address; later the next one is replaced in the same way.
+#[test]
+fn machines_that_are_replaced_one_after_the_other_leave_a_majority() {
+    let mut world = World::founded(10, 3, 1);
+    acknowledged(&mut world, 2);
+    for (round, gone) in ["n0", "n1", "n2", "n3"].into_iter().enumerate() {
+        world.remove(gone);
+        world.run(800);
+        world.add(&format!("n{}", round + 3));
+        world.run(6_000);
+        let led = world.until(FAILOVER, |world| world.primary().is_some());
+        assert!(led, "after {gone} was replaced");
+        acknowledged(&mut world, round as u64 + 3);
+        world.assert_nothing_lost();
+    }
+}
+
 #[test]
 fn a_frozen_primary_wakes_without_its_lease() {
     let mut world = World::founded(9, 3, 1);
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -67,6 +67,7 @@
     /// Holders of the lease, by epoch.
     pub holders: BTreeMap<u64, ReplicaId>,
     next_disk: u64,
+    next_address: u8,
 }
 
 impl World {
@@ -87,28 +88,37 @@
             asked: BTreeMap::new(),
             holders: BTreeMap::new(),
             next_disk: 1,
+            next_address: 0,
         };
         for number in 0..count {
-            let name = format!("n{number}");
-            let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number as u8 + 1), 7000);
-            world.machines.insert(
-                name.clone(),
-                Machine {
-                    node: None,
-                    disk: Vec::new(),
-                    writes: Vec::new(),
-                    sync: Some(2),
-                    frozen_until: 0,
-                    back_at: None,
-                    address,
-                    shown: 0,
-                },
-            );
-            world.boot(&name);
+            world.add(&format!("n{number}"));
         }
         world
     }
 
+    /// A new machine with an empty disk, at an address of its own.
+    pub fn add(&mut self, name: &str) {
+        self.next_address += 1;
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, self.next_address), 7000);
+        let machine = Machine {
+            node: None,
+            disk: Vec::new(),
+            writes: Vec::new(),
+            sync: Some(2),
+            frozen_until: 0,
+            back_at: None,
+            address,
+            shown: 0,
+        };
+        self.machines.insert(name.to_owned(), machine);
+        self.boot(name);
+    }
+
+    /// A machine is gone for good.
+    pub fn remove(&mut self, name: &str) {
+        self.machines.remove(name);
+    }
+
     /// A group that has been founded and has a primary.
     pub fn founded(seed: u64, count: usize, faults: usize) -> Self {
         let mut world = World::new(seed, count, faults);
@@ -287,9 +297,10 @@
         }
     }
 
-    fn name_of(&self, address: SocketAddrV4) -> String {
+    /// The machine at an address; none where it is gone.
+    fn name_of(&self, address: SocketAddrV4) -> Option<String> {
         let found = self.machines.iter().find(|(_, machine)| machine.address == address);
-        found.map(|(name, _)| name.clone()).expect("an address of a machine")
+        found.map(|(name, _)| name.clone())
     }
 
     fn deliver(&mut self) {
@@ -297,7 +308,7 @@
         let mut due = Vec::new();
         let mut later = Vec::new();
         for wire in std::mem::take(&mut self.wires) {
-            let to = self.name_of(wire.envelope.to.address);
+            let Some(to) = self.name_of(wire.envelope.to.address) else { continue };
             let frozen = self.machines[&to].frozen_until > now;
             if wire.at <= now && !frozen { due.push((to, wire.envelope)) } else { later.push(wire) }
         }
@@ -340,7 +351,7 @@
     }
 
     fn send(&mut self, from: &str, envelope: Envelope) {
-        let to = self.name_of(envelope.to.address);
+        let Some(to) = self.name_of(envelope.to.address) else { return };
         if self.cut.contains(&(from.to_owned(), to)) || self.rng.f64() < self.loss {
             return;
         }
