The command line asks routers and reads data directories; damaged records are set aside

Cause: operators could neither see a fleet nor a data directory, and damage kept a router from starting.

Change: bitternsill system status|members|backends|configuration|storage; a node with damaged records keeps them aside and rejoins as one that lost its disk. Tests of files and settings.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -9,6 +9,7 @@
 use crate::limits::Limits;
 use crate::store::cli::{self as store_file, StoreCall};
 use crate::{config, describe, serve};
+use ::router::cli::SystemCall;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::ffi::OsString;
 use std::fmt;
@@ -45,6 +46,9 @@
         #[arg(long)]
         check: bool,
     },
+    /// Ask a router of a fleet, or look at the files that it keeps.
+    #[command(subcommand)]
+    System(SystemCall),
     /// Say whether an operator's file can be used, and where not.
     Check {
         /// A set-up, the platform's configuration, or an OpenAPI or AsyncAPI description in JSON.
@@ -180,6 +184,10 @@
             Ok(()) => ExitCode::SUCCESS,
             Err(problem) => failed(&problem),
         },
+        Command::System(call) => match router::cli::ask(&call) {
+            Ok(words) => print(format_args!("{words}")),
+            Err(problem) => failed(&problem),
+        },
         Command::Store(call) => match store_file::run(&call) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => {
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -1,10 +1,200 @@
 //! What the command line calls.
 
+use crate::disk;
 use crate::serve::{self, ServeError};
 use crate::settings::{PATH_VARIABLE, Settings, SettingsError};
+use clap::{Args, Subcommand};
 use logforth::append;
 use logforth::record::{Level, LevelFilter};
-use std::path::PathBuf;
+use serde_json::Value as Json;
+use std::fmt::Write as _;
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+
+/// How long a router may take to answer an operator's question.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Questions to a router, and to the files that it keeps.
+#[derive(Debug, Subcommand)]
+pub enum SystemCall {
+    /// Which configuration, primary and weights a router knows.
+    Status(Asked),
+    /// The members of the fleet, as a router sees them.
+    Members(Asked),
+    /// The backends, as a router sees them.
+    Backends(Asked),
+    /// The configuration in force, from the primary.
+    Configuration(Asked),
+    /// Look at a data directory; works beside a running router.
+    #[command(subcommand)]
+    Storage(StorageCall),
+}
+
+/// Which router is asked.
+#[derive(Debug, Args)]
+pub struct Asked {
+    /// The control address of a router.
+    #[arg(long, value_name = "ADDRESS")]
+    at: SocketAddrV4,
+    /// Print JSON instead of text.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Questions to a data directory.
+#[derive(Debug, Subcommand)]
+pub enum StorageCall {
+    /// Say whether the records are sound, or where they are not.
+    Verify {
+        /// The data directory.
+        folder: PathBuf,
+    },
+    /// Print what the records hold.
+    Show {
+        /// The data directory.
+        folder: PathBuf,
+    },
+}
+
+/// Why a question has no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    /// The router can't be asked.
+    #[error("{at} does not answer: {problem}; check the address, or ask another router")]
+    Unreachable {
+        /// The router.
+        at: SocketAddrV4,
+        /// What went wrong.
+        problem: reqwest::Error,
+    },
+    /// The router has no answer.
+    #[error("{at} answers {status}: {text}")]
+    Refused {
+        /// The router.
+        at: SocketAddrV4,
+        /// The status.
+        status: u16,
+        /// What it says.
+        text: String,
+    },
+    /// The data directory can't be used.
+    #[error(transparent)]
+    Disk(#[from] disk::DiskError),
+    /// Nothing was ever written there.
+    #[error("{0} holds no records: check that it is the data directory of a router that counts")]
+    Empty(PathBuf),
+    /// The system refuses something.
+    #[error("{0}; check the limits of the process")]
+    System(#[from] std::io::Error),
+}
+
+/// Answers a question.
+pub fn ask(call: &SystemCall) -> Result<String, CallError> {
+    match call {
+        SystemCall::Status(asked) => status(asked),
+        SystemCall::Members(asked) => {
+            table(asked, "members", &["name", "zone", "status", "incarnation", "replica"])
+        }
+        SystemCall::Backends(asked) => {
+            table(asked, "backends", &["id", "service", "address", "zone", "phase", "silent"])
+        }
+        SystemCall::Configuration(asked) => get(asked.at, "/v1/configuration/read"),
+        SystemCall::Storage(StorageCall::Verify { folder }) => verify(folder),
+        SystemCall::Storage(StorageCall::Show { folder }) => show(folder),
+    }
+}
+
+fn get(at: SocketAddrV4, path: &str) -> Result<String, CallError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let unreachable = |problem| CallError::Unreachable { at, problem };
+    runtime.block_on(async {
+        let client = reqwest::Client::builder().no_proxy().timeout(PATIENCE).build().map_err(unreachable)?;
+        let answer = client.get(format!("http://{at}{path}")).send().await.map_err(unreachable)?;
+        let status = answer.status().as_u16();
+        let text = answer.text().await.map_err(unreachable)?;
+        if status == 200 { Ok(text) } else { Err(CallError::Refused { at, status, text }) }
+    })
+}
+
+fn report(asked: &Asked) -> Result<Json, CallError> {
+    let text = get(asked.at, "/v1/status")?;
+    Ok(serde_json::from_str(&text).unwrap_or(Json::Null))
+}
+
+fn status(asked: &Asked) -> Result<String, CallError> {
+    let report = report(asked)?;
+    if asked.json {
+        return Ok(report.to_string());
+    }
+    let mut text = String::new();
+    for field in ["node", "configuration", "change", "primary", "replica", "weights"] {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{field}: {}", plain(&report[field]));
+    }
+    Ok(text.trim_end().to_owned())
+}
+
+fn table(asked: &Asked, what: &str, columns: &[&str]) -> Result<String, CallError> {
+    let report = report(asked)?;
+    if asked.json {
+        return Ok(report[what].to_string());
+    }
+    let mut text = columns.join("\t");
+    for row in report[what].as_array().into_iter().flatten() {
+        let cells: Vec<String> = columns.iter().map(|column| plain(&row[column])).collect();
+        // Writing to a string does not fail.
+        let _ = write!(text, "\n{}", cells.join("\t"));
+    }
+    Ok(text)
+}
+
+fn plain(value: &Json) -> String {
+    match value {
+        Json::String(text) => text.clone(),
+        Json::Null => "-".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+fn verify(folder: &Path) -> Result<String, CallError> {
+    let recovered = disk::read(folder)?.ok_or_else(|| CallError::Empty(folder.to_owned()))?;
+    Ok(format!(
+        "{} is sound: disk {:016x}, change {}",
+        folder.display(),
+        recovered.disk,
+        recovered.state.position.index
+    ))
+}
+
+fn show(folder: &Path) -> Result<String, CallError> {
+    let recovered = disk::read(folder)?.ok_or_else(|| CallError::Empty(folder.to_owned()))?;
+    let mut text = format!("disk: {:016x}\n", recovered.disk);
+    // Writing to a string does not fail.
+    let _ = writeln!(
+        text,
+        "change: {} of epoch {}",
+        recovered.state.position.index, recovered.state.position.epoch
+    );
+    let _ = writeln!(text, "stored and not known to be committed: {}", recovered.tail.is_some());
+    let _ = writeln!(text, "configuration: version {}", recovered.state.version());
+    let history: Vec<String> = recovered.state.history().map(|version| version.to_string()).collect();
+    let _ = writeln!(text, "accepted versions: {}", history.join(" "));
+    for (model, target) in &recovered.state.weights {
+        let _ = writeln!(text, "weights of {model}: version {}", target.version);
+    }
+    if let Some(accepted) = &recovered.votes.accepted {
+        let view = &accepted.view;
+        let names = |replicas: &std::collections::BTreeSet<control::view::ReplicaId>| {
+            replicas.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
+        };
+        let _ = writeln!(text, "epoch: {}, primary {}", view.epoch, view.primary);
+        let _ = writeln!(text, "in sync: {}", names(&view.in_sync));
+        let _ = writeln!(text, "witnesses: {}", names(&view.witnesses));
+    }
+    Ok(text.trim_end().to_owned())
+}
 
 /// The settings file: the one that was named, or the environment's.
 fn settings_path(named: Option<PathBuf>) -> Result<PathBuf, SettingsError> {
--- a/router/src/disk.rs
+++ b/router/src/disk.rs
@@ -98,6 +98,36 @@
         .map_err(|damage| DiskError::Damaged { path: folder.to_owned(), damage })
 }
 
+/// What a data directory holds. One whose records are damaged is set aside, and the node rejoins as one that lost its disk.
+pub fn read_or_set_aside(folder: &Path) -> Result<Option<Recovered>, DiskError> {
+    match read(folder) {
+        Err(DiskError::Damaged { path, damage }) => {
+            log::error!("{}: {damage}; the records are set aside", path.display());
+            set_aside(folder).map_err(io_error(folder))?;
+            Ok(None)
+        }
+        other => other,
+    }
+}
+
+/// Keeps damaged records under other names, in place of those of an earlier time.
+fn set_aside(folder: &Path) -> io::Result<()> {
+    let files = list(folder)?;
+    let aside = folder.join("damaged");
+    if aside.exists() {
+        fs::remove_dir_all(&aside)?;
+    }
+    fs::create_dir(&aside)?;
+    let snapshots = files.snapshots.iter().map(|number| snapshot_path(folder, *number));
+    let segments = files.segments.iter().map(|number| segment_path(folder, *number));
+    for path in snapshots.chain(segments) {
+        if let Some(name) = path.file_name() {
+            fs::rename(&path, aside.join(name))?;
+        }
+    }
+    File::open(folder)?.sync_all()
+}
+
 /// Writes that are done are told with their number.
 pub type Done = tokio::sync::mpsc::UnboundedSender<u64>;
 
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -85,7 +85,7 @@
     let Some(folder) = settings.data_directory.as_ref().filter(|_| settings.has_replica()) else {
         return Ok(None);
     };
-    let found = disk::read(folder)?;
+    let found = disk::read_or_set_aside(folder)?;
     let recovered: Recovered = found.unwrap_or_else(|| disk::empty(fastrand::u64(1..)));
     let (done, stored) = mpsc::unbounded_channel();
     let disk = Disk::open(folder, &recovered, done)?;
--- /dev/null
+++ b/router/tests/files.rs
@@ -0,0 +1,153 @@
+//! The data directory and the settings file: what is found again, and what is said of what can't be used.
+
+use control::changes::Change;
+use control::state::{Position, Update};
+use control::storage::{Record, Recovered};
+use router::cli::{self, SystemCall};
+use router::disk::{self, Disk, DiskError};
+use router::settings::{Settings, SettingsError};
+use std::fs;
+use std::path::{Path, PathBuf};
+use tokio::sync::mpsc;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("bitternsill-router-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn files(&self) -> Vec<String> {
+        let entries = fs::read_dir(&self.0).unwrap();
+        let mut names: Vec<String> =
+            entries.map(|entry| entry.unwrap().file_name().into_string().unwrap()).collect();
+        names.sort();
+        names
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn update(index: u64, bytes: usize) -> Record {
+    let change = Change::Weights { model: "m".repeat(bytes).as_str().into(), version: index };
+    Record::Update(Update { position: Position { index, epoch: 1 }, change })
+}
+
+/// Writes some updates, and waits until the last one is on the disk.
+fn write(folder: &Path, recovered: &Recovered, indexes: std::ops::Range<u64>, bytes: usize) {
+    let (done, mut stored) = mpsc::unbounded_channel();
+    let mut disk = Disk::open(folder, recovered, done).unwrap();
+    let last = indexes.end - 1;
+    for index in indexes {
+        disk.append(index, &[update(index, bytes)]);
+        if disk.wants_snapshot() {
+            let state = Recovered { disk: recovered.disk, ..Recovered::default() };
+            disk.snapshot(&state);
+        }
+    }
+    while stored.blocking_recv().unwrap() != last {}
+}
+
+#[test]
+fn what_was_stored_is_found_again_after_each_start() {
+    let folder = Folder::new("again");
+    assert!(disk::read(&folder.0).unwrap().is_none());
+    write(&folder.0, &disk::empty(7), 1..4, 1);
+    let found = disk::read(&folder.0).unwrap().unwrap();
+    assert_eq!((found.disk, found.state.position.index), (7, 2));
+    assert_eq!(found.tail.as_ref().unwrap().position.index, 3);
+    write(&folder.0, &found, 4..6, 1);
+    let found = disk::read(&folder.0).unwrap().unwrap();
+    assert_eq!((found.state.position.index, found.tail.unwrap().position.index), (4, 5));
+    assert_eq!(folder.files().len(), 2, "a snapshot and a segment: {:?}", folder.files());
+}
+
+#[test]
+fn a_segment_that_has_grown_is_replaced_by_a_snapshot() {
+    let folder = Folder::new("grown");
+    write(&folder.0, &disk::empty(7), 1..30, 300_000);
+    let bytes: u64 = folder.files().iter().map(|name| fs::metadata(folder.0.join(name)).unwrap().len()).sum();
+    assert!(bytes < 6 << 20, "{bytes} bytes are kept");
+    assert_eq!(folder.files().len(), 2);
+}
+
+/// A loss of power between any two steps of a snapshot: an unfinished one beside the old files, or old files that stay.
+#[test]
+fn an_unfinished_snapshot_changes_nothing() {
+    let folder = Folder::new("unfinished");
+    write(&folder.0, &disk::empty(7), 1..4, 1);
+    let before = disk::read(&folder.0).unwrap();
+    fs::write(folder.0.join("snapshot.new"), b"half a snapsh").unwrap();
+    fs::write(folder.0.join("segment-00000009"), b"").unwrap();
+    assert_eq!(disk::read(&folder.0).unwrap(), before);
+    fs::write(folder.0.join("segment-00000000"), b"an old segment that could not be removed").unwrap();
+    assert_eq!(disk::read(&folder.0).unwrap(), before);
+}
+
+#[test]
+fn damage_is_told_with_its_place_and_the_remedy() {
+    let folder = Folder::new("damage");
+    write(&folder.0, &disk::empty(7), 1..4, 1);
+    let segment = folder.0.join("segment-00000001");
+    let mut bytes = fs::read(&segment).unwrap();
+    bytes[12] ^= 1;
+    fs::write(&segment, bytes).unwrap();
+    let problem = disk::read(&folder.0).unwrap_err();
+    assert!(matches!(problem, DiskError::Damaged { .. }));
+    let text = problem.to_string();
+    assert!(
+        text.contains("segment-00000001: record at byte 0 is damaged") && text.contains("rejoins"),
+        "{text}"
+    );
+    let asked = SystemCall::Storage(cli::StorageCall::Verify { folder: folder.0.clone() });
+    assert_eq!(cli::ask(&asked).unwrap_err().to_string(), text);
+    // A node that starts there sets the records aside, twice if need be, and begins as one that lost its disk.
+    for _ in 0..2 {
+        assert!(disk::read_or_set_aside(&folder.0).unwrap().is_none());
+        assert_eq!(folder.files(), ["damaged"]);
+        let mut damaged = Vec::new();
+        control::storage::encode(&update(1, 1), &mut damaged);
+        fs::write(folder.0.join("segment-00000001"), damaged).unwrap();
+    }
+}
+
+#[test]
+fn operators_see_what_a_directory_holds() {
+    let folder = Folder::new("show");
+    write(&folder.0, &disk::empty(7), 1..4, 1);
+    let asked = SystemCall::Storage(cli::StorageCall::Show { folder: folder.0.clone() });
+    let text = cli::ask(&asked).unwrap();
+    assert!(text.contains("change: 2 of epoch 1") && text.contains("weights of m: version 2"), "{text}");
+    let empty = Folder::new("empty");
+    let asked = SystemCall::Storage(cli::StorageCall::Show { folder: empty.0.clone() });
+    assert!(cli::ask(&asked).unwrap_err().to_string().contains("holds no records"));
+}
+
+const SETTINGS: &str = r#"{"nodeName":"n1","ipAddress":"10.0.0.1","zone":"a","listen":{"frontend":"10.0.0.1:80"},
+ "internalPortRange":[7560,7575],"seeds":["10.0.0.1:8381"],"newField":{"x":1},"bounds":{"leaseMs":3000}}"#;
+
+fn problem(from: &str, to: &str) -> String {
+    let text = SETTINGS.replacen(from, to, 1);
+    assert_ne!(text, SETTINGS);
+    Settings::parse(Path::new("node.json"), text.as_bytes()).unwrap_err().to_string()
+}
+
+#[test]
+fn settings_are_read_and_what_is_wrong_is_named_with_its_place() {
+    let settings = Settings::parse(Path::new("node.json"), SETTINGS.as_bytes()).unwrap();
+    assert_eq!((settings.node_name.as_str(), settings.bounds.lease_ms), ("n1", 3_000));
+    assert!(!settings.has_replica(), "without a data directory it holds no replica");
+    assert!(problem("\"10.0.0.1:80\"", "\"here\"").starts_with("node.json: at listen.frontend: invalid"));
+    assert!(problem("[7560,7575]", "[7575,7560]").contains("internalPortRange: [7575, 7560] is no range"));
+    assert!(problem("[\"10.0.0.1:8381\"]", "[]").contains("seeds: is empty: name the control address"));
+    assert!(problem("{\"leaseMs\":3000}", "{\"budgetWindowS\":0}").contains("bounds.budgetWindowS"));
+    let missing = Settings::read(Path::new("/nowhere/node.json")).unwrap_err();
+    assert!(matches!(missing, SettingsError::Unreadable { .. }));
+}
