Backends and members are kept on disk for the next start

Cause: after a loss of power at all machines routers knew no backend until its next heartbeat; nodes whose seeds are gone knew nobody. Backends of a node that went down with them were never taken for silent.

Change: a node with a replica keeps what it knows once a second, checksummed; orphaned backends are watched by all.

--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -290,6 +290,12 @@
         changed
     }
 
+    /// Backends and members, to be kept on disk.
+    pub fn lasting(&self) -> Vec<(Key, Value)> {
+        let lasting = self.records.iter().filter(|(key, _)| !matches!(key, Key::Order(_)));
+        lasting.map(|(key, (_, value))| (key.clone(), value.clone())).collect()
+    }
+
     /// Hashes of keys and contents, for comparing with another holder.
     pub fn hashes(&self) -> Vec<(u64, u64)> {
         let entries = self.records.iter();
--- a/router/src/disk.rs
+++ b/router/src/disk.rs
@@ -1,5 +1,6 @@
 //! The thread that writes the control state's records: a log in segments with a snapshot beside it.
 
+use control::directory::{Key, Value};
 use control::storage::{Damage, FORMAT, Record, Recovered, decode, encode};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
@@ -11,9 +12,24 @@
 
 /// A segment that has grown to so many bytes is replaced by a snapshot and a new segment.
 const SEGMENT_BYTES: u64 = 4 << 20;
+/// Holds what was known of the fleet.
+const FLEET_FILE: &str = "fleet";
 /// Time between two tries to write to a disk that refuses.
 const RETRY: Duration = Duration::from_millis(150);
 
+/// What is known of the fleet, for the next start: backends and members.
+pub type Known = Vec<(Key, Value)>;
+
+/// What was known of the fleet when the process ended; nothing where that was not kept or is not sound.
+pub fn read_fleet(folder: &Path) -> Known {
+    let bytes = fs::read(folder.join(FLEET_FILE)).unwrap_or_default();
+    let Some((checksum, body)) = bytes.split_first_chunk::<4>() else { return Known::new() };
+    if crc32fast::hash(body) != u32::from_be_bytes(*checksum) {
+        return Known::new();
+    }
+    postcard::from_bytes(body).unwrap_or_default()
+}
+
 /// Why a data directory can't be used.
 #[derive(Debug, Error)]
 pub enum DiskError {
@@ -47,6 +63,8 @@
     Append { sequence: u64, bytes: Vec<u8> },
     /// Put a snapshot in place of everything before, and go on in a new segment.
     Compact { bytes: Vec<u8> },
+    /// Put what was known of the fleet in place of what was known before.
+    Save { bytes: Vec<u8> },
 }
 
 /// The files of a data directory.
@@ -172,6 +190,13 @@
         self.compact(recovered);
     }
 
+    /// Keeps what is known of the fleet, for the next start.
+    pub fn save_fleet(&self, known: &Known) {
+        if let Ok(bytes) = postcard::to_stdvec(known) {
+            let _ = self.jobs.send(Job::Save { bytes });
+        }
+    }
+
     fn compact(&self, recovered: &Recovered) {
         let mut bytes = Vec::new();
         recovered.records().iter().for_each(|record| encode(record, &mut bytes));
@@ -197,6 +222,12 @@
                     let _ = self.done.send(sequence);
                 }
                 Job::Compact { bytes } => self.until_done(|writer| writer.compact(&bytes)),
+                Job::Save { bytes } => {
+                    // Only a help after a restart: the next one follows soon.
+                    if let Err(problem) = self.save(&bytes) {
+                        log::debug!("what is known of the fleet is not kept: {problem}");
+                    }
+                }
             }
         }
     }
@@ -217,6 +248,16 @@
         }
     }
 
+    fn save(&self, bytes: &[u8]) -> io::Result<()> {
+        let beside = self.folder.join("fleet.new");
+        let mut file = File::create(&beside)?;
+        file.write_all(&crc32fast::hash(bytes).to_be_bytes())?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&beside, self.folder.join(FLEET_FILE))?;
+        self.sync_folder()
+    }
+
     fn sync_folder(&self) -> io::Result<()> {
         File::open(&self.folder)?.sync_all()
     }
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What a router knows of its fleet, and how it gets to know it: pulls by version vectors, and member heartbeats.
 
 use crate::clock;
+use crate::disk::Known;
 use crate::links::{Links, Service, lock};
 use crate::protocol::{MOST_HOPS, PullRequest, Pulled, Request, Response};
 use crate::published::Published;
@@ -88,6 +89,24 @@
         self.news.send_modify(|count| *count += 1);
     }
 
+    /// Rises with every change.
+    pub fn changes(&self) -> u64 {
+        *self.news.borrow()
+    }
+
+    /// Takes what was known when this node's former process ended. Heartbeats that come since are newer.
+    pub fn restore(&self, known: Known) {
+        for (key, value) in known {
+            if key == Key::Member(self.settings.node_name.clone()) {
+                continue;
+            }
+            if let Key::Backend(id) = &key {
+                lock(&self.heard_backends).heard(id.clone());
+            }
+            self.put(key, value);
+        }
+    }
+
     /// What this node is.
     fn own_member(&self, incarnation: u64) -> Member {
         Member {
@@ -373,22 +392,48 @@
     /// Marks backends as silent whose heartbeats have stopped coming here.
     pub fn watch_backends(&self, now: Millis) {
         let patience = 5 * self.settings.heartbeat_interval_ms / 2;
+        let orphans = self.orphaned_backends();
         let silent = {
             let mut heard = lock(&self.heard_backends);
             heard.advance(now);
+            for id in orphans {
+                if !heard.knows(&id) {
+                    heard.heard(id);
+                }
+            }
             heard.silent_for(patience)
         };
         for id in silent {
-            let key = Key::Backend(id.clone());
-            let held = match lock(&self.directory).get(&key) {
-                Some(Value::Backend(backend)) => backend.clone(),
-                _ => continue,
-            };
             lock(&self.heard_backends).forget(&id);
-            if held.owner == self.settings.node_name && !held.silent {
-                log::info!("backend {id} is silent");
-                self.put(key, Value::Backend(Backend { silent: true, ..held }));
-            }
+            self.mark_silent(id);
+        }
+    }
+
+    /// Backends whose heartbeats went to a node that is not there any more.
+    fn orphaned_backends(&self) -> Vec<CompactString> {
+        let directory = lock(&self.directory);
+        let is_up = |name: &CompactString| {
+            let member = directory.get(&Key::Member(name.clone()));
+            matches!(member, Some(Value::Member(member)) if member.status == MemberStatus::Up)
+        };
+        let heard = |backend: &Backend| {
+            backend.silent || backend.phase == BackendPhase::Gone || is_up(&backend.owner)
+        };
+        directory.backends().filter(|(_, backend)| !heard(backend)).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn mark_silent(&self, id: CompactString) {
+        let key = Key::Backend(id.clone());
+        let held = match lock(&self.directory).get(&key) {
+            Some(Value::Backend(backend)) => backend.clone(),
+            _ => return,
+        };
+        let owner = Key::Member(held.owner.clone());
+        let other_hears = held.owner != self.settings.node_name
+            && matches!(lock(&self.directory).get(&owner), Some(Value::Member(m)) if m.status == MemberStatus::Up);
+        if !held.silent && held.phase != BackendPhase::Gone && !other_hears {
+            log::info!("backend {id} is silent");
+            self.put(key, Value::Backend(Backend { silent: true, ..held }));
         }
     }
 
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -24,9 +24,9 @@
 /// Time between two heartbeats to monitors.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
 /// Time between two choices of whom to pull from.
-const CHOICE: Duration = Duration::from_millis(250);
+const CHOICE: Duration = Duration::from_millis(150);
 /// Wait after a pull that failed.
-const PULL_AGAIN: Duration = Duration::from_millis(250);
+const PULL_AGAIN: Duration = Duration::from_millis(120);
 /// For so long after its start a node pulls from its seeds as well.
 const SEED_TIME: Duration = Duration::from_secs(4);
 /// A founder waits until no further replica has come up for so long.
@@ -200,7 +200,9 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         ticks.tick().await;
-        fleet.watch_backends(clock::now());
+        if fleet.replica.is_some() {
+            fleet.watch_backends(clock::now());
+        }
     }
 }
 
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -17,6 +17,8 @@
 
 /// Time between two looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
+/// Time between two times that what is known of the fleet is kept.
+const SAVE: Millis = 1_000;
 /// Inputs that wait for the task.
 const QUEUE: usize = 1024;
 
@@ -119,6 +121,8 @@
     handle: ReplicaHandle,
     tickets: u64,
     callers: HashMap<u64, oneshot::Sender<Outcome>>,
+    saved: u64,
+    save_at: Millis,
 }
 
 /// Runs the replica for as long as the process lives.
@@ -130,7 +134,8 @@
     handle: ReplicaHandle,
     mut inputs: Inputs,
 ) {
-    let mut task = Task { node, disk, fleet, handle, tickets: 0, callers: HashMap::new() };
+    let (callers, save_at) = (HashMap::new(), clock::now() + SAVE);
+    let mut task = Task { node, disk, fleet, handle, tickets: 0, callers, saved: 0, save_at };
     task.fleet.publish_own(task.node.state());
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -173,6 +178,22 @@
         let known: BTreeSet<ReplicaId> = members.into_iter().filter_map(|(_, m)| m.replica).collect();
         self.node.know(known);
         self.node.tick(clock::now());
+        self.save_fleet();
+    }
+
+    /// Keeps what is known of the fleet on disk, where it has changed.
+    fn save_fleet(&mut self) {
+        let now = clock::now();
+        if now < self.save_at {
+            return;
+        }
+        self.save_at = now + SAVE;
+        let version = self.fleet.changes();
+        if version != self.saved {
+            self.saved = version;
+            let lasting = lock(&self.fleet.directory).lasting();
+            self.disk.save_fleet(&lasting);
+        }
     }
 
     fn carry_out(&mut self) {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -105,6 +105,9 @@
     let replica = open_replica(&settings)?;
     let handle = replica.as_ref().map(|replica| replica.handle.clone());
     let fleet = Fleet::new(settings.clone(), handle.clone(), fastrand::u64(1..));
+    if let Some(folder) = settings.data_directory.as_ref().filter(|_| settings.has_replica()) {
+        fleet.restore(disk::read_fleet(folder));
+    }
     let internal = settings.internal_address();
     let failed = |address: SocketAddrV4| move |problem| ServeError::Listen { address, problem };
     let listener = tokio::net::TcpListener::bind(internal).await.map_err(failed(internal))?;
