Connections between routers are given up sooner and made anew

Cause: after a loss of power everywhere a router's first packet to a node that was still dark was lost; it was sent again after a second, and the router had no configuration until then.

Change: 0.25 s for a connection to come up instead of 0.8 s.

--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -16,8 +16,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-/// How long a connection may take to come up.
-const CONNECT_PATIENCE: Duration = Duration::from_millis(800);
+/// How long a connection may take to come up. Short, as a peer that is just starting loses the first packet, and the system
+/// sends that again only after a second.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 /// Unacknowledged bytes break a connection after this.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Frames that wait for a connection; more are dropped.
