Routers that don't read a store ask one that does; ended records are forgotten; the policy's first split

Cause: a store holds few calls, so in large fleets most routers knew nothing of it and saved nothing. Records of backends that were gone stayed for ever. The percentile window stood twice.

Change: readers keep a log of events, others ask a reader of their zone every 0.5 s for what changed; a task forgets what has ended; src/choice/pace.rs is the gatherer's and the routers'.

--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -290,6 +290,21 @@
         changed
     }
 
+    /// Keys of what has ended: backends that are gone with their orders, and members that are not there.
+    pub fn ended(&self) -> BTreeSet<Key> {
+        let is_gone = |id: &CompactString| {
+            let backend = self.get(&Key::Backend(id.clone()));
+            backend.is_none_or(|value| matches!(value, Value::Backend(b) if b.phase == BackendPhase::Gone))
+        };
+        let has_ended = |key: &Key, value: &Value| match (key, value) {
+            (Key::Backend(id) | Key::Order(id), _) => is_gone(id),
+            (_, Value::Member(member)) => member.status != MemberStatus::Up,
+            _ => false,
+        };
+        let ended = self.records.iter().filter(|(key, (_, value))| has_ended(key, value));
+        ended.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Backends and members, to be kept on disk.
     pub fn lasting(&self) -> Vec<(Key, Value)> {
         let lasting = self.records.iter().filter(|(key, _)| !matches!(key, Key::Order(_)));
--- a/control/tests/directory.rs
+++ b/control/tests/directory.rs
@@ -1,7 +1,7 @@
 //! Records that spread by version vectors: holders converge in every order of their exchanges.
 
 use control::digest::{Digests, Range, Summary};
-use control::directory::{Backend, BackendPhase, Directory, Key, Origin, Value};
+use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 fn backend(sequence: u64, phase: BackendPhase) -> Value {
@@ -87,6 +87,22 @@
     assert!(!one.has_news_for(two.vector()));
 }
 
+#[test]
+fn what_has_ended_is_named_and_what_goes_on_is_not() {
+    let mut directory = Directory::new(Origin(1));
+    let order = |phase| Value::Order(Order { fence: 1, number: 1, model: "m".into(), version: 2, phase });
+    directory.put(key("on"), backend(1, BackendPhase::Draining));
+    directory.put(Key::Order("on".into()), order(OrderPhase::Done));
+    directory.put(key("off"), backend(1, BackendPhase::Gone));
+    directory.put(Key::Order("off".into()), order(OrderPhase::Done));
+    directory.put(Key::Order("never".into()), order(OrderPhase::UnderWay));
+    let ended = directory.ended();
+    assert_eq!(ended.len(), 3, "{ended:?}");
+    ended.iter().for_each(|key| directory.forget(key));
+    assert!(directory.ended().is_empty());
+    assert_eq!(directory.backends().count(), 1);
+}
+
 /// Two holders of 500 records that differ in three find these three, and compare far fewer than all.
 #[test]
 fn range_digests_find_what_differs() {
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::disk::Known;
 use crate::links::{Links, Service, lock};
 use crate::protocol::{MOST_HOPS, PullRequest, Pulled, Request, Response};
+use crate::proxy::stores::Stores;
 use crate::published::Published;
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
@@ -43,6 +44,8 @@
     pub directory: Mutex<Directory>,
     /// Durable state, as committed.
     pub published: Mutex<Published>,
+    /// Stores of kept prompts.
+    pub stores: Arc<Stores>,
     /// The replica that this node runs, if any.
     pub replica: Option<ReplicaHandle>,
     /// This process's own life.
@@ -64,6 +67,7 @@
             links: Links::default(),
             directory: Mutex::new(Directory::new(Origin(life))),
             published: Mutex::new(Published::default()),
+            stores: Arc::default(),
             replica,
             life,
             monitored: Mutex::new(Silence::new(now)),
@@ -531,6 +535,9 @@
                     let digests = Digests::new(lock(&self.directory).hashes());
                     Some(Response::Summary(digests.summary(range)))
                 }
+                Request::Kept { store, generation, since } => {
+                    Some(Response::Kept(self.stores.news(store, generation, since)))
+                }
                 Request::Fetch { keys } => {
                     let keys: BTreeSet<u64> = keys.into_iter().collect();
                     Some(Response::Records(lock(&self.directory).by_hash(&keys)))
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -33,6 +33,8 @@
 const FOUNDING_CALM: Duration = Duration::from_millis(400);
 /// The longest that a founder waits, so that replicas that never come do not hold up the system.
 const FOUNDING_PATIENCE: Duration = Duration::from_millis(2_500);
+/// What has ended is forgotten after one to two times this.
+const PRUNE: Duration = Duration::from_secs(120);
 /// Time between two comparisons with another holder.
 const REPAIR: Duration = Duration::from_secs(10);
 
@@ -270,6 +272,18 @@
     }
 }
 
+/// Forgets what has ended some time ago, so that long days do not fill the memory.
+pub async fn prune(fleet: Arc<Fleet>) {
+    let mut before = BTreeSet::new();
+    loop {
+        tokio::time::sleep(PRUNE).await;
+        let mut directory = lock(&fleet.directory);
+        let ended = directory.ended();
+        ended.intersection(&before).for_each(|key| directory.forget(key));
+        before = directory.ended();
+    }
+}
+
 /// Hashes of keys whose records differ at the other holder. None where it does not answer.
 async fn differing_keys(fleet: &Fleet, other: SocketAddrV4) -> Option<Vec<u64>> {
     const PATIENCE: Duration = Duration::from_millis(800);
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -48,6 +48,15 @@
         /// The range.
         range: Range,
     },
+    /// Asks a router that reads a store's events for what the store keeps.
+    Kept {
+        /// The store.
+        store: SocketAddrV4,
+        /// The reading that the asker knows; 0 for none.
+        generation: u64,
+        /// The last event of it that the asker knows.
+        since: u64,
+    },
     /// Asks for records by the hashes of their keys.
     Fetch {
         /// The hashes.
@@ -66,12 +75,27 @@
     Configuration(Option<Option<Vec<u8>>>),
     /// To a heartbeat: where later ones are to go. None where it was not taken.
     Registered(Option<SocketAddrV4>),
+    /// To a question for what a store keeps; none where the router does not read it.
+    Kept(Option<KeptNews>),
     /// To a comparison.
     Summary(Summary),
     /// To a fetch.
     Records(Vec<Record>),
 }
 
+/// What a store keeps, or what has changed of it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KeptNews {
+    /// The reading that this is from; another one begins with everything.
+    pub generation: u64,
+    /// The last event in it.
+    pub next: u64,
+    /// Whether it is everything, in place of what the asker knew.
+    pub whole: bool,
+    /// Salt, part and its tokens; 0 where it is kept no more.
+    pub parts: Vec<(CompactString, CompactString, u64)>,
+}
+
 /// Asks for everything that is newer than what the asker has.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PullRequest {
--- a/router/src/proxy/stores.rs
+++ b/router/src/proxy/stores.rs
@@ -3,13 +3,15 @@
 use crate::clock;
 use crate::fleet::Fleet;
 use crate::links::lock;
+use crate::protocol::{KeptNews, Request, Response};
 use compact_str::CompactString;
 use control::Millis;
 use control::configuration::KvStore;
+use control::directory::{Member, MemberStatus};
 use routing::index::HolderIndex;
 use routing::prompt::{Part, Prompt};
 use serde::Deserialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -30,6 +32,10 @@
 const SAVE_AGAIN: Millis = 2_500;
 /// A prompt is saved where the store lacks so much of it that others may ask for.
 const SAVE_SHARE: f64 = 0.25;
+/// Events that are kept for routers which ask.
+const EVENTS_KEPT: usize = 2_048;
+/// Time between two questions to a router that reads a store.
+const RELAY_PAUSE: Duration = Duration::from_millis(500);
 /// Salts and parts that are remembered as being saved.
 const SAVES_KEPT: usize = 4_096;
 
@@ -37,14 +43,51 @@
 #[derive(Debug)]
 struct Store {
     address: SocketAddrV4,
-    /// Whether this router reads its events.
+    /// Whether this router reads its events; others ask one that does.
     reads: bool,
-    /// Whether it answers; always true where this router does not read.
+    /// Whether the index says what it keeps.
+    is_known: bool,
+    /// Whether it answers, as far as this router can tell.
     answers: bool,
     index: HolderIndex,
+    log: EventLog,
     saving: HashMap<(CompactString, CompactString), Millis>,
 }
 
+/// The last events of one reading, for routers that do not read the store themselves.
+#[derive(Debug, Default)]
+struct EventLog {
+    generation: u64,
+    last: u64,
+    events: VecDeque<KeptPart>,
+}
+
+/// Salt, part and its tokens; 0 tokens where it is kept no more.
+pub type KeptPart = (CompactString, CompactString, u64);
+
+impl EventLog {
+    fn begin(&mut self) {
+        *self = EventLog { generation: fastrand::u64(1..), ..EventLog::default() };
+    }
+
+    fn push(&mut self, part: KeptPart) {
+        self.last += 1;
+        self.events.push_back(part);
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events behind one; none where some of them are not kept any more.
+    fn since(&self, generation: u64, since: u64) -> Option<Vec<KeptPart>> {
+        let behind = self.last.checked_sub(since)? as usize;
+        if generation != self.generation || behind > self.events.len() {
+            return None;
+        }
+        Some(self.events.iter().skip(self.events.len() - behind).cloned().collect())
+    }
+}
+
 /// What a send tells its backend about stores.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Transfer {
@@ -86,7 +129,7 @@
     /// Tokens of a prompt that some store is known to hold.
     pub fn held_tokens(&self, salt: &str, prompt: &Prompt) -> u64 {
         let stores = lock(&self.stores);
-        let answering = stores.values().filter(|store| store.answers && store.reads);
+        let answering = stores.values().filter(|store| store.answers && store.is_known);
         answering.map(|store| store.index.kept_tokens(salt, prompt.shared())).max().unwrap_or(0)
     }
 
@@ -99,15 +142,30 @@
         let Some(store) = best.filter(|_| !shared.is_empty()) else { return Transfer::default() };
         let held = store.index.kept_tokens(salt, shared);
         let whole: u64 = shared.iter().map(|part| part.tokens).sum();
-        let fetch = (held > 0 || !store.reads).then_some(store.address);
+        let fetch = (held > 0 || !store.is_known).then_some(store.address);
         // A save brings the whole prompt to the store, and what nobody asks for again makes other parts give way.
         let worthwhile = (whole - held) as f64 >= SAVE_SHARE * prompt.tokens_in as f64;
-        let save = (store.reads && worthwhile && store.begin_save(salt, shared)).then_some(store.address);
+        let save = (store.is_known && worthwhile && store.begin_save(salt, shared)).then_some(store.address);
         Transfer { fetch, save, held }
     }
 
+    /// What a router lacks that knows a reading up to some event.
+    pub fn news(&self, address: SocketAddrV4, generation: u64, since: u64) -> Option<KeptNews> {
+        let stores = lock(&self.stores);
+        let store = stores.get(&address).filter(|store| store.reads && store.is_known)?;
+        let (generation_now, next) = (store.log.generation, store.log.last);
+        let (whole, parts) = match store.log.since(generation, since) {
+            Some(parts) => (false, parts),
+            None => {
+                let all = store.index.entries();
+                (true, all.map(|(salt, id, tokens)| (salt.into(), id.into(), tokens)).collect())
+            }
+        };
+        Some(KeptNews { generation: generation_now, next, whole, parts })
+    }
+
     /// Takes the stores of the configuration.
-    fn resettle(&self, wanted: &BTreeMap<SocketAddrV4, KvStore>, reads: impl Fn(&KvStore) -> bool) {
+    pub fn resettle(&self, wanted: &BTreeMap<SocketAddrV4, KvStore>, reads: impl Fn(&KvStore) -> bool) {
         let mut stores = lock(&self.stores);
         stores.retain(|address, _| wanted.contains_key(address));
         for (address, store) in wanted {
@@ -115,18 +173,47 @@
             let entry = stores.entry(*address).or_insert_with(|| Store {
                 address: *address,
                 reads,
+                is_known: false,
                 answers: !reads,
                 index: HolderIndex::new(store.kv_capacity),
+                log: EventLog::default(),
                 saving: HashMap::new(),
             });
             if entry.reads != reads {
                 entry.reads = reads;
+                entry.is_known = false;
                 entry.answers = !reads;
                 entry.index.clear();
             }
         }
     }
 
+    /// The store's list was read: what it keeps now.
+    pub fn begin_reading(&self, address: SocketAddrV4, kept: impl IntoIterator<Item = KeptPart>) {
+        self.with(address, |store| {
+            store.index.clear();
+            kept.into_iter().for_each(|(salt, id, tokens)| store.index.told(&salt, &id, tokens));
+            store.log.begin();
+            store.is_known = true;
+            store.answers = true;
+        });
+    }
+
+    /// The store's events were read.
+    pub fn take_events(&self, address: SocketAddrV4, events: impl IntoIterator<Item = KeptPart>) {
+        self.with(address, |store| {
+            for (salt, id, tokens) in events {
+                store.index.told(&salt, &id, tokens);
+                store.log.push((salt, id, tokens));
+            }
+        });
+    }
+
+    /// Takes what a router that reads the store says.
+    pub fn take_news(&self, address: SocketAddrV4, news: KeptNews) {
+        self.with(address, |store| store.take(news));
+    }
+
     fn with(&self, address: SocketAddrV4, change: impl FnOnce(&mut Store)) {
         if let Some(store) = lock(&self.stores).get_mut(&address) {
             change(store);
@@ -135,6 +222,15 @@
 }
 
 impl Store {
+    /// Takes what a router that reads the store's events says.
+    fn take(&mut self, news: KeptNews) {
+        if news.whole {
+            self.index.clear();
+        }
+        news.parts.iter().for_each(|(salt, id, tokens)| self.index.told(salt, id, *tokens));
+        self.is_known = true;
+    }
+
     /// Whether parts that the store lacks are to be saved now: nobody here has just had them saved.
     fn begin_save(&mut self, salt: &str, shared: &[Part]) -> bool {
         let now = clock::now();
@@ -153,26 +249,30 @@
     }
 }
 
-/// Keeps the stores of the configuration read.
+/// Keeps the stores of the configuration read, here or by way of a router that reads them.
 pub async fn keep_reading(stores: Arc<Stores>, fleet: Arc<Fleet>, client: reqwest::Client) {
     let mut news = fleet.subscribe();
-    let mut readers: BTreeMap<SocketAddrV4, JoinHandle<()>> = BTreeMap::new();
+    let mut tasks: BTreeMap<(SocketAddrV4, bool), JoinHandle<()>> = BTreeMap::new();
     loop {
         let wanted = configured(&fleet);
         stores.resettle(&wanted, |store| is_reader(&fleet, store));
-        let reading: Vec<SocketAddrV4> =
-            wanted.values().filter(|store| is_reader(&fleet, store)).map(|store| store.address).collect();
-        readers.retain(|address, task| {
-            let kept = reading.contains(address);
-            if !kept {
+        let kept: BTreeMap<(SocketAddrV4, bool), KvStore> =
+            wanted.into_values().map(|store| ((store.address, is_reader(&fleet, &store)), store)).collect();
+        tasks.retain(|key, task| {
+            let is_kept = kept.contains_key(key);
+            if !is_kept {
                 task.abort();
             }
-            kept
+            is_kept
         });
-        for address in reading {
-            readers
-                .entry(address)
-                .or_insert_with(|| tokio::spawn(read(stores.clone(), address, client.clone())));
+        for ((address, reads), store) in kept {
+            tasks.entry((address, reads)).or_insert_with(|| {
+                if reads {
+                    tokio::spawn(read(stores.clone(), address, client.clone()))
+                } else {
+                    tokio::spawn(ask_readers(stores.clone(), fleet.clone(), store))
+                }
+            });
         }
         if news.changed().await.is_err() {
             return;
@@ -187,18 +287,60 @@
     stores.map(|store| (store.address, store)).collect()
 }
 
-/// A store holds few calls at once, so only some routers read it: the first in an order that differs by store.
-fn is_reader(fleet: &Fleet, store: &KvStore) -> bool {
+/// Routers in an order that differs by store. A store holds few calls at once, so only the first of them read it.
+fn readers(fleet: &Fleet, store: &KvStore) -> Vec<(CompactString, Member)> {
     let most = (f64::from(store.max_concurrent) * READERS_SHARE) as usize;
     let place = |name: &str| {
         let mut hasher = DefaultHasher::new();
         (store.address, name).hash(&mut hasher);
         hasher.finish()
     };
-    let own = place(&fleet.settings.node_name);
     let directory = lock(&fleet.directory);
-    let before = directory.members().filter(|(name, _)| place(name) < own).count();
-    before < most
+    let mut members: Vec<(CompactString, Member)> =
+        directory.members().map(|(name, member)| (name.clone(), member.clone())).collect();
+    members.sort_by_key(|(name, _)| place(name));
+    members.truncate(most);
+    members
+}
+
+fn is_reader(fleet: &Fleet, store: &KvStore) -> bool {
+    readers(fleet, store).iter().any(|(name, _)| *name == fleet.settings.node_name)
+}
+
+/// Asks routers that read a store what it keeps, for as long as it is wanted.
+async fn ask_readers(stores: Arc<Stores>, fleet: Arc<Fleet>, store: KvStore) {
+    let (mut generation, mut since) = (0, 0);
+    let mut turn = 0;
+    loop {
+        let mut readers = readers(&fleet, &store);
+        readers.retain(|(_, member)| member.status == MemberStatus::Up);
+        // Those of the own zone, and among them others in turn where one does not answer.
+        readers.sort_by_key(|(_, member)| member.zone != fleet.settings.zone);
+        let near = readers.iter().filter(|(_, member)| member.zone == fleet.settings.zone).count();
+        let choices = if near > 0 && turn < near { near } else { readers.len() };
+        let news = match readers.get(turn % choices.max(1)) {
+            Some((_, reader)) => {
+                let request = Request::Kept { store: store.address, generation, since };
+                match fleet.links.ask(reader.internal, request, CALL_PATIENCE).await {
+                    Some(Response::Kept(news)) => news,
+                    _ => None,
+                }
+            }
+            None => None,
+        };
+        match news {
+            Some(news) => {
+                (generation, since) = (news.generation, news.next);
+                stores.take_news(store.address, news);
+            }
+            None => {
+                (generation, since) = (0, 0);
+                turn += 1;
+                stores.with(store.address, |store| store.is_known = false);
+            }
+        }
+        tokio::time::sleep(RELAY_PAUSE).await;
+    }
 }
 
 /// Reads one store's events for as long as it is wanted.
@@ -208,6 +350,7 @@
         if told.is_none() {
             stores.with(address, |store| {
                 store.answers = false;
+                store.is_known = false;
                 store.index.clear();
             });
         }
@@ -228,11 +371,7 @@
 /// Takes the whole list, then events from there on. None where the store stops answering.
 async fn follow(stores: &Stores, address: SocketAddrV4, client: &reqwest::Client) -> Option<()> {
     let held: Held = call(client, format!("http://{address}/v1/kv-list")).await?;
-    stores.with(address, |store| {
-        store.index.clear();
-        held.held.iter().for_each(|(salt, id, tokens, _)| store.index.told(salt, id, *tokens));
-        store.answers = true;
-    });
+    stores.begin_reading(address, held.held.into_iter().map(|(salt, id, tokens, _)| (salt, id, tokens)));
     let (epoch, mut since) = (held.epoch, held.next_page_token);
     loop {
         let told: Events = call(client, format!("http://{address}/v1/kv-events?since={since}")).await?;
@@ -240,13 +379,9 @@
             return Some(());
         }
         since = told.next_page_token;
-        stores.with(address, |store| {
-            for (_, sign, salt, id, tokens, _) in &told.events {
-                // What is left of a part that gives way in pieces is told with its removal.
-                let _ = sign;
-                store.index.told(salt, id, *tokens);
-            }
-        });
+        // What is left of a part that gives way in pieces is told with its removal.
+        let parts = told.events.into_iter().map(|(_, _, salt, id, tokens, _)| (salt, id, tokens));
+        stores.take_events(address, parts);
         tokio::time::sleep(EVENTS_PAUSE).await;
     }
 }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,7 +8,7 @@
 use crate::membership;
 use crate::proxy::exchange::Exchanges;
 use crate::proxy::ingress::Ingress;
-use crate::proxy::stores::{self, Stores};
+use crate::proxy::stores;
 use crate::proxy::table::{self, Table};
 use crate::replica::{self, ReplicaHandle};
 use crate::settings::{Settings, SettingsError};
@@ -114,7 +114,7 @@
     let socket = UdpSocket::bind(internal).await.map_err(failed(internal))?;
     let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
     let table = Arc::new(Table::default());
-    let stores = Arc::new(Stores::default());
+    let stores = fleet.stores.clone();
     let exchanges = Exchanges::new(fleet.clone(), table.clone(), stores.clone());
 
     tokio::spawn(links::serve(listener, fleet.clone()));
@@ -127,6 +127,7 @@
     tokio::spawn(membership::watch_backends(fleet.clone()));
     tokio::spawn(membership::found(fleet.clone()));
     tokio::spawn(membership::repair(fleet.clone()));
+    tokio::spawn(membership::prune(fleet.clone()));
     tokio::spawn(stores::keep_reading(stores, fleet.clone(), client));
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
 
--- a/routing/src/index.rs
+++ b/routing/src/index.rs
@@ -102,6 +102,11 @@
         self.tokens = 0;
     }
 
+    /// Every known part: its salt, its id and its tokens.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &str, u64)> {
+        self.entries.iter().map(|(key, entry)| (key.salt.as_str(), key.id.as_str(), entry.tokens))
+    }
+
     /// How many parts are known.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,10 @@
 //! The ordinary path: a query's first sends go to the least-loaded row, each part has one timer at its
 //! class's recent 95th percentile, a part pending then gets one copy elsewhere, and the first answer wins.
 
+mod pace;
+
 use crate::interface::*;
+pub use pace::Pace;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Answers kept for a class's percentiles.
@@ -145,14 +148,6 @@
     wait_until: Time,
 }
 
-#[derive(Debug, Default, Clone)]
-struct Pace {
-    recent: VecDeque<Time>,
-    median: f64,
-    p95: f64,
-    least: f64,
-}
-
 /// One aggregator: fed with events, it says what to do.
 #[derive(Debug, Default)]
 pub struct Aggregator {
@@ -196,17 +191,10 @@
     (took - HOT_DRAIN * (now - at) as f64).max(0.0)
 }
 
-fn c_whole(c: &Class) -> bool {
-    c.floor >= c.need
-}
-
 impl Aggregator {
     /// An aggregator that has just started and knows only its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let start = |c: &Class| {
-            let p95 = START_SHARE * c.aim as f64;
-            Pace { recent: VecDeque::new(), median: p95 / 3.0, p95, least: p95 }
-        };
+        let start = |c: &Class| Pace::starting(c.aim);
         Aggregator {
             aim: settings.classes.iter().filter(|c| !c.retired).map(|c| c.aim).min().unwrap_or(1),
             rng: fastrand::Rng::with_seed(seed),
@@ -247,12 +235,9 @@
         if !self.queries.is_empty() && !self.timers.iter().any(|t| t.1 == Timer::Beat) {
             self.timers.insert((now + self.aim / 32, Timer::Beat));
         }
-        if let Some(&(at, _)) = self.timers.first()
-            && (self.wake <= now || at < self.wake)
-        {
-            self.wake = at;
-            out.push(Action::WakeAt(at));
-        }
+        let next = self.timers.first().map(|timer| timer.0).filter(|at| self.wake <= now || *at < self.wake);
+        self.wake = next.unwrap_or(self.wake);
+        out.extend(next.map(Action::WakeAt));
     }
 
     fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
@@ -526,10 +511,7 @@
                 self.sends.entry((id, twin)).and_modify(|sent| sent.lost = true);
                 self.cancel(id, twin, out);
             }
-            if let Some(query) = self.queries.get_mut(&number) {
-                query.done += 1;
-                query.weight += weight;
-            }
+            self.queries.entry(number).and_modify(|q| (q.done, q.weight) = (q.done + 1, q.weight + weight));
             self.settle(number, false, out);
         } else if !part.done && part.live.is_empty() && !part.held && !over {
             part.held = true;
@@ -700,18 +682,14 @@
 
     fn drop_parts(&mut self, ids: &[PartId], out: &mut Vec<Action>) {
         for id in ids {
-            if let Some(part) = self.parts.remove(id) {
-                for attempt in part.live {
-                    self.cancel(*id, attempt, out);
-                }
-            }
+            let live = self.parts.remove(id).map_or_else(Vec::new, |part| part.live);
+            live.into_iter().for_each(|attempt| self.cancel(*id, attempt, out));
         }
     }
 
     fn cancel(&mut self, part: PartId, attempt: u32, out: &mut Vec<Action>) {
-        if self.settings.cancels && self.sends.contains_key(&(part, attempt)) {
-            out.push(Action::Cancel { part, attempt });
-        }
+        let cancels = self.settings.cancels && self.sends.contains_key(&(part, attempt));
+        out.extend(cancels.then_some(Action::Cancel { part, attempt }));
     }
 
     /// Whether a shard of a query lately took too much of the time that it has left, even at its best holder.
@@ -730,7 +708,7 @@
     fn late(&self, query: &Query) -> bool {
         let (c, pace) = (&self.settings.classes[query.class], &self.pace[query.class]);
         let needed = if query.started { pace.median } else { pace.p95.min(START_BY * query.time as f64) };
-        c_whole(c) && (self.now as f64 + needed > query.useful as f64 || self.hot(query))
+        c.needs_all() && (self.now as f64 + needed > query.useful as f64 || self.hot(query))
     }
 
     /// Ends what can no longer be answered in time, and refuses what would only wait.
@@ -740,7 +718,7 @@
             let c = &self.settings.classes[query.class];
             let waiting = self.parts_of(query).filter(|p| p.1.held).count();
             let stuck = |p: &Part| !p.done && !p.held && p.live.is_empty(); // It may not be sent again
-            let over = c_whole(c) && self.parts_of(query).any(|p| stuck(p.1));
+            let over = c.needs_all() && self.parts_of(query).any(|p| stuck(p.1));
             if over || waiting > 0 && self.late(query) {
                 lost.push(number);
             } else if self.lacking.contains(&number) {
@@ -844,7 +822,7 @@
         for (&number, query) in &self.queries {
             if !self.late(query) && self.parts_of(query).any(|p| p.1.held) {
                 // What can be answered from less gives way until its last step.
-                let gives_way = !c_whole(&self.settings.classes[query.class]) && !query.second;
+                let gives_way = !self.settings.classes[query.class].needs_all() && !query.second;
                 order.push((gives_way, !query.started, query.useful, number));
             }
         }
@@ -873,7 +851,7 @@
             let most = if query.time < self.settings.classes[class].aim { COMMON } else { WIDE };
             let wide = query.parts.len() > self.settings.reach as usize && share > most;
             let alone = !query.started && !proved && (wide || self.now < self.doubt_until);
-            let gang = !query.started && c_whole(&self.settings.classes[class]);
+            let gang = !query.started && self.settings.classes[class].needs_all();
             let row = if query.started { BTreeMap::new() } else { self.row(class, &held) };
             // A query that needs every part starts only when each has room, so none is left half done.
             let mut off_row = held.iter().filter(|(id, ..)| !row.contains_key(id));
@@ -1046,19 +1024,3 @@
         self.extras.len() as f64 + 1.0 <= all * (1.0 - kept)
     }
 }
-
-impl Pace {
-    fn add(&mut self, took: Time) {
-        self.recent.push_front(took);
-        self.recent.truncate(WINDOW);
-        let mut sorted = Vec::from(self.recent.clone());
-        sorted.sort_unstable();
-        let at = |percent: usize| sorted[sorted.len() * percent / 100].max(1) as f64;
-        if sorted.len() < WINDOW / 12 {
-            self.least = self.p95.min(at(99)); // Too few for a usual time; a part costs the longest, at the most
-            return;
-        }
-        (self.median, self.p95) = (at(50), at(95));
-        self.least = self.median.min(self.least * (1.0 + 0.1 / WINDOW as f64));
-    }
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -196,6 +196,13 @@
     }
 }
 
+impl Class {
+    /// Whether an answer short of whole is worth nothing.
+    pub fn needs_all(&self) -> bool {
+        self.floor >= self.need
+    }
+}
+
 impl Default for Class {
     /// A class of one step that is safe to repeat and needs every part, with an aim of a second.
     fn default() -> Self {
