--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -26,6 +26,10 @@
 
 /// How long a pull may wait for news.
 pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
+/// Patience for an answer with news, beyond the time that it may wait for them.
+const NEWS_PATIENCE: Duration = Duration::from_millis(900);
+/// The same for an answer with everything.
+const WHOLE_PATIENCE: Duration = Duration::from_millis(4_000);
 /// How long one try to reach a node with a replica may take.
 const FORWARD_PATIENCE: Duration = Duration::from_millis(900);
 /// How long an acknowledgement of a draining backend waits for another node to know of it.
@@ -219,7 +223,8 @@
     /// Asks one node for news once. False where it does not answer.
     pub async fn pull(&self, from: SocketAddrV4, wait: Duration) -> bool {
         let request = self.pull_request(wait);
-        let patience = wait + Duration::from_millis(900);
+        // Whoever has nothing yet gets everything, and many may ask at once: asking again would only add to what is queued.
+        let patience = wait + if request.base.is_none() { WHOLE_PATIENCE } else { NEWS_PATIENCE };
         let response = self.links.ask(from, Request::Pull(request), patience).await;
         let Some(Response::Pulled(pulled)) = response else { return false };
         let changed = lock(&self.directory).merge(pulled.records, &pulled.vector);
