Configurations travel as steps with base and checksum; bytes between routers are counted

Cause: a router pulls from two others. Differences were also made anew for each asker.

All orders of five answers; tests of both packages pass.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod delta;
 pub mod digest;
 pub mod directory;
+pub mod history;
 pub mod message;
 pub mod node;
 pub mod proposer;
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -25,6 +25,8 @@
     Members(Asked),
     /// The backends, as a router sees them.
     Backends(Asked),
+    /// Messages and bytes between a router and the others, by what they are about.
+    Traffic(Asked),
     /// The configuration in force, from the primary.
     Configuration(Asked),
     /// Look at a data directory; works beside a running router.
@@ -100,6 +102,11 @@
         SystemCall::Backends(asked) => {
             table(asked, "backends", &["id", "service", "address", "zone", "phase", "silent"])
         }
+        SystemCall::Traffic(asked) => table(
+            asked,
+            "traffic",
+            &["about", "messagesSent", "bytesSent", "messagesReceived", "bytesReceived"],
+        ),
         SystemCall::Configuration(asked) => get(asked.at, "/v1/configuration/read"),
         SystemCall::Storage(StorageCall::Verify { folder }) => verify(folder),
         SystemCall::Storage(StorageCall::Show { folder }) => show(folder),
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -197,7 +197,7 @@
             member: self.own_member(incarnation),
             vector: directory.vector().clone(),
             position: published.position(),
-            base: published.version(),
+            base: published.base(),
             epoch: lock(&self.leader).as_ref().map_or(0, |leader| leader.0),
             wait_ms: wait.as_millis() as u64,
             missing: self.missing_members(&directory),
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod serve;
 pub mod settings;
 pub mod status;
+pub mod traffic;
 pub mod weights;
--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -1,6 +1,7 @@
 //! Connections between routers: length-prefixed postcard frames over TCP, requests with answers and without.
 
 use crate::protocol::{Frame, LONGEST, Request, Response};
+use crate::traffic::{MessageKind, Traffic};
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::future::Future;
@@ -38,22 +39,27 @@
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(second).with_interval(second))
 }
 
-async fn write_frame(writer: &mut OwnedWriteHalf, frame: &Frame) -> io::Result<()> {
+async fn write_frame(writer: &mut OwnedWriteHalf, frame: &Frame, traffic: &Traffic) -> io::Result<()> {
     let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
     let mut bytes = Vec::with_capacity(4 + body.len());
     bytes.extend((body.len() as u32).to_be_bytes());
     bytes.extend(body);
-    writer.write_all(&bytes).await
+    writer.write_all(&bytes).await?;
+    traffic.sent(MessageKind::of(frame), bytes.len());
+    Ok(())
 }
 
-async fn read_frame(reader: &mut OwnedReadHalf) -> io::Result<Frame> {
+async fn read_frame(reader: &mut OwnedReadHalf, traffic: &Traffic) -> io::Result<Frame> {
     let length = reader.read_u32().await? as usize;
     if length > LONGEST {
         return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame is too long"));
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).await?;
-    postcard::from_bytes(&body).map_err(|problem| io::Error::new(io::ErrorKind::InvalidData, problem))
+    let frame: Frame =
+        postcard::from_bytes(&body).map_err(|problem| io::Error::new(io::ErrorKind::InvalidData, problem))?;
+    traffic.received(MessageKind::of(&frame), 4 + length);
+    Ok(frame)
 }
 
 type Pending = Arc<Mutex<HashMap<u32, oneshot::Sender<Response>>>>;
@@ -70,9 +76,15 @@
 pub struct Links {
     links: Mutex<HashMap<SocketAddrV4, Link>>,
     next: AtomicU32,
+    traffic: Arc<Traffic>,
 }
 
 impl Links {
+    /// What was sent and received on all connections, those of other routers to this one included.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
     fn link(&self, address: SocketAddrV4) -> Link {
         let mut links = lock(&self.links);
         if let Some(link) = links.get(&address).filter(|link| !link.frames.is_closed()) {
@@ -80,7 +92,7 @@
         }
         let (frames, queue) = mpsc::channel(QUEUE);
         let link = Link { frames, pending: Pending::default() };
-        tokio::spawn(run_link(address, queue, link.pending.clone()));
+        tokio::spawn(run_link(address, queue, link.pending.clone(), self.traffic.clone()));
         links.insert(address, link.clone());
         link
     }
@@ -106,7 +118,12 @@
     }
 }
 
-async fn run_link(address: SocketAddrV4, mut queue: mpsc::Receiver<Frame>, pending: Pending) {
+async fn run_link(
+    address: SocketAddrV4,
+    mut queue: mpsc::Receiver<Frame>,
+    pending: Pending,
+    traffic: Arc<Traffic>,
+) {
     let connected = timeout(CONNECT_PATIENCE, TcpStream::connect(address)).await;
     if let Ok(Ok(stream)) = connected
         && prepare(&stream).is_ok()
@@ -114,13 +131,13 @@
         let (mut reader, mut writer) = stream.into_split();
         let write = async {
             while let Some(frame) = queue.recv().await {
-                write_frame(&mut writer, &frame).await?;
+                write_frame(&mut writer, &frame, &traffic).await?;
             }
             io::Result::Ok(())
         };
         let read = async {
             loop {
-                if let Frame::Response(id, response) = read_frame(&mut reader).await?
+                if let Frame::Response(id, response) = read_frame(&mut reader, &traffic).await?
                     && let Some(answer) = lock(&pending).remove(&id)
                 {
                     // The asker may have given up.
@@ -146,11 +163,11 @@
 }
 
 /// Serves requests of other routers.
-pub async fn serve(listener: TcpListener, service: Arc<impl Service>) {
+pub async fn serve(listener: TcpListener, service: Arc<impl Service>, traffic: Arc<Traffic>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, service.clone()));
+                tokio::spawn(serve_connection(stream, service.clone(), traffic.clone()));
             }
             Err(problem) => {
                 log::warn!("a connection of another router could not be taken: {problem}");
@@ -160,7 +177,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, service: Arc<impl Service>) {
+async fn serve_connection(stream: TcpStream, service: Arc<impl Service>, traffic: Arc<Traffic>) {
     if prepare(&stream).is_err() {
         return;
     }
@@ -168,13 +185,13 @@
     let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
     let write = async {
         while let Some(frame) = queue.recv().await {
-            write_frame(&mut writer, &frame).await?;
+            write_frame(&mut writer, &frame, &traffic).await?;
         }
         io::Result::Ok(())
     };
     let read = async {
         loop {
-            let Frame::Request(id, request) = read_frame(&mut reader).await? else { continue };
+            let Frame::Request(id, request) = read_frame(&mut reader, &traffic).await? else { continue };
             if id == 0 {
                 service.clone().answer(request).await;
                 continue;
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -2,9 +2,9 @@
 
 use compact_str::CompactString;
 use control::changes::{Change, Outcome};
-use control::delta::Piece;
 use control::digest::{Range, Summary};
 use control::directory::{Backend, Member, Record, VersionVector};
+use control::history::News;
 use control::message::Envelope;
 use control::state::{Position, WeightsTarget};
 use control::view::{Epoch, ReplicaId};
@@ -130,22 +130,13 @@
     pub leader: Option<(Epoch, ReplicaId)>,
 }
 
-/// A configuration as it travels.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Body {
-    /// Byte for byte.
-    Whole(Vec<u8>),
-    /// Made of the body of the base.
-    Difference(Vec<Piece>),
-}
-
 /// The committed control state as routers use it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PublishedState {
     /// The last change in it.
     pub position: Position,
-    /// The configuration: its version and body; none where it has not changed.
-    pub configuration: Option<(u64, Body)>,
+    /// What the asker lacks of the configuration; none where it has not changed.
+    pub configuration: Option<News>,
     /// The newest version of each model's weights.
     pub weights: BTreeMap<CompactString, WeightsTarget>,
 }
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -95,7 +95,7 @@
     }
 
     fn configuration(&self) -> Option<Arc<Configuration>> {
-        lock(&self.exchanges.fleet.published).configuration().map(|loaded| loaded.parsed.clone())
+        lock(&self.exchanges.fleet.published).configuration().cloned()
     }
 
     fn job(
--- a/router/src/proxy/stores.rs
+++ b/router/src/proxy/stores.rs
@@ -282,7 +282,8 @@
 
 fn configured(fleet: &Fleet) -> BTreeMap<SocketAddrV4, KvStore> {
     let published = lock(&fleet.published);
-    let services = published.configuration().into_iter().flat_map(|loaded| loaded.parsed.services.values());
+    let services =
+        published.configuration().into_iter().flat_map(|configuration| configuration.services.values());
     let stores = services.filter_map(|service| service.kv_store.clone());
     stores.map(|store| (store.address, store)).collect()
 }
--- a/router/src/proxy/table.rs
+++ b/router/src/proxy/table.rs
@@ -40,7 +40,7 @@
 
     /// Takes what the directory holds now.
     pub fn refresh(&self, fleet: &Fleet) {
-        let configuration = lock(&fleet.published).configuration().map(|loaded| loaded.parsed.clone());
+        let configuration = lock(&fleet.published).configuration().cloned();
         let capacity = |service: &str| {
             let service = configuration.as_ref().and_then(|parsed| parsed.services.get(service));
             let engine = service.and_then(|service| service.engine.as_ref());
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -1,32 +1,22 @@
 //! The committed control state as this router uses it, and how it reaches others.
 
-use crate::protocol::{Body, PublishedState};
+use crate::protocol::PublishedState;
 use compact_str::CompactString;
 use control::configuration::Configuration;
-use control::delta;
+use control::history::{History, Misfit};
 use control::state::{ControlState, Position, WeightsTarget};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How many former configurations are kept as bases for differences.
-const KEPT: usize = 4;
-
-/// A configuration with its text.
-#[derive(Debug, Clone)]
-pub struct Loaded {
-    /// The text, byte for byte.
-    pub body: Arc<Vec<u8>>,
-    /// What it says.
-    pub parsed: Arc<Configuration>,
-}
-
 /// The newest committed state that this router knows. It never goes back.
 #[derive(Debug, Default)]
 pub struct Published {
     position: Position,
-    configuration: Option<Loaded>,
+    history: History,
+    configuration: Option<Arc<Configuration>>,
     weights: BTreeMap<CompactString, WeightsTarget>,
-    former: VecDeque<(u64, Arc<Vec<u8>>)>,
+    /// Steps from the text held have led astray, so the whole text is wanted.
+    wants_whole: bool,
 }
 
 impl Published {
@@ -36,13 +26,18 @@
     }
 
     /// The configuration in force here.
-    pub fn configuration(&self) -> Option<&Loaded> {
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.configuration.as_ref()
     }
 
     /// The version of that configuration.
     pub fn version(&self) -> Option<u64> {
-        self.configuration.as_ref().map(|loaded| loaded.parsed.version)
+        self.configuration.as_ref().map(|configuration| configuration.version)
+    }
+
+    /// The version that steps to a newer one may start from; none where the whole text is wanted.
+    pub fn base(&self) -> Option<u64> {
+        self.version().filter(|_| !self.wants_whole)
     }
 
     /// The newest version of each model's weights.
@@ -57,7 +52,9 @@
         }
         let configuration = state.configuration.as_ref();
         if let Some(stored) = configuration.filter(|stored| Some(stored.version) != self.version()) {
-            self.load(stored.body.clone());
+            let mut history = self.history.clone();
+            history.advance(stored.version, stored.body.clone());
+            self.load(history);
         }
         self.position = state.position;
         self.weights.clone_from(&state.weights);
@@ -69,16 +66,15 @@
         if state.position.index <= self.position.index {
             return false;
         }
-        if let Some((_, body)) = state.configuration {
-            let whole = match body {
-                Body::Whole(body) => Some(body),
-                Body::Difference(pieces) => {
-                    let base = self.configuration.as_ref().map_or(&[][..], |loaded| &loaded.body);
-                    delta::restore(base, &pieces)
-                }
-            };
-            let Some(whole) = whole else { return false };
-            if !self.load(whole) {
+        let news = state.configuration.filter(|news| news.version() != self.version());
+        if let Some(news) = news {
+            let mut history = self.history.clone();
+            if let Err(misfit) = history.take(news) {
+                log::debug!("a configuration is not taken: {misfit}");
+                self.wants_whole = matches!(misfit, Misfit::Checksum { .. });
+                return false;
+            }
+            if !self.load(history) {
                 return false;
             }
         }
@@ -87,15 +83,13 @@
         true
     }
 
-    fn load(&mut self, body: Vec<u8>) -> bool {
-        match Configuration::parse(&body) {
+    /// The one place where the configuration changes.
+    fn load(&mut self, history: History) -> bool {
+        match Configuration::parse(history.text()) {
             Ok(parsed) => {
-                let loaded = Loaded { body: Arc::new(body), parsed: Arc::new(parsed) };
-                self.former.push_back((loaded.parsed.version, loaded.body.clone()));
-                if self.former.len() > KEPT {
-                    self.former.pop_front();
-                }
-                self.configuration = Some(loaded);
+                self.configuration = Some(Arc::new(parsed));
+                self.history = history;
+                self.wants_whole = false;
                 true
             }
             Err(problem) => {
@@ -110,15 +104,7 @@
         if position.index >= self.position.index {
             return None;
         }
-        let changed = self.configuration.as_ref().filter(|loaded| Some(loaded.parsed.version) != base);
-        let configuration = changed.map(|loaded| {
-            let former = self.former.iter().find(|(version, _)| Some(*version) == base);
-            let body = match former {
-                Some((_, base)) => Body::Difference(delta::difference(base, &loaded.body)),
-                None => Body::Whole(loaded.body.to_vec()),
-            };
-            (loaded.parsed.version, body)
-        });
+        let configuration = self.history.news_for(base.unwrap_or(0));
         Some(PublishedState { position: self.position, configuration, weights: self.weights.clone() })
     }
 }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -117,7 +117,8 @@
     let stores = fleet.stores.clone();
     let exchanges = Exchanges::new(fleet.clone(), table.clone(), stores.clone());
 
-    tokio::spawn(links::serve(listener, fleet.clone()));
+    let traffic = fleet.links.traffic().clone();
+    tokio::spawn(links::serve(listener, fleet.clone(), traffic));
     if let Some(Replica { node, disk, stored, handle, inputs }) = replica {
         tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle.clone(), inputs));
         tokio::spawn(Orders::new(fleet.clone(), handle, client.clone()).run());
--- a/router/src/status.rs
+++ b/router/src/status.rs
@@ -28,6 +28,15 @@
         .iter()
         .map(|(model, target)| json!({"model": model.as_str(), "version": target.version}))
         .collect();
+    let traffic: Vec<Json> = fleet
+        .links
+        .traffic()
+        .counts()
+        .map(|(kind, count)| {
+            json!({"about": format!("{kind:?}"), "messagesSent": count.messages_sent, "bytesSent": count.bytes_sent,
+                   "messagesReceived": count.messages_received, "bytesReceived": count.bytes_received})
+        })
+        .collect();
     json!({
         "node": fleet.settings.node_name.as_str(),
         "configuration": published.version(),
@@ -37,5 +46,6 @@
         "members": members,
         "backends": backends,
         "weights": weights,
+        "traffic": traffic,
     })
 }
--- /dev/null
+++ b/router/src/traffic.rs
@@ -0,0 +1,118 @@
+//! Counts of messages and bytes between routers, by what they are about.
+
+use crate::protocol::{Frame, Request, Response};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What a message is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MessageKind {
+    /// Replication, failover and leases of the control state.
+    Replica,
+    /// Soft state and configurations.
+    Pull,
+    /// Operators' changes and reads.
+    Operator,
+    /// Registrations of backends.
+    Register,
+    /// What stores keep.
+    Kept,
+    /// Comparison of range digests.
+    Repair,
+}
+
+impl MessageKind {
+    /// Every kind, in the order of its counters.
+    pub const ALL: [MessageKind; 6] = [
+        MessageKind::Replica,
+        MessageKind::Pull,
+        MessageKind::Operator,
+        MessageKind::Register,
+        MessageKind::Kept,
+        MessageKind::Repair,
+    ];
+
+    /// What a frame is about.
+    pub fn of(frame: &Frame) -> Self {
+        match frame {
+            Frame::Request(_, request) => Self::of_request(request),
+            Frame::Response(_, response) => Self::of_response(response),
+        }
+    }
+
+    fn of_request(request: &Request) -> Self {
+        match request {
+            Request::Replica(_) => MessageKind::Replica,
+            Request::Pull(_) => MessageKind::Pull,
+            Request::Submit { .. } | Request::ReadConfiguration { .. } => MessageKind::Operator,
+            Request::Register { .. } => MessageKind::Register,
+            Request::Kept { .. } => MessageKind::Kept,
+            Request::Compare { .. } | Request::Fetch { .. } => MessageKind::Repair,
+        }
+    }
+
+    fn of_response(response: &Response) -> Self {
+        match response {
+            Response::Pulled(_) => MessageKind::Pull,
+            Response::Outcome(_) | Response::Configuration(_) => MessageKind::Operator,
+            Response::Registered(_) => MessageKind::Register,
+            Response::Kept(_) => MessageKind::Kept,
+            Response::Summary(_) | Response::Records(_) => MessageKind::Repair,
+        }
+    }
+}
+
+/// Messages and bytes of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Messages sent.
+    pub messages_sent: u64,
+    /// Bytes sent.
+    pub bytes_sent: u64,
+    /// Messages received.
+    pub messages_received: u64,
+    /// Bytes received.
+    pub bytes_received: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counter {
+    messages_sent: AtomicU64,
+    bytes_sent: AtomicU64,
+    messages_received: AtomicU64,
+    bytes_received: AtomicU64,
+}
+
+/// Counters of one process.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    counters: [Counter; MessageKind::ALL.len()],
+}
+
+impl Traffic {
+    /// A frame was written.
+    pub fn sent(&self, kind: MessageKind, bytes: usize) {
+        let counter = &self.counters[kind as usize];
+        counter.messages_sent.fetch_add(1, Ordering::Relaxed);
+        counter.bytes_sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// A frame was read.
+    pub fn received(&self, kind: MessageKind, bytes: usize) {
+        let counter = &self.counters[kind as usize];
+        counter.messages_received.fetch_add(1, Ordering::Relaxed);
+        counter.bytes_received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// What was counted of each kind.
+    pub fn counts(&self) -> impl Iterator<Item = (MessageKind, Count)> + '_ {
+        MessageKind::ALL.into_iter().zip(&self.counters).map(|(kind, counter)| {
+            let count = Count {
+                messages_sent: counter.messages_sent.load(Ordering::Relaxed),
+                bytes_sent: counter.bytes_sent.load(Ordering::Relaxed),
+                messages_received: counter.messages_received.load(Ordering::Relaxed),
+                bytes_received: counter.bytes_received.load(Ordering::Relaxed),
+            };
+            (kind, count)
+        })
+    }
+}
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -3,10 +3,11 @@
 
 use control::configuration::Configuration;
 use control::directory::{Backend, BackendPhase, Key, Value};
+use control::history::News;
 use control::state::Position;
 use router::fleet::Fleet;
 use router::listener::{BreakableAcceptor, Breakers};
-use router::protocol::{Body, PublishedState};
+use router::protocol::PublishedState;
 use router::proxy::exchange::Exchanges;
 use router::proxy::ingress::Ingress;
 use router::proxy::stores::Stores;
@@ -224,7 +225,7 @@
     Configuration::parse(body.as_bytes()).unwrap();
     let state = PublishedState {
         position: Position { index, epoch: 1 },
-        configuration: Some((1, Body::Whole(body.as_bytes().to_vec()))),
+        configuration: Some(News::Whole { version: 1, text: body.as_bytes().to_vec() }),
         weights: BTreeMap::new(),
     };
     assert!(fleet.published.lock().unwrap().take(state));
