Prefix owners say where prompts are kept; backends' and stores' events take away what gave way

Cause: shared parts read again were the largest price. Each router guessed from its own sends what backends keep, and had a copy of the store's whole list by way of a reader: 400 KB each, ten at once, filled a reader's link of 10 Mbit/s for seconds (by router::traffic; its requests took 0.9 s and its heartbeats were missed).

Change: routing::locations and routing::owners: one router owns a prefix and is asked for each request; router::proxy locator, events, kept, salt. The copies of the store's list and the index of own sends are gone.

Tests of both packages pass.

--- a/router/examples/capacity.rs
+++ b/router/examples/capacity.rs
@@ -7,8 +7,7 @@
 };
 use control::state::Position;
 use router::protocol::{Frame, PullRequest, Pulled, Request, Response};
-use routing::index::HolderIndex;
-use routing::prompt::Part;
+use routing::locations::{Locations, Placement, PrefixKey};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Instant;
 
@@ -134,24 +133,41 @@
         .collect();
     println!("a router's directory: {} KB", (memory_kb() - start) / hollow.len() as u64);
 
-    let blocks = 1_000_000;
+    measure_prefixes();
+}
+
+/// The index of kept prompts at one owner, full, and what a question takes there.
+fn measure_prefixes() {
+    const PREFIXES: u64 = 16_000;
+    let holder = |number: u64| Placement { backend: format!("i-{number:010x}").into(), version: 3 };
+    let mut locations = Locations::default();
     let start = memory_kb();
-    let mut index = HolderIndex::new(u64::MAX / 2);
+    for number in 0..PREFIXES {
+        for backend in 0..3 {
+            locations.placed(PrefixKey(number), &holder(number + backend), 1);
+        }
+    }
+    println!("the index: {} bytes a prefix with three holders", (memory_kb() - start) * 1024 / PREFIXES);
     let began = Instant::now();
-    for number in 0..blocks {
-        index.told("s0123abcd-v3", &format!("{number:08x}"), 16);
+    for number in 0..PREFIXES {
+        std::hint::black_box(locations.locate(PrefixKey(number), &holder(number), true, Some(1), 2));
     }
-    let took = began.elapsed().as_secs_f64();
-    println!(
-        "the index: {} bytes a part, {:.2} us an event",
-        (memory_kb() - start) * 1024 / blocks,
-        took * 1e6 / blocks as f64
-    );
-    let parts: Vec<Part> =
-        (0..3).map(|number| Part { id: format!("{number:08x}").into(), tokens: 16 }).collect();
+    println!("  a question: {:.2} us", began.elapsed().as_secs_f64() * 1e6 / PREFIXES as f64);
     let began = Instant::now();
-    for _ in 0..100_000 {
-        std::hint::black_box(index.kept_tokens("s0123abcd-v3", &parts));
+    for number in 0..PREFIXES {
+        locations.evicted(PrefixKey(number * 7), &holder(number));
     }
-    println!("  a look-up of three parts: {:.2} us", began.elapsed().as_secs_f64() * 1e6 / 1e5);
+    println!("  an event: {:.2} us", began.elapsed().as_secs_f64() * 1e6 / PREFIXES as f64);
+    let key = PrefixKey(1);
+    let question = Request::Locate { key, planned: holder(1), wants_save: true };
+    let answer = Response::Located(locations.locate(key, &holder(1), true, Some(1), 3));
+    println!(
+        "  bytes: {} asked, {} answered; an eviction {}",
+        bytes(&Frame::Request(1, question)),
+        bytes(&Frame::Response(1, answer)),
+        bytes(&Frame::Request(
+            0,
+            Request::Evicted { backend: "i-0000000001".into(), prefixes: vec![(key, 3)] }
+        )),
+    );
 }
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::disk::Known;
 use crate::links::{Links, Service, lock};
 use crate::protocol::{MOST_HOPS, PullRequest, Pulled, Request, Response};
+use crate::proxy::locator::Question;
 use crate::proxy::stores::Stores;
 use crate::published::Published;
 use crate::replica::ReplicaHandle;
@@ -15,6 +16,7 @@
 use control::directory::{Backend, BackendPhase, Directory, Key, Member, MemberStatus, Origin, Value};
 use control::silence::Silence;
 use control::view::{Epoch, ReplicaId};
+use routing::locations::Locations;
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -49,7 +51,9 @@
     /// Durable state, as committed.
     pub published: Mutex<Published>,
     /// Stores of kept prompts.
-    pub stores: Arc<Stores>,
+    pub stores: Stores,
+    /// Where the shared starts of prompts are kept that this router owns.
+    pub locations: Mutex<Locations>,
     /// The replica that this node runs, if any.
     pub replica: Option<ReplicaHandle>,
     /// This process's own life.
@@ -71,7 +75,8 @@
             links: Links::default(),
             directory: Mutex::new(Directory::new(Origin(life))),
             published: Mutex::new(Published::default()),
-            stores: Arc::default(),
+            stores: Stores::default(),
+            locations: Mutex::default(),
             replica,
             life,
             monitored: Mutex::new(Silence::new(now)),
@@ -540,8 +545,21 @@
                     let digests = Digests::new(lock(&self.directory).hashes());
                     Some(Response::Summary(digests.summary(range)))
                 }
-                Request::Kept { store, generation, since } => {
-                    Some(Response::Kept(self.stores.news(store, generation, since)))
+                Request::StoreStatus { store } => Some(Response::StoreStatus(self.stores.status(store))),
+                Request::Locate { key, planned, wants_save } => {
+                    Some(Response::Located(self.locate(&Question { key, planned, wants_save })))
+                }
+                Request::Placed { key, placement } => {
+                    lock(&self.locations).placed(key, &placement, clock::now());
+                    None
+                }
+                Request::Evicted { backend, prefixes } => {
+                    self.take_evicted(&backend, &prefixes);
+                    None
+                }
+                Request::EvictedFromStore { prefixes } => {
+                    self.take_evicted_from_store(&prefixes);
+                    None
                 }
                 Request::Fetch { keys } => {
                     let keys: BTreeSet<u64> = keys.into_iter().collect();
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -8,6 +8,7 @@
 use control::message::Envelope;
 use control::state::{Position, WeightsTarget};
 use control::view::{Epoch, ReplicaId};
+use routing::locations::{Located, Placement, PrefixKey};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -48,14 +49,38 @@
         /// The range.
         range: Range,
     },
-    /// Asks a router that reads a store's events for what the store keeps.
-    Kept {
+    /// Asks a router that reads a store's events whether the store answers.
+    StoreStatus {
         /// The store.
         store: SocketAddrV4,
-        /// The reading that the asker knows; 0 for none.
-        generation: u64,
-        /// The last event of it that the asker knows.
-        since: u64,
+    },
+    /// Asks the owner of a prefix where it is kept.
+    Locate {
+        /// The prefix.
+        key: PrefixKey,
+        /// Where the request would go if the prefix is kept nowhere.
+        planned: Placement,
+        /// Whether the prefix is worth saving at the store.
+        wants_save: bool,
+    },
+    /// Tells the owner of a prefix where a request goes; has no answer.
+    Placed {
+        /// The prefix.
+        key: PrefixKey,
+        /// The backend that will keep it.
+        placement: Placement,
+    },
+    /// Tells an owner which prefixes a backend keeps no more, with their versions; has no answer.
+    Evicted {
+        /// The backend's instance id.
+        backend: CompactString,
+        /// The prefixes.
+        prefixes: Vec<(PrefixKey, u64)>,
+    },
+    /// Tells an owner which prefixes the store keeps no more, with their versions; has no answer.
+    EvictedFromStore {
+        /// The prefixes.
+        prefixes: Vec<(PrefixKey, u64)>,
     },
     /// Asks for records by the hashes of their keys.
     Fetch {
@@ -75,25 +100,21 @@
     Configuration(Option<Option<Vec<u8>>>),
     /// To a heartbeat: where later ones are to go. None where it was not taken.
     Registered(Option<SocketAddrV4>),
-    /// To a question for what a store keeps; none where the router does not read it.
-    Kept(Option<KeptNews>),
+    /// To a question whether a store answers; none where the router does not know.
+    StoreStatus(Option<StoreStatus>),
+    /// To a question where a prefix is kept.
+    Located(Located),
     /// To a comparison.
     Summary(Summary),
     /// To a fetch.
     Records(Vec<Record>),
 }
 
-/// What a store keeps, or what has changed of it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct KeptNews {
-    /// The reading that this is from; another one begins with everything.
-    pub generation: u64,
-    /// The last event in it.
-    pub next: u64,
-    /// Whether it is everything, in place of what the asker knew.
-    pub whole: bool,
-    /// Salt, part and its tokens; 0 where it is kept no more.
-    pub parts: Vec<(CompactString, CompactString, u64)>,
+/// How a store stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreStatus {
+    /// Its life, where it answers.
+    pub generation: Option<u64>,
 }
 
 /// Asks for everything that is newer than what the asker has.
--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -3,6 +3,7 @@
 use super::backend::{Backend, Outstanding, Told};
 use super::connection::{Connection, Failure};
 use super::headers;
+use super::salt::salt;
 use super::stores::Transfer;
 use crate::clock;
 use bytes::Bytes;
@@ -195,11 +196,6 @@
     request
 }
 
-/// The text under which parts are kept: the wall around a tenant, and the version that made them.
-pub fn salt(wall: &str, version: Option<u64>) -> CompactString {
-    compact_str::format_compact!("{wall}v{}", version.unwrap_or(0))
-}
-
 /// An answer whose head has come.
 struct Answer {
     call: Arc<Call>,
--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -1,4 +1,4 @@
-//! A backend as this router sees it: what it was told of it, its load, its connections, and what it keeps.
+//! A backend as this router sees it: what it was told of it, its load, and its connections.
 
 use super::connection::Connection;
 use crate::clock;
@@ -6,7 +6,6 @@
 use compact_str::CompactString;
 use control::Millis;
 use control::directory::{Backend as Registered, BackendPhase, Order, OrderPhase};
-use routing::index::HolderIndex;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
@@ -56,7 +55,6 @@
     failures: u32,
     avoid_until: Millis,
     idle: Vec<Connection>,
-    index: HolderIndex,
 }
 
 /// One incarnation of a backend.
@@ -98,7 +96,7 @@
 
 impl Backend {
     /// A backend that has just become known.
-    pub fn new(id: CompactString, registered: &Registered, kv_capacity: u64) -> Self {
+    pub fn new(id: CompactString, registered: &Registered) -> Self {
         let live = Live {
             phase: registered.phase,
             silent: registered.silent,
@@ -110,7 +108,6 @@
             failures: 0,
             avoid_until: 0,
             idle: Vec::new(),
-            index: HolderIndex::new(kv_capacity),
         };
         Backend {
             id,
@@ -185,11 +182,6 @@
         lock(&self.live).told = Some(told);
     }
 
-    /// Its index of kept parts.
-    pub fn with_index<T>(&self, look: impl FnOnce(&mut HolderIndex) -> T) -> T {
-        look(&mut lock(&self.live).index)
-    }
-
     /// A connection: an idle one, or a new one.
     pub async fn connect(&self, patience: Duration) -> io::Result<Connection> {
         let idle = {
@@ -241,11 +233,7 @@
 impl Live {
     fn learn_version(&mut self, model: &CompactString, version: u64) {
         let known = self.versions.entry(model.clone()).or_default();
-        if version > *known {
-            *known = version;
-            // What it kept was made with the former weights, and it has dropped it.
-            self.index.clear();
-        }
+        *known = version.max(*known);
     }
 
     fn is_loading(&self, model: &str, now: Millis) -> bool {
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -1,8 +1,10 @@
 //! One request of a client, from its first send to the start of its answer: first sends, copies, repeats.
 
 use super::attempt::{self, Begun, Call, Content, Ended, Sent, Variant};
+use super::backend::{Backend, Fitness};
+use super::locator::{Locator, Question};
 use super::pick::{Choice, Need, pick};
-use super::stores::{Stores, Transfer};
+use super::stores::Transfer;
 use super::table::Table;
 use crate::clock;
 use crate::fleet::Fleet;
@@ -15,7 +17,9 @@
 use hyper::header::HeaderName;
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
+use routing::locations::{Located, Placement, PrefixKey};
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,6 +37,10 @@
 const WAIT_SHARE: u32 = 5;
 /// Advice to clients that are refused, in seconds.
 const RETRY_AFTER: f64 = 0.15;
+/// Shared starts of fewer tokens are not asked for.
+const LEAST_SHARED: u64 = 64;
+/// A prompt is worth saving where so much of it is shared: a save brings the whole prompt to the store.
+const SAVE_SHARE: f64 = 0.25;
 /// So long before new weights must be everywhere, backends without them are used no more.
 const VERSION_MARGIN: Millis = 1_300;
 
@@ -67,8 +75,8 @@
     pub fleet: Arc<Fleet>,
     /// The backends.
     pub table: Arc<Table>,
-    /// The stores of kept prompts.
-    pub stores: Arc<Stores>,
+    /// Finds out where prompts are kept.
+    pub locator: Arc<Locator>,
     learned: Mutex<HashMap<KindKey, Learned>>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     targets: Mutex<HashMap<CompactString, (u64, Millis)>>,
@@ -99,11 +107,11 @@
 
 impl Exchanges {
     /// Nothing is under way.
-    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>, stores: Arc<Stores>) -> Arc<Self> {
+    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>, locator: Arc<Locator>) -> Arc<Self> {
         Arc::new(Exchanges {
             fleet,
             table,
-            stores,
+            locator,
             learned: Mutex::default(),
             budgets: Mutex::default(),
             targets: Mutex::default(),
@@ -156,7 +164,7 @@
         (now >= *since + patience).then_some(target)
     }
 
-    fn choose(&self, job: &Job, tried: &[CompactString]) -> Option<Choice> {
+    fn choose(&self, job: &Job, tried: &[CompactString], located: Option<&Located>) -> Option<Choice> {
         let backends = self.table.backends(&job.service);
         let prompt = job.call.prompt.as_ref();
         let need = Need {
@@ -164,28 +172,48 @@
             wall: &job.call.wall,
             least_version: prompt.and_then(|prompt| self.least_version(&prompt.model)),
             zone: &self.fleet.settings.zone,
-            stores: &self.stores,
+            located,
         };
         pick(&backends, need, tried)
     }
 
-    /// What a send tells its backend about stores. Without a known version nothing is moved: the text under which parts are
-    /// found is all that tells versions apart.
-    fn transfer(&self, job: &Job, choice: &Choice) -> Transfer {
-        match (&job.call.prompt, choice.version) {
-            (Some(prompt), Some(version)) => {
-                self.stores.transfer(&attempt::salt(&job.call.wall, Some(version)), prompt)
-            }
-            _ => Transfer::default(),
-        }
+    /// What a send tells its backend about kept prompts. Without a known version nothing is moved: the text under which parts
+    /// are found is all that tells versions apart.
+    fn transfer(&self, job: &Job, choice: &Choice, located: Option<&Located>) -> Transfer {
+        let Some((prompt, version)) = job.call.prompt.as_ref().zip(choice.version) else {
+            return Transfer::default();
+        };
+        let Some(key) = PrefixKey::of(&job.call.wall, prompt) else { return Transfer::default() };
+        let store = self.locator.store_of(key).map(|store| store.address);
+        let Some(located) = located else { return Transfer { fetch: store, save: None } };
+        let is_there = located.is_held_by(&choice.backend.id, version);
+        let other = if is_there { None } else { self.other_holder(&choice.backend, version, located) };
+        // What a store has gives way less often than what a backend keeps.
+        let fetch = if located.stored == Some(version) { store.or(other) } else { other.or(store) };
+        Transfer { fetch, save: store.filter(|_| located.save) }
+    }
+
+    /// Another backend that keeps the prefix under this version and may be asked for it, one of the same zone first.
+    fn other_holder(&self, chosen: &Backend, version: u64, located: &Located) -> Option<SocketAddrV4> {
+        let holders = located.holders.iter();
+        let others = holders.filter(|holder| holder.version == version && holder.backend != chosen.id);
+        let known = others.filter_map(|holder| self.table.backend(&holder.backend));
+        let sound = known.filter(|backend| backend.fitness(None) == Fitness::Fit);
+        let nearest = sound.min_by_key(|backend| backend.zone != chosen.zone);
+        nearest.map(|backend| backend.address)
     }
 
     /// Waits a little for a backend where there is none at present.
-    async fn choose_soon(&self, job: &Job, tried: &[CompactString]) -> Option<Choice> {
+    async fn choose_soon(
+        &self,
+        job: &Job,
+        tried: &[CompactString],
+        located: Option<&Located>,
+    ) -> Option<Choice> {
         let patience = Duration::from_millis(job.route.target_latency_ms) / WAIT_SHARE;
         let until = (Instant::now() + patience).min(job.until);
         loop {
-            if let Some(choice) = self.choose(job, tried) {
+            if let Some(choice) = self.choose(job, tried, located) {
                 return Some(choice);
             }
             if Instant::now() + LOOK_AGAIN > until {
@@ -206,6 +234,7 @@
             sent: Vec::new(),
             copied: false,
             advice: None,
+            located: None,
         };
         exchange.run().await
     }
@@ -213,11 +242,11 @@
     /// Goes on with a stream that broke off, at another backend.
     pub async fn resume(&self, job: &Job, tries: &mut Tries, last_event_id: String) -> Option<Begun> {
         while tries.runs < job.route.attempts && tries.rejections <= MOST_REJECTIONS {
-            let choice = self.choose_soon(job, &tries.tried).await?;
+            let choice = self.choose_soon(job, &tries.tried, None).await?;
             if !self.take_repeat(&job.service, 0.0) {
                 return None;
             }
-            let transfer = self.transfer(job, &choice);
+            let transfer = self.transfer(job, &choice, None);
             let last_event_id = Some(last_event_id.clone());
             let variant = Variant { version: choice.version, last_event_id, transfer };
             tries.tried.push(choice.backend.id.clone());
@@ -248,13 +277,15 @@
     sent: Vec<Sent>,
     copied: bool,
     advice: Option<f64>,
+    located: Option<Located>,
 }
 
 impl Exchange<'_> {
     async fn run(&mut self) -> Result<(Begun, Tries), GivenUp> {
-        let Some(choice) = self.exchanges.choose_soon(self.job, &[]).await else {
+        let Some(planned) = self.exchanges.choose_soon(self.job, &[], None).await else {
             return Err(self.give_up(false));
         };
+        let choice = self.locate(planned).await;
         self.send(choice);
         self.exchanges.with_learned(self.job, |learned| learned.copies.sent());
         let hedge_after = self.exchanges.with_learned(self.job, |learned| learned.pace.p95);
@@ -286,14 +317,37 @@
         }
     }
 
+    /// Asks where the shared start of the prompt is kept, and chooses anew where somebody keeps it.
+    async fn locate(&mut self, planned: Choice) -> Choice {
+        let Some(question) = self.question(&planned) else { return planned };
+        let key = question.key;
+        self.located = self.exchanges.locator.locate(question).await;
+        let Some(located) = self.located.as_ref().filter(|located| !located.holders.is_empty()) else {
+            return planned;
+        };
+        let choice = self.exchanges.choose(self.job, &[], Some(located)).unwrap_or(planned);
+        if let Some(placement) = placement(&choice)
+            && !located.is_held_by(&placement.backend, placement.version)
+        {
+            self.exchanges.locator.tell_placed(key, placement);
+        }
+        choice
+    }
+
+    /// What the owner of the prompt's shared start is asked; none where little is shared.
+    fn question(&self, planned: &Choice) -> Option<Question> {
+        let call = &self.job.call;
+        let prompt = call.prompt.as_ref()?;
+        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
+        let key = PrefixKey::of(&call.wall, prompt).filter(|_| shared >= LEAST_SHARED)?;
+        let wants_save = shared as f64 >= SAVE_SHARE * prompt.tokens_in as f64;
+        Some(Question { key, planned: placement(planned)?, wants_save })
+    }
+
     fn send(&mut self, choice: Choice) {
         self.tries.tried.push(choice.backend.id.clone());
         self.tries.runs += 1;
-        if let Some(prompt) = &self.job.call.prompt {
-            let salt = attempt::salt(&self.job.call.wall, choice.version);
-            choice.backend.with_index(|index| index.will_keep(&salt, &prompt.parts));
-        }
-        let transfer = self.exchanges.transfer(self.job, &choice);
+        let transfer = self.exchanges.transfer(self.job, &choice, self.located.as_ref());
         let variant = Variant { version: choice.version, last_event_id: None, transfer };
         let sent = Sent::default();
         self.sent.push(sent.clone());
@@ -310,7 +364,8 @@
         if !allowed {
             return;
         }
-        let Some(choice) = self.exchanges.choose(self.job, &self.tries.tried) else { return };
+        let located = self.located.as_ref();
+        let Some(choice) = self.exchanges.choose(self.job, &self.tries.tried, located) else { return };
         if self.exchanges.take_repeat(&self.job.service, KEPT_FOR_FAILURES) {
             self.exchanges.with_learned(self.job, |learned| learned.copies.take());
             self.copied = true;
@@ -342,7 +397,7 @@
             return Err(self.give_up(false));
         }
         let tried = self.tries.tried.clone();
-        match self.exchanges.choose_soon(self.job, &tried).await {
+        match self.exchanges.choose_soon(self.job, &tried, self.located.as_ref()).await {
             Some(choice) => {
                 self.send(choice);
                 Ok(())
@@ -371,6 +426,11 @@
     }
 }
 
+/// A choice as owners of prefixes know it.
+fn placement(choice: &Choice) -> Option<Placement> {
+    Some(Placement { backend: choice.backend.id.clone(), version: choice.version? })
+}
+
 /// Whether an answer is a stream.
 pub fn is_stream(begun: &Begun) -> bool {
     matches!(begun.content, Content::Events(_))
--- /dev/null
+++ b/router/src/proxy/locator.rs
@@ -0,0 +1,185 @@
+//! Asking the owner of a prompt's shared start where it is kept, and answering as an owner.
+
+use super::events::KeptEvent;
+use super::stores::AnsweringStore;
+use crate::clock;
+use crate::fleet::Fleet;
+use crate::links::lock;
+use crate::protocol::{Request, Response};
+use compact_str::CompactString;
+use control::Millis;
+use control::directory::MemberStatus;
+use routing::locations::{Located, Placement, PrefixKey};
+use routing::owners::Owners;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Patience for an owner's answer: a small part of what reading a prefix again takes.
+const PATIENCE: Duration = Duration::from_millis(12);
+/// An owner that did not answer in time is not asked for this long.
+const AVOID: Millis = 400;
+/// The ring of owners is made anew at most so often.
+const REFRESH: Millis = 200;
+
+/// A router that may own prefixes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Owner {
+    address: SocketAddrV4,
+    zone: CompactString,
+}
+
+#[derive(Default)]
+struct Ring {
+    owners: Arc<Owners<Owner>>,
+    made_at: Option<Millis>,
+    change: u64,
+}
+
+/// Finds owners and asks them.
+pub struct Locator {
+    fleet: Arc<Fleet>,
+    ring: Mutex<Ring>,
+    avoided: Mutex<HashMap<SocketAddrV4, Millis>>,
+}
+
+/// A question to an owner.
+#[derive(Debug, Clone)]
+pub struct Question {
+    /// The prefix.
+    pub key: PrefixKey,
+    /// Where the request would go if the prefix is kept nowhere.
+    pub planned: Placement,
+    /// Whether the prefix is worth saving at the store.
+    pub wants_save: bool,
+}
+
+impl Locator {
+    /// Knows nobody yet.
+    pub fn new(fleet: Arc<Fleet>) -> Arc<Self> {
+        Arc::new(Locator { fleet, ring: Mutex::default(), avoided: Mutex::default() })
+    }
+
+    fn owners(&self) -> Arc<Owners<Owner>> {
+        let now = clock::now();
+        let mut ring = lock(&self.ring);
+        let is_fresh = ring.made_at.is_some_and(|made_at| now < made_at + REFRESH);
+        let change = self.fleet.changes();
+        if !is_fresh && (ring.made_at.is_none() || change != ring.change) {
+            let directory = lock(&self.fleet.directory);
+            let up = directory.members().filter(|(_, member)| member.status == MemberStatus::Up);
+            let owner = |(name, member): (&'_ CompactString, &'_ control::directory::Member)| {
+                let owner = Owner { address: member.internal, zone: member.zone.clone() };
+                (name.clone(), owner)
+            };
+            let members: Vec<(CompactString, Owner)> = up.map(owner).collect();
+            let named = members.iter().map(|(name, owner)| (name.as_str(), owner.clone()));
+            ring.owners = Arc::new(Owners::new(named));
+            (ring.made_at, ring.change) = (Some(now), change);
+        }
+        ring.owners.clone()
+    }
+
+    fn is_own(&self, address: SocketAddrV4) -> bool {
+        address == self.fleet.settings.internal_address()
+    }
+
+    /// Where a prefix is kept; none where its owner does not tell in time.
+    pub async fn locate(&self, question: Question) -> Option<Located> {
+        let owners = self.owners();
+        let address = owners.of(question.key.0)?.address;
+        if self.is_own(address) {
+            return Some(self.fleet.locate(&question));
+        }
+        if lock(&self.avoided).get(&address).is_some_and(|until| clock::now() < *until) {
+            return None;
+        }
+        let Question { key, planned, wants_save } = question;
+        let request = Request::Locate { key, planned, wants_save };
+        match self.fleet.links.ask(address, request, PATIENCE).await {
+            Some(Response::Located(located)) => Some(located),
+            _ => {
+                lock(&self.avoided).insert(address, clock::now() + AVOID);
+                None
+            }
+        }
+    }
+
+    /// The store that keeps a prefix, where one answers.
+    pub fn store_of(&self, key: PrefixKey) -> Option<AnsweringStore> {
+        self.fleet.stores.of(key)
+    }
+
+    /// Tells a prefix's owner where a request goes.
+    pub fn tell_placed(&self, key: PrefixKey, placement: Placement) {
+        let owners = self.owners();
+        let Some(owner) = owners.of(key.0) else { return };
+        if self.is_own(owner.address) {
+            lock(&self.fleet.locations).placed(key, &placement, clock::now());
+        } else {
+            self.fleet.links.tell(owner.address, Request::Placed { key, placement });
+        }
+    }
+
+    /// Tells the owners of prefixes which ones a backend keeps no more.
+    pub fn tell_evicted(&self, backend: &CompactString, events: &[KeptEvent]) {
+        for (address, prefixes) in self.evicted_by_owner(events, |_| true) {
+            if self.is_own(address) {
+                self.fleet.take_evicted(backend, &prefixes);
+            } else {
+                self.fleet.links.tell(address, Request::Evicted { backend: backend.clone(), prefixes });
+            }
+        }
+    }
+
+    /// Tells the owners of this zone which prefixes a store keeps no more.
+    pub fn tell_evicted_from_store(&self, events: &[KeptEvent]) {
+        let own_zone = &self.fleet.settings.zone;
+        for (address, prefixes) in self.evicted_by_owner(events, |owner| owner.zone == *own_zone) {
+            if self.is_own(address) {
+                self.fleet.take_evicted_from_store(&prefixes);
+            } else {
+                self.fleet.links.tell(address, Request::EvictedFromStore { prefixes });
+            }
+        }
+    }
+
+    fn evicted_by_owner(
+        &self,
+        events: &[KeptEvent],
+        is_told: impl Fn(&Owner) -> bool,
+    ) -> BTreeMap<SocketAddrV4, Vec<(PrefixKey, u64)>> {
+        let owners = self.owners();
+        let mut by_owner: BTreeMap<SocketAddrV4, Vec<(PrefixKey, u64)>> = BTreeMap::new();
+        for event in events.iter().filter(|event| !event.kept) {
+            if let Some(owner) = owners.of(event.key.0).filter(|owner| is_told(owner)) {
+                by_owner.entry(owner.address).or_default().push((event.key, event.version));
+            }
+        }
+        by_owner
+    }
+}
+
+impl Fleet {
+    /// Answers as the owner of a prefix.
+    pub fn locate(&self, question: &Question) -> Located {
+        let generation = self.stores.of(question.key).map(|store| store.generation);
+        let Question { key, planned, wants_save } = question;
+        lock(&self.locations).locate(*key, planned, *wants_save, generation, clock::now())
+    }
+
+    /// A backend keeps these prefixes no more.
+    pub fn take_evicted(&self, backend: &CompactString, prefixes: &[(PrefixKey, u64)]) {
+        let mut locations = lock(&self.locations);
+        for (key, version) in prefixes {
+            locations.evicted(*key, &Placement { backend: backend.clone(), version: *version });
+        }
+    }
+
+    /// A store keeps these prefixes no more.
+    pub fn take_evicted_from_store(&self, prefixes: &[(PrefixKey, u64)]) {
+        let mut locations = lock(&self.locations);
+        prefixes.iter().for_each(|(key, version)| locations.evicted_from_store(*key, *version));
+    }
+}
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -3,10 +3,14 @@
 pub mod attempt;
 pub mod backend;
 pub mod connection;
+pub mod events;
 pub mod exchange;
 pub mod headers;
 pub mod ingress;
+pub mod kept;
+pub mod locator;
 pub mod pick;
 pub mod relay;
+pub mod salt;
 pub mod stores;
 pub mod table;
--- a/router/src/proxy/pick.rs
+++ b/router/src/proxy/pick.rs
@@ -1,8 +1,8 @@
 //! Choosing the backend of a send: the least-loaded one, counting the work that the request would bring there.
 
 use super::backend::{Backend, Fitness};
-use super::stores::Stores;
 use compact_str::CompactString;
+use routing::locations::Located;
 use routing::prompt::Prompt;
 use routing::selection::{Candidate, least_loaded};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -16,8 +16,6 @@
 const ZONE_TOKENS: f64 = 1_000.0;
 /// Share of a slot that the way to another zone counts for at services without prompts.
 const ZONE_LOAD: f64 = 0.25;
-/// What a token that is moved costs, as a share of one that is read.
-const MOVE_COST: f64 = 0.5;
 /// How much of a shared part its home is expected to keep where nothing is known.
 const HOME_SHARE: f64 = 0.7;
 
@@ -32,8 +30,8 @@
     pub least_version: Option<u64>,
     /// The zone of this router.
     pub zone: &'a str,
-    /// The stores of kept prompts.
-    pub stores: &'a Stores,
+    /// Where the shared start of the prompt is kept, where its owner has told.
+    pub located: Option<&'a Located>,
 }
 
 /// A chosen backend.
@@ -87,7 +85,8 @@
     (weight, Choice { backend: backend.clone(), version, unread })
 }
 
-/// Tokens of a prompt that a backend has to read: what the index knows, or what its home is expected to keep.
+/// Tokens of a prompt that a backend has to read or to have moved to it: all but those that it keeps. A move takes about as
+/// long as reading. Where nobody has told who keeps them, a home is expected to.
 fn unread_tokens(
     backend: &Backend,
     need: Need<'_>,
@@ -95,15 +94,13 @@
     prompt: &Prompt,
     is_home: bool,
 ) -> u64 {
-    let salt = super::attempt::salt(need.wall, version);
-    let known = backend.with_index(|index| index.kept_tokens(&salt, &prompt.parts));
     let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-    let expected = if is_home { (shared as f64 * HOME_SHARE) as u64 } else { 0 };
-    let known = known.max(expected);
-    // What a store holds is moved instead of being read.
-    let movable = need.stores.held_tokens(&salt, prompt).saturating_sub(known);
-    let moved = (movable as f64 * (1.0 - MOVE_COST)) as u64;
-    prompt.tokens_in.saturating_sub(known + moved)
+    let saved_share = match (need.located, version) {
+        (Some(located), Some(version)) if located.is_held_by(&backend.id, version) => 1.0,
+        (None, _) if is_home => HOME_SHARE,
+        _ => 0.0,
+    };
+    prompt.tokens_in.saturating_sub((shared as f64 * saved_share) as u64)
 }
 
 /// The backend that all routers agree on for prompts which share their parts with this one: rendezvous hashing.
--- /dev/null
+++ b/router/src/proxy/salt.rs
@@ -0,0 +1,28 @@
+//! The text under which backends and stores keep parts of prompts: the wall around a tenant, and the version that made them.
+
+use compact_str::{CompactString, format_compact};
+
+/// What stands between the wall and the version.
+const VERSION_MARK: char = 'v';
+
+/// A salt as events tell it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Salt<'a> {
+    /// The wall around a tenant.
+    pub wall: &'a str,
+    /// The version of the weights.
+    pub version: u64,
+}
+
+impl<'a> Salt<'a> {
+    /// Reads a salt; none where it is no router's.
+    pub fn read(text: &'a str) -> Option<Self> {
+        let (wall, version) = text.rsplit_once(VERSION_MARK)?;
+        Some(Salt { wall, version: version.parse().ok()? })
+    }
+}
+
+/// The text for a wall and a version; 0 where the version is not known.
+pub fn salt(wall: &str, version: Option<u64>) -> CompactString {
+    format_compact!("{wall}{VERSION_MARK}{}", version.unwrap_or(0))
+}
--- a/router/src/proxy/table.rs
+++ b/router/src/proxy/table.rs
@@ -8,9 +8,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
-/// Tokens that fit a backend of which the configuration says nothing.
-const USUAL_CAPACITY: u64 = 200_000;
-
 /// Backends by service.
 pub type Services = HashMap<CompactString, Vec<Arc<Backend>>>;
 
@@ -28,6 +25,11 @@
         services.get(service).cloned().unwrap_or_default()
     }
 
+    /// A backend by its instance id.
+    pub fn backend(&self, id: &str) -> Option<Arc<Backend>> {
+        lock(&self.known).get(id).cloned()
+    }
+
     /// Whether any backend is known.
     pub fn is_empty(&self) -> bool {
         lock(&self.services).is_empty()
@@ -40,12 +42,6 @@
 
     /// Takes what the directory holds now.
     pub fn refresh(&self, fleet: &Fleet) {
-        let configuration = lock(&fleet.published).configuration().cloned();
-        let capacity = |service: &str| {
-            let service = configuration.as_ref().and_then(|parsed| parsed.services.get(service));
-            let engine = service.and_then(|service| service.engine.as_ref());
-            engine.map_or(USUAL_CAPACITY, |engine| engine.kv_capacity)
-        };
         let directory = lock(&fleet.directory);
         let mut known = lock(&self.known);
         let mut services = Services::new();
@@ -56,9 +52,8 @@
                 }
                 continue;
             }
-            let backend = known.entry(id.clone()).or_insert_with(|| {
-                Arc::new(Backend::new(id.clone(), registered, capacity(&registered.service)))
-            });
+            let backend =
+                known.entry(id.clone()).or_insert_with(|| Arc::new(Backend::new(id.clone(), registered)));
             backend.update(registered, directory.order(id));
             services.entry(registered.service.clone()).or_default().push(backend.clone());
         }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -8,6 +8,8 @@
 use crate::membership;
 use crate::proxy::exchange::Exchanges;
 use crate::proxy::ingress::Ingress;
+use crate::proxy::kept;
+use crate::proxy::locator::Locator;
 use crate::proxy::stores;
 use crate::proxy::table::{self, Table};
 use crate::replica::{self, ReplicaHandle};
@@ -114,8 +116,8 @@
     let socket = UdpSocket::bind(internal).await.map_err(failed(internal))?;
     let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
     let table = Arc::new(Table::default());
-    let stores = fleet.stores.clone();
-    let exchanges = Exchanges::new(fleet.clone(), table.clone(), stores.clone());
+    let locator = Locator::new(fleet.clone());
+    let exchanges = Exchanges::new(fleet.clone(), table.clone(), locator.clone());
 
     let traffic = fleet.links.traffic().clone();
     tokio::spawn(links::serve(listener, fleet.clone(), traffic));
@@ -129,7 +131,8 @@
     tokio::spawn(membership::found(fleet.clone()));
     tokio::spawn(membership::repair(fleet.clone()));
     tokio::spawn(membership::prune(fleet.clone()));
-    tokio::spawn(stores::keep_reading(stores, fleet.clone(), client));
+    tokio::spawn(kept::keep_reading(fleet.clone(), locator.clone(), client.clone()));
+    tokio::spawn(stores::keep_watch(fleet.clone(), locator, client));
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
 
     let ready = Ready::new(fleet.clone(), table);
--- a/router/src/traffic.rs
+++ b/router/src/traffic.rs
@@ -14,8 +14,8 @@
     Operator,
     /// Registrations of backends.
     Register,
-    /// What stores keep.
-    Kept,
+    /// Where shared starts of prompts are kept.
+    Locate,
     /// Comparison of range digests.
     Repair,
 }
@@ -27,7 +27,7 @@
         MessageKind::Pull,
         MessageKind::Operator,
         MessageKind::Register,
-        MessageKind::Kept,
+        MessageKind::Locate,
         MessageKind::Repair,
     ];
 
@@ -45,7 +45,11 @@
             Request::Pull(_) => MessageKind::Pull,
             Request::Submit { .. } | Request::ReadConfiguration { .. } => MessageKind::Operator,
             Request::Register { .. } => MessageKind::Register,
-            Request::Kept { .. } => MessageKind::Kept,
+            Request::StoreStatus { .. }
+            | Request::Locate { .. }
+            | Request::Placed { .. }
+            | Request::Evicted { .. }
+            | Request::EvictedFromStore { .. } => MessageKind::Locate,
             Request::Compare { .. } | Request::Fetch { .. } => MessageKind::Repair,
         }
     }
@@ -55,7 +59,7 @@
             Response::Pulled(_) => MessageKind::Pull,
             Response::Outcome(_) | Response::Configuration(_) => MessageKind::Operator,
             Response::Registered(_) => MessageKind::Register,
-            Response::Kept(_) => MessageKind::Kept,
+            Response::StoreStatus(_) | Response::Located(_) => MessageKind::Locate,
             Response::Summary(_) | Response::Records(_) => MessageKind::Repair,
         }
     }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use router::protocol::PublishedState;
 use router::proxy::exchange::Exchanges;
 use router::proxy::ingress::Ingress;
-use router::proxy::stores::Stores;
+use router::proxy::locator::Locator;
 use router::proxy::table::Table;
 use router::settings::Settings;
 use std::collections::BTreeMap;
@@ -187,7 +187,7 @@
         }
         let table = Arc::new(Table::default());
         table.refresh(&fleet);
-        let exchanges = Exchanges::new(fleet.clone(), table.clone(), Arc::new(Stores::default()));
+        let exchanges = Exchanges::new(fleet.clone(), table.clone(), Locator::new(fleet.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let breakers = Breakers::default();
@@ -241,7 +241,7 @@
         sequence,
         silent: false,
         owner: "n1".into(),
-        models: Vec::new(),
+        models: vec![("m".into(), 1)],
     };
     fleet.put(Key::Backend(format!("i-{at}").into()), Value::Backend(record));
 }
--- a/router/tests/stores.rs
+++ b/router/tests/stores.rs
@@ -1,80 +1,86 @@
-//! What a store keeps reaches routers that do not read it themselves.
+//! Stores of kept prompts, as routers hear of them.
 
 use control::configuration::KvStore;
+use router::protocol::StoreStatus;
 use router::proxy::stores::Stores;
+use routing::locations::PrefixKey;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-fn store() -> KvStore {
-    KvStore {
-        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9),
+fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, port)
+}
+
+fn stores(ports: &[u16]) -> Stores {
+    let stores = Stores::default();
+    settle(&stores, ports);
+    stores
+}
+
+fn settle(stores: &Stores, ports: &[u16]) {
+    let store = |port: u16| KvStore {
+        address: address(port),
         zone: "a".into(),
         kv_capacity: 100_000,
         max_concurrent: 4,
-    }
+    };
+    let wanted: BTreeMap<_, _> = ports.iter().map(|port| (address(*port), store(*port))).collect();
+    stores.resettle(&wanted);
 }
 
-fn prompt(parts: &str) -> routing::prompt::Prompt {
-    routing::prompt::Prompt::read(Some("m"), Some(parts), None).unwrap()
-}
-
-fn stores(reads: bool) -> Stores {
-    let stores = Stores::default();
-    stores.resettle(&BTreeMap::from([(store().address, store())]), |_| reads);
-    stores
+#[test]
+fn a_store_is_used_while_it_answers() {
+    let (stores, key) = (stores(&[9]), PrefixKey(1));
+    assert_eq!(stores.status(address(9)), None, "it was not heard yet");
+    assert_eq!(stores.of(key), None);
+    stores.answers(address(9), 5);
+    let found = stores.of(key).expect("it answers");
+    assert_eq!((found.address, found.generation), (address(9), 5));
+    stores.is_silent(address(9));
+    assert_eq!(stores.of(key), None);
+    assert_eq!(stores.status(address(9)), Some(StoreStatus { generation: None }));
 }
 
 #[test]
-fn a_router_that_asks_knows_what_the_reader_knows_and_then_only_gets_what_changed() {
-    let address = store().address;
-    let (reader, asker) = (stores(true), stores(false));
-    assert!(reader.news(address, 0, 0).is_none(), "nothing is told before the store's list was read");
-    reader.begin_reading(address, [("s".into(), "a".into(), 400), ("s".into(), "b".into(), 300)]);
-    let first = reader.news(address, 0, 0).unwrap();
-    assert!(first.whole && first.parts.len() == 2);
-    let (generation, next) = (first.generation, first.next);
-    asker.take_news(address, first);
-    assert_eq!(asker.held_tokens("s", &prompt("a:400,b:300,own:50")), 700);
-    reader.take_events(address, [("s".into(), "b".into(), 0), ("s".into(), "c".into(), 10)]);
-    let second = reader.news(address, generation, next).unwrap();
-    assert!(!second.whole && second.parts.len() == 2, "{second:?}");
-    asker.take_news(address, second);
-    assert_eq!(asker.held_tokens("s", &prompt("a:400,b:300,own:50")), 400);
-    // The store has restarted: another reading begins with everything.
-    reader.begin_reading(address, []);
-    let third = reader.news(address, generation, next).unwrap();
-    assert!(third.whole && third.parts.is_empty());
-    asker.take_news(address, third);
-    assert_eq!(asker.held_tokens("s", &prompt("a:400,b:300,own:50")), 0);
-    assert!(asker.news(address, 0, 0).is_none(), "who does not read tells nobody");
+fn what_one_router_knows_of_a_store_another_one_takes() {
+    let (reader, asker) = (stores(&[9]), stores(&[9]));
+    reader.answers(address(9), 5);
+    asker.take_status(address(9), reader.status(address(9)).expect("it was heard"));
+    assert_eq!(asker.of(PrefixKey(1)), reader.of(PrefixKey(1)));
+    // It has restarted, and lost what it kept.
+    reader.answers(address(9), 6);
+    asker.take_status(address(9), reader.status(address(9)).expect("it was heard"));
+    assert_eq!(asker.of(PrefixKey(1)).map(|store| store.generation), Some(6));
+    reader.is_silent(address(9));
+    asker.take_status(address(9), reader.status(address(9)).expect("it was heard"));
+    assert_eq!(asker.of(PrefixKey(1)), None);
 }
 
 #[test]
-fn who_missed_more_than_is_kept_gets_everything() {
-    let address = store().address;
-    let reader = stores(true);
-    reader.begin_reading(address, []);
-    let first = reader.news(address, 0, 0).unwrap();
-    for number in 0..5_000 {
-        reader.take_events(address, [("s".into(), format!("p{}", number % 7).into(), 1)]);
+fn each_prefix_has_one_of_the_stores_and_moves_only_when_that_one_is_silent() {
+    let stores = stores(&[9, 10, 11]);
+    [9, 10, 11].iter().for_each(|port| stores.answers(address(*port), 1));
+    let places = |stores: &Stores| -> Vec<u16> {
+        (0..300).map(|key| stores.of(PrefixKey(key)).expect("one answers").address.port()).collect()
+    };
+    let before = places(&stores);
+    for port in [9, 10, 11] {
+        let share = before.iter().filter(|other| **other == port).count();
+        assert!((60..140).contains(&share), "{share} of 300 at {port}");
+    }
+    stores.is_silent(address(10));
+    let after = places(&stores);
+    for (before, after) in before.iter().zip(&after) {
+        assert!(if *before == 10 { *after != 10 } else { before == after });
     }
-    let news = reader.news(address, first.generation, first.next).unwrap();
-    assert!(news.whole && news.parts.len() == 7);
 }
 
 #[test]
-fn parts_are_taken_from_a_store_that_has_them_and_saved_once_where_it_lacks_a_good_share() {
-    let address = store().address;
-    let stores = stores(true);
-    let wanted = prompt("a:400,b:300,own:500");
-    assert_eq!(stores.transfer("s", &wanted).fetch, None, "a store that was not heard is no help");
-    stores.begin_reading(address, [("s".into(), "a".into(), 400)]);
-    let first = stores.transfer("s", &wanted);
-    assert_eq!((first.fetch, first.save, first.held), (Some(address), Some(address), 400));
-    assert_eq!(stores.transfer("s", &wanted).save, None, "it is being saved");
-    assert_eq!(stores.transfer("other", &wanted).fetch, None, "under another salt nothing is found");
-    let small = prompt("a:400,d:30,own:5000");
-    assert_eq!(stores.transfer("s", &small).save, None, "too little of it is for others");
-    let alone = prompt("own:500");
-    assert_eq!(stores.transfer("s", &alone), router::proxy::stores::Transfer::default());
+fn a_store_that_is_configured_no_more_is_forgotten() {
+    let stores = stores(&[9, 10]);
+    stores.answers(address(9), 1);
+    settle(&stores, &[10]);
+    assert_eq!((stores.status(address(9)), stores.of(PrefixKey(1))), (None, None));
+    settle(&stores, &[9, 10]);
+    assert_eq!(stores.of(PrefixKey(1)), None, "it has to be heard anew");
 }
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,7 +6,8 @@
 
 pub mod budget;
 pub mod hedging;
-pub mod index;
+pub mod locations;
+pub mod owners;
 pub mod prompt;
 pub mod selection;
 pub mod split;
--- a/routing/tests/decisions.rs
+++ b/routing/tests/decisions.rs
@@ -1,18 +1,13 @@
-//! Decisions of the data plane: copies, repeats, choice, and the index of kept prompts.
+//! Decisions of the data plane: copies, repeats and choice.
 
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
-use routing::index::HolderIndex;
-use routing::prompt::{Part, Prompt};
+use routing::prompt::Prompt;
 use routing::selection::{Candidate, least_loaded};
 use routing::split;
 
 const MS: u64 = 1_000_000;
 
-fn part(id: &str, tokens: u64) -> Part {
-    Part { id: id.into(), tokens }
-}
-
 #[test]
 fn the_timer_starts_at_a_share_of_the_objective_and_follows_the_recent_95th_percentile() {
     let mut pace = Pace::starting(1_000 * MS);
@@ -118,36 +113,6 @@
     assert_eq!(split::choose(&[0, 0], &mut rng), None);
 }
 
-#[test]
-fn parts_are_found_in_order_under_their_own_salt_only() {
-    let parts = [part("a", 100), part("b", 200), part("c", 50)];
-    let mut index = HolderIndex::new(1_000);
-    index.will_keep("s1", &parts[..2]);
-    assert_eq!(index.kept_tokens("s1", &parts), 300);
-    assert_eq!(index.kept_tokens("s2", &parts), 0, "another tenant's wall, or another version");
-    index.told("s1", "a", 0);
-    assert_eq!(index.kept_tokens("s1", &parts), 0, "what stands behind a missing part does not count");
-    index.told("s1", "a", 64);
-    assert_eq!(
-        index.kept_tokens("s1", &parts),
-        64,
-        "of a part that has given way in pieces its start counts"
-    );
-}
-
-#[test]
-fn the_index_keeps_to_the_holder_s_memory() {
-    let mut index = HolderIndex::new(1_000);
-    for number in 0..100 {
-        index.will_keep("s", &[part("shared", 100), part(&format!("own{number}"), 90)]);
-    }
-    assert!(index.len() <= 12, "{} parts", index.len());
-    assert_eq!(index.kept_tokens("s", &[part("shared", 100)]), 100, "what is used again stays");
-    assert_eq!(index.kept_tokens("s", &[part("own0", 90)]), 0, "what was used longest ago has given way");
-    index.clear();
-    assert!(index.is_empty());
-}
-
 #[test]
 fn a_prompt_is_read_from_what_a_request_says() {
     let prompt = Prompt::read(Some("m"), Some("5c1e:800,91bd:410,e440:250"), Some("1460,80")).unwrap();
