--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -83,6 +83,13 @@
     pub told: Option<Told>,
 }
 
+impl Load {
+    /// Whether, as far as it has told, requests wait there or half of its slots are taken.
+    pub fn is_crowded(&self) -> bool {
+        self.told.is_none_or(|told| told.waiting > 0 || 2 * told.running >= told.slots)
+    }
+}
+
 /// Whether a backend may be sent requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fitness {
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -15,6 +15,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderName;
+use routing::admission::{Admission, PendingId};
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
 use routing::locations::{Located, Placement, PrefixKey};
@@ -79,6 +80,7 @@
     pub locator: Arc<Locator>,
     learned: Mutex<HashMap<KindKey, Learned>>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
+    admissions: Mutex<HashMap<CompactString, Admission>>,
     targets: Mutex<HashMap<CompactString, (u64, Millis)>>,
 }
 
@@ -114,6 +116,7 @@
             locator,
             learned: Mutex::default(),
             budgets: Mutex::default(),
+            admissions: Mutex::default(),
             targets: Mutex::default(),
         })
     }
@@ -145,6 +148,18 @@
         look(budget)
     }
 
+    fn with_admission<T>(&self, service: &CompactString, look: impl FnOnce(&mut Admission) -> T) -> T {
+        let mut admissions = lock(&self.admissions);
+        look(admissions.entry(service.clone()).or_default())
+    }
+
+    /// Whether a request is to be refused as its service can't answer all of them in time. Where even the least-loaded
+    /// backend has room, nothing is.
+    fn is_one_too_many(&self, job: &Job, planned: &Choice) -> bool {
+        let share = self.with_admission(&job.service, |admission| admission.refused_share(clock::now()));
+        share > 0.0 && planned.backend.load().is_crowded() && fastrand::f64() < share
+    }
+
     /// Takes one repeat out of the budget.
     fn take_repeat(&self, service: &CompactString, kept: f64) -> bool {
         let routers = self.fleet.members_up();
@@ -235,6 +250,7 @@
             copied: false,
             advice: None,
             located: None,
+            pending: None,
         };
         exchange.run().await
     }
@@ -278,6 +294,7 @@
     copied: bool,
     advice: Option<f64>,
     located: Option<Located>,
+    pending: Option<PendingId>,
 }
 
 impl Exchange<'_> {
@@ -285,8 +302,14 @@
         let Some(planned) = self.exchanges.choose_soon(self.job, &[], None).await else {
             return Err(self.give_up(false));
         };
+        if self.exchanges.is_one_too_many(self.job, &planned) {
+            return Err(GivenUp::NotRun { retry_after: overload_advice(self.job) });
+        }
         let choice = self.locate(planned).await;
         self.send(choice);
+        self.pending = Some(self.exchanges.with_admission(&self.job.service, |admission| {
+            admission.sent(self.job.route.target_latency_ms, clock::now())
+        }));
         self.exchanges.with_learned(self.job, |learned| learned.copies.sent());
         let hedge_after = self.exchanges.with_learned(self.job, |learned| learned.pace.p95);
         let hedge = tokio::time::sleep(Duration::from_nanos(hedge_after as u64));
@@ -409,6 +432,11 @@
     /// The first answer wins. Dropping the other sends closes their connections.
     fn finish(&mut self, begun: Begun) -> Begun {
         self.running.clear();
+        if let Some(pending) = self.pending.take() {
+            self.exchanges.with_admission(&self.job.service, |admission| {
+                admission.answered(pending, clock::now());
+            });
+        }
         if begun.status.is_success() {
             let took = begun.took.as_nanos() as u64;
             self.exchanges.with_learned(self.job, |learned| learned.pace.add(took));
@@ -426,6 +454,20 @@
     }
 }
 
+impl Drop for Exchange<'_> {
+    fn drop(&mut self) {
+        if let Some(pending) = self.pending.take() {
+            self.exchanges.with_admission(&self.job.service, |admission| admission.forget(pending));
+        }
+    }
+}
+
+/// When a client that is refused for too much load may come back, in seconds: spread, so that not all do at once.
+fn overload_advice(job: &Job) -> f64 {
+    let objective = job.route.target_latency_ms as f64 / 1_000.0;
+    objective * (0.5 + fastrand::f64())
+}
+
 /// A choice as owners of prefixes know it.
 fn placement(choice: &Choice) -> Option<Placement> {
     Some(Placement { backend: choice.backend.id.clone(), version: choice.version? })
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod budget;
 pub mod hedging;
 pub mod locations;
