Whole answers to pulls are bounded in memory: 8 MB of them at once

Change: such an answer takes its size from a semaphore until it is written; whoever waits for news holds nothing.

--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -187,6 +187,16 @@
         &self.vector
     }
 
+    /// How many records are held.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// What is held about a thing.
     pub fn get(&self, key: &Key) -> Option<&Value> {
         self.records.get(key).map(|(_, value)| value)
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::disk::Known;
-use crate::links::{Links, Service, lock};
+use crate::links::{Answer, Links, Service, lock};
 use crate::protocol::{MOST_HOPS, PullRequest, Pulled, Request, Response};
 use crate::proxy::locator::Question;
 use crate::proxy::stores::Stores;
@@ -24,7 +24,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 /// How long a pull may wait for news.
 pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
@@ -32,6 +32,10 @@
 const NEWS_PATIENCE: Duration = Duration::from_millis(900);
 /// The same for an answer with everything.
 const WHOLE_PATIENCE: Duration = Duration::from_millis(4_000);
+/// Kilobytes of answers with everything that are in memory at once.
+const WHOLE_ANSWERS_KB: u32 = 8 << 10;
+/// A record takes about so many bytes in an answer.
+const RECORD_BYTES: usize = 200;
 /// How long one try to reach a node with a replica may take.
 const FORWARD_PATIENCE: Duration = Duration::from_millis(900);
 /// How long an acknowledgement of a draining backend waits for another node to know of it.
@@ -65,6 +69,7 @@
     leaving: AtomicBool,
     news: watch::Sender<u64>,
     spread: watch::Sender<u64>,
+    whole_answers: Arc<Semaphore>,
 }
 
 impl Fleet {
@@ -85,6 +90,7 @@
             leaving: AtomicBool::new(false),
             news: watch::Sender::new(0),
             spread: watch::Sender::new(0),
+            whole_answers: Arc::new(Semaphore::new(WHOLE_ANSWERS_KB as usize)),
             settings,
         };
         let fleet = Arc::new(fleet);
@@ -241,8 +247,9 @@
         true
     }
 
-    /// Answers a pull as soon as there is news for the asker.
-    async fn answer_pull(&self, request: PullRequest) -> Response {
+    /// Answers a pull as soon as there is news for the asker. Answers with everything are large, and many routers may ask for
+    /// one at the same time: only a few of them are in memory at once.
+    async fn answer_pull(&self, request: PullRequest) -> Answer {
         self.take_member(&request);
         let mut news = self.subscribe();
         // Whoever asks with a vector has what this node wrote up to there.
@@ -261,6 +268,13 @@
                 changed = news.changed() => if changed.is_err() { break },
             }
         }
+        let permit = if self.wants_everything(&request) {
+            let kilobytes = self.whole_answer_kb();
+            // The semaphore is never closed.
+            self.whole_answers.clone().acquire_many_owned(kilobytes).await.ok()
+        } else {
+            None
+        };
         let directory = lock(&self.directory);
         let pulled = Pulled {
             records: directory.news_for(&request.vector),
@@ -268,7 +282,21 @@
             state: lock(&self.published).news_for(request.position, request.base),
             leader: self.leader(),
         };
-        Response::Pulled(Box::new(pulled))
+        Answer { response: Response::Pulled(Box::new(pulled)), permit }
+    }
+
+    /// Whether the answer to a pull holds all members and backends, or a whole configuration.
+    fn wants_everything(&self, request: &PullRequest) -> bool {
+        let knows_some = !request.vector.is_empty();
+        let lacks_configuration = request.base.is_none() && lock(&self.published).version().is_some();
+        lacks_configuration || !knows_some
+    }
+
+    /// About how many kilobytes an answer with everything takes.
+    fn whole_answer_kb(&self) -> u32 {
+        let records = lock(&self.directory).len() * RECORD_BYTES;
+        let bytes = records + lock(&self.published).text_bytes();
+        u32::try_from(1 + bytes / 1024).unwrap_or(u32::MAX).min(WHOLE_ANSWERS_KB)
     }
 
     fn has_news_for(&self, request: &PullRequest) -> bool {
@@ -519,16 +547,16 @@
 const MEMBER_PATIENCE: Millis = 3_500;
 
 impl Service for Fleet {
-    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Response>> + Send>> {
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Answer>> + Send>> {
         Box::pin(async move {
-            match request {
+            let response = match request {
                 Request::Replica(envelope) => {
                     if let Some(replica) = &self.replica {
                         replica.receive(envelope);
                     }
                     None
                 }
-                Request::Pull(request) => Some(self.answer_pull(request).await),
+                Request::Pull(request) => return Some(self.answer_pull(request).await),
                 Request::Submit { change, hops } => {
                     Some(Response::Outcome(self.submit(change, hops.min(MOST_HOPS)).await))
                 }
@@ -565,7 +593,8 @@
                     let keys: BTreeSet<u64> = keys.into_iter().collect();
                     Some(Response::Records(lock(&self.directory).by_hash(&keys)))
                 }
-            }
+            };
+            response.map(Answer::from)
         })
     }
 }
--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -14,7 +14,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::timeout;
 
 /// How long a connection may take to come up. Short, as a peer that is just starting loses the first packet, and the system
@@ -156,10 +156,25 @@
     lock(&pending).clear();
 }
 
+/// An answer, with what is held until it is written.
+#[derive(Debug)]
+pub struct Answer {
+    /// What is answered.
+    pub response: Response,
+    /// A share of the memory that large answers may take.
+    pub permit: Option<OwnedSemaphorePermit>,
+}
+
+impl From<Response> for Answer {
+    fn from(response: Response) -> Self {
+        Answer { response, permit: None }
+    }
+}
+
 /// Answers requests.
 pub trait Service: Send + Sync + 'static {
     /// Answers one request; none for requests that have no answer.
-    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Response>> + Send>>;
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Answer>> + Send>>;
 }
 
 /// Serves requests of other routers.
@@ -182,10 +197,11 @@
         return;
     }
     let (mut reader, mut writer) = stream.into_split();
-    let (answers, mut queue) = mpsc::channel::<Frame>(QUEUE);
+    let (answers, mut queue) = mpsc::channel::<(u32, Answer)>(QUEUE);
     let write = async {
-        while let Some(frame) = queue.recv().await {
-            write_frame(&mut writer, &frame, &traffic).await?;
+        while let Some((id, Answer { response, permit })) = queue.recv().await {
+            write_frame(&mut writer, &Frame::Response(id, response), &traffic).await?;
+            drop(permit);
         }
         io::Result::Ok(())
     };
@@ -198,9 +214,9 @@
             }
             let (service, answers) = (service.clone(), answers.clone());
             tokio::spawn(async move {
-                if let Some(response) = service.answer(request).await {
+                if let Some(answer) = service.answer(request).await {
                     // The asker may be gone.
-                    let _ = answers.send(Frame::Response(id, response)).await;
+                    let _ = answers.send((id, answer)).await;
                 }
             });
         }
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -35,6 +35,11 @@
         self.configuration.as_ref().map(|configuration| configuration.version)
     }
 
+    /// The length of the configuration's text.
+    pub fn text_bytes(&self) -> usize {
+        self.history.text().len()
+    }
+
     /// The version that steps to a newer one may start from; none where the whole text is wanted.
     pub fn base(&self) -> Option<u64> {
         self.version().filter(|_| !self.wants_whole)
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -178,9 +178,14 @@
 }
 
 impl Router {
-    pub async fn start(backends: &[&StandIn]) -> Self {
+    /// The shared state of a router that knows nothing yet.
+    pub fn without_configuration() -> Arc<Fleet> {
         let settings = Settings::parse(Path::new("settings.json"), SETTINGS.as_bytes()).unwrap();
-        let fleet = Fleet::new(Arc::new(settings), None, 1);
+        Fleet::new(Arc::new(settings), None, 1)
+    }
+
+    pub async fn start(backends: &[&StandIn]) -> Self {
+        let fleet = Self::without_configuration();
         publish(&fleet, 1, CONFIGURATION);
         for (at, backend) in backends.iter().enumerate() {
             register(&fleet, at, backend, 1, BackendPhase::Ready);
@@ -222,10 +227,10 @@
 pub const KEY: &str = "Authorization: Bearer key1\r\n";
 
 pub fn publish(fleet: &Fleet, index: u64, body: &str) {
-    Configuration::parse(body.as_bytes()).unwrap();
+    let version = Configuration::parse(body.as_bytes()).unwrap().version;
     let state = PublishedState {
         position: Position { index, epoch: 1 },
-        configuration: Some(News::Whole { version: 1, text: body.as_bytes().to_vec() }),
+        configuration: Some(News::Whole { version, text: body.as_bytes().to_vec() }),
         weights: BTreeMap::new(),
     };
     assert!(fleet.published.lock().unwrap().take(state));
--- a/router/tests/prefixes.rs
+++ b/router/tests/prefixes.rs
@@ -108,18 +108,18 @@
     let ask =
         |backend: &str| Request::Locate { key: PrefixKey(3), planned: placement(backend), wants_save: false };
     use router::links::Service;
-    let Some(Response::Located(first)) = service.clone().answer(ask("b1")).await else { panic!("no answer") };
-    assert!(first.holders.is_empty());
-    let Some(Response::Located(second)) = service.clone().answer(ask("b2")).await else {
-        panic!("no answer")
+    let answered = async |request| service.clone().answer(request).await.map(|answer| answer.response);
+    let located = async |backend| match answered(ask(backend)).await {
+        Some(Response::Located(located)) => located.holders,
+        other => panic!("{other:?}"),
     };
-    assert_eq!(second.holders, [placement("b1")]);
+    assert!(located("b1").await.is_empty());
+    assert_eq!(located("b2").await, [placement("b1")]);
     let moved = Request::Placed { key: PrefixKey(3), placement: placement("b2") };
-    assert!(service.clone().answer(moved).await.is_none());
+    assert!(answered(moved).await.is_none());
     let gone = Request::Evicted { backend: "b1".into(), prefixes: vec![(PrefixKey(3), 1)] };
-    assert!(service.clone().answer(gone).await.is_none());
-    let Some(Response::Located(third)) = service.answer(ask("b3")).await else { panic!("no answer") };
-    assert_eq!(third.holders, [placement("b2")]);
+    assert!(answered(gone).await.is_none());
+    assert_eq!(located("b3").await, [placement("b2")]);
 }
 
 #[test]
