A router follows one node with a replica and polls another; late answers are waited for

Cause: every change went to each router twice, and where an answer took longer than 0.9 s it was thrown away and asked for again, which added to what was queued.

Change: router::upstreams, out of membership.rs: one node is followed, another is polled every 0.8 s; one that is late is avoided for 3 s; an answer is waited for up to 5 s; news are gathered for 50 ms.

Tests of the router pass.

--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -28,10 +28,14 @@
 
 /// How long a pull may wait for news.
 pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
-/// Patience for an answer with news, beyond the time that it may wait for them.
+/// An answer with news is late after this, beyond the time that it may wait for them.
 const NEWS_PATIENCE: Duration = Duration::from_millis(900);
 /// The same for an answer with everything.
 const WHOLE_PATIENCE: Duration = Duration::from_millis(4_000);
+/// A late answer is given up after this. A connection whose other end has gone breaks sooner.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(5_000);
+/// News that come one by one are taken together for this long, where the asker holds no replica.
+const GATHER: Duration = Duration::from_millis(50);
 /// Kilobytes of answers with everything that are in memory at once.
 const WHOLE_ANSWERS_KB: u32 = 8 << 10;
 /// A record takes about so many bytes in an answer.
@@ -44,6 +48,15 @@
 /// A monitored member with its incarnation: after it was taken for down and came back, its silence is counted anew.
 pub type MonitoredLife = (CompactString, u64);
 
+/// What came of a pull.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pull {
+    /// There was an answer.
+    Answered,
+    /// There was none in time, or the connection broke.
+    Failed,
+}
+
 /// The shared state of a router.
 pub struct Fleet {
     /// The settings of the process.
@@ -231,20 +244,29 @@
         silent.into_iter().filter(is_up).collect()
     }
 
-    /// Asks one node for news once. False where it does not answer.
-    pub async fn pull(&self, from: SocketAddrV4, wait: Duration) -> bool {
+    /// Asks one node for news once. `is_late` is called where the answer does not come when it should; it is waited for a
+    /// while longer, as asking again would only add to what is queued.
+    pub async fn pull(&self, from: SocketAddrV4, wait: Duration, is_late: impl FnOnce()) -> Pull {
         let request = self.pull_request(wait);
-        // Whoever has nothing yet gets everything, and many may ask at once: asking again would only add to what is queued.
-        let patience = wait + if request.base.is_none() { WHOLE_PATIENCE } else { NEWS_PATIENCE };
-        let response = self.links.ask(from, Request::Pull(request), patience).await;
-        let Some(Response::Pulled(pulled)) = response else { return false };
+        // Whoever has nothing yet gets everything, and many may ask for that at once.
+        let patience = if request.base.is_none() { WHOLE_PATIENCE } else { NEWS_PATIENCE };
+        let asked = self.links.ask(from, Request::Pull(request), wait + ANSWER_PATIENCE);
+        tokio::pin!(asked);
+        let response = match tokio::time::timeout(wait + patience, &mut asked).await {
+            Ok(response) => response,
+            Err(_) => {
+                is_late();
+                asked.await
+            }
+        };
+        let Some(Response::Pulled(pulled)) = response else { return Pull::Failed };
         let changed = lock(&self.directory).merge(pulled.records, &pulled.vector);
         let news = pulled.state.is_some_and(|state| lock(&self.published).take(state));
         self.hear_of_leader(pulled.leader);
         if !changed.is_empty() || news {
             self.announce();
         }
-        true
+        Pull::Answered
     }
 
     /// Answers a pull as soon as there is news for the asker. Answers with everything are large, and many routers may ask for
@@ -267,6 +289,9 @@
                 () = &mut wait => break,
                 changed = news.changed() => if changed.is_err() { break },
             }
+            if request.member.replica.is_none() && self.has_news_for(&request) {
+                tokio::time::sleep(GATHER).await;
+            }
         }
         let permit = if self.wants_everything(&request) {
             let kilobytes = self.whole_answer_kb();
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod settings;
 pub mod status;
 pub mod traffic;
+pub mod upstreams;
 pub mod weights;
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -1,7 +1,7 @@
-//! The tasks that keep this node in touch with its fleet: pulls, heartbeats to monitors, the founding, and repair.
+//! The tasks that keep this node in touch with its fleet: heartbeats to monitors, the founding, and repair.
 
 use crate::clock;
-use crate::fleet::{Fleet, MonitoredLife, PULL_WAIT};
+use crate::fleet::{Fleet, MonitoredLife};
 use crate::links::lock;
 use crate::protocol::{MemberHeartbeat, Request, Response};
 use compact_str::CompactString;
@@ -15,20 +15,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
-use tokio::task::JoinHandle;
 
-/// From how many nodes with replicas a router pulls.
-const UPSTREAMS: usize = 2;
 /// How many members receive a member's heartbeats.
 const MONITORS: usize = 3;
 /// Time between two heartbeats to monitors.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
-/// Time between two choices of whom to pull from.
-const CHOICE: Duration = Duration::from_millis(150);
-/// Wait after a pull that failed.
-const PULL_AGAIN: Duration = Duration::from_millis(120);
-/// For so long after its start a node pulls from its seeds as well.
-const SEED_TIME: Duration = Duration::from_secs(4);
 /// A founder waits until no further replica has come up for so long.
 const FOUNDING_CALM: Duration = Duration::from_millis(400);
 /// The longest that a founder waits, so that replicas that never come do not hold up the system.
@@ -38,83 +29,6 @@
 /// Time between two comparisons with another holder.
 const REPAIR: Duration = Duration::from_secs(10);
 
-struct Upstream {
-    task: JoinHandle<()>,
-    failed: Arc<std::sync::atomic::AtomicU32>,
-}
-
-/// Keeps pulling from the right nodes.
-pub async fn keep_pulling(fleet: Arc<Fleet>) {
-    let begun = Instant::now();
-    let mut upstreams: BTreeMap<SocketAddrV4, Upstream> = BTreeMap::new();
-    let mut choices = tokio::time::interval(CHOICE);
-    loop {
-        choices.tick().await;
-        let failing: BTreeSet<SocketAddrV4> = upstreams
-            .iter()
-            .filter(|(_, upstream)| upstream.failed.load(std::sync::atomic::Ordering::Relaxed) >= 2)
-            .map(|(address, _)| *address)
-            .collect();
-        let wanted = choose_upstreams(&fleet, &failing, begun.elapsed() < SEED_TIME);
-        upstreams.retain(|address, upstream| {
-            let kept = wanted.contains(address);
-            if !kept {
-                upstream.task.abort();
-            }
-            kept
-        });
-        for address in wanted {
-            upstreams.entry(address).or_insert_with(|| {
-                let failed = Arc::default();
-                let task = tokio::spawn(pull_from(fleet.clone(), address, Arc::clone(&failed)));
-                Upstream { task, failed }
-            });
-        }
-    }
-}
-
-async fn pull_from(fleet: Arc<Fleet>, address: SocketAddrV4, failed: Arc<std::sync::atomic::AtomicU32>) {
-    use std::sync::atomic::Ordering;
-    // The first answer comes at once, so that a new node knows what there is.
-    let mut wait = Duration::ZERO;
-    loop {
-        if fleet.pull(address, wait).await {
-            failed.store(0, Ordering::Relaxed);
-            wait = PULL_WAIT;
-        } else {
-            failed.fetch_add(1, Ordering::Relaxed);
-            tokio::time::sleep(PULL_AGAIN).await;
-        }
-    }
-}
-
-/// Nodes with replicas pull from all others of these; the rest from two, in their own zone first. Seeds serve while
-/// nobody else is known.
-fn choose_upstreams(fleet: &Fleet, failing: &BTreeSet<SocketAddrV4>, young: bool) -> BTreeSet<SocketAddrV4> {
-    let settings = &fleet.settings;
-    let own = settings.internal_address();
-    let mut members = fleet.replica_members();
-    members.retain(|(name, m)| *name != settings.node_name && m.status != MemberStatus::Left);
-    // Spread over the nodes with replicas by the node's place on the ring.
-    let names: BTreeSet<CompactString> =
-        members.iter().map(|(name, _)| name.clone()).chain([settings.node_name.clone()]).collect();
-    let order = ring::successors(&names, &settings.node_name, names.len());
-    members.sort_by_key(|(name, member)| {
-        let place = order.iter().position(|other| other == name);
-        let down = member.status != MemberStatus::Up || failing.contains(&member.internal);
-        (down, member.zone != settings.zone, place)
-    });
-    let wanted = if fleet.replica.is_some() { members.len() } else { UPSTREAMS };
-    let mut chosen: BTreeSet<SocketAddrV4> =
-        members.iter().take(wanted).map(|(_, member)| member.internal).collect();
-    let reachable = chosen.iter().filter(|address| !failing.contains(address)).count();
-    if reachable == 0 || young && fleet.replica.is_some() {
-        chosen.extend(settings.seeds.iter().map(|seed| settings.internal_address_of(*seed)));
-    }
-    chosen.remove(&own);
-    chosen
-}
-
 /// Sends heartbeats to this node's monitors, and receives those of the members that it monitors.
 pub async fn monitor(fleet: Arc<Fleet>, socket: UdpSocket) {
     let mut beats = tokio::time::interval(HEARTBEAT);
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::proxy::table::{self, Table};
 use crate::replica::{self, ReplicaHandle};
 use crate::settings::{Settings, SettingsError};
+use crate::upstreams;
 use crate::weights::Orders;
 use control::node::{ControlNode, Timing};
 use control::storage::Recovered;
@@ -125,7 +126,7 @@
         tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle.clone(), inputs));
         tokio::spawn(Orders::new(fleet.clone(), handle, client.clone()).run());
     }
-    tokio::spawn(membership::keep_pulling(fleet.clone()));
+    tokio::spawn(upstreams::keep_pulling(fleet.clone()));
     tokio::spawn(membership::monitor(fleet.clone(), socket));
     tokio::spawn(membership::watch_backends(fleet.clone()));
     tokio::spawn(membership::found(fleet.clone()));
--- /dev/null
+++ b/router/src/upstreams.rs
@@ -0,0 +1,138 @@
+//! From whom this router pulls: one node with a replica is followed, another one is asked now and then in case the first
+//! falls behind.
+
+use crate::fleet::{Fleet, PULL_WAIT, Pull};
+use compact_str::CompactString;
+use control::directory::{Member, MemberStatus};
+use control::ring;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+
+/// Time between two choices of whom to pull from.
+const CHOICE: Duration = Duration::from_millis(150);
+/// Time between two questions to a node that is not followed. Within twice this, news come by way of it where the followed
+/// node has fallen silent.
+const POLL: Duration = Duration::from_millis(800);
+/// Wait after a pull that failed, and the longest one after several.
+const PULL_AGAIN: Duration = Duration::from_millis(120);
+const LONGEST_PULL_AGAIN: Duration = Duration::from_millis(1_000);
+/// A node that failed is only followed again after this, where there is another one.
+const AVOID: Duration = Duration::from_millis(3_000);
+/// For so long after its start a node with a replica follows its seeds as well.
+const SEED_TIME: Duration = Duration::from_secs(4);
+
+/// How a node is pulled from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Each pull waits for news.
+    Follow,
+    /// Each pull is answered at once, and the next one comes after a pause.
+    Poll,
+}
+
+struct Upstream {
+    mode: Mode,
+    task: JoinHandle<()>,
+    failing: Arc<AtomicBool>,
+}
+
+/// Keeps pulling from the right nodes.
+pub async fn keep_pulling(fleet: Arc<Fleet>) {
+    let begun = Instant::now();
+    let mut upstreams: BTreeMap<SocketAddrV4, Upstream> = BTreeMap::new();
+    let mut avoided: BTreeMap<SocketAddrV4, Instant> = BTreeMap::new();
+    let mut choices = tokio::time::interval(CHOICE);
+    loop {
+        choices.tick().await;
+        let now = Instant::now();
+        avoided.retain(|_, until| *until > now);
+        let failing = upstreams.iter().filter(|(_, upstream)| upstream.failing.load(Ordering::Relaxed));
+        avoided.extend(failing.map(|(address, _)| (*address, now + AVOID)));
+        let is_avoided = |address: SocketAddrV4| avoided.contains_key(&address);
+        let wanted = choose(&fleet, is_avoided, begun.elapsed() < SEED_TIME);
+        upstreams.retain(|address, upstream| {
+            let kept = wanted.get(address) == Some(&upstream.mode);
+            if !kept {
+                upstream.task.abort();
+            }
+            kept
+        });
+        for (address, mode) in wanted {
+            upstreams.entry(address).or_insert_with(|| {
+                let failing = Arc::new(AtomicBool::new(false));
+                let task = tokio::spawn(pull_from(fleet.clone(), address, mode, failing.clone()));
+                Upstream { mode, task, failing }
+            });
+        }
+    }
+}
+
+async fn pull_from(fleet: Arc<Fleet>, address: SocketAddrV4, mode: Mode, failing: Arc<AtomicBool>) {
+    // The first answer comes at once, so that a new node knows what there is.
+    let mut wait = Duration::ZERO;
+    let mut again = PULL_AGAIN;
+    loop {
+        match fleet.pull(address, wait, || failing.store(true, Ordering::Relaxed)).await {
+            Pull::Answered => {
+                failing.store(false, Ordering::Relaxed);
+                again = PULL_AGAIN;
+                match mode {
+                    Mode::Follow => wait = PULL_WAIT,
+                    Mode::Poll => tokio::time::sleep(POLL).await,
+                }
+            }
+            Pull::Failed => {
+                failing.store(true, Ordering::Relaxed);
+                tokio::time::sleep(again).await;
+                again = (2 * again).min(LONGEST_PULL_AGAIN);
+            }
+        }
+    }
+}
+
+/// Nodes with replicas follow all others of these; the rest follow one and poll another, in their own zone first. Seeds are
+/// followed while nobody else is known.
+fn choose(
+    fleet: &Fleet,
+    is_avoided: impl Fn(SocketAddrV4) -> bool,
+    is_young: bool,
+) -> BTreeMap<SocketAddrV4, Mode> {
+    let settings = &fleet.settings;
+    let own = settings.internal_address();
+    let mut members = fleet.replica_members();
+    members.retain(|(name, member)| *name != settings.node_name && member.status != MemberStatus::Left);
+    sort_by_preference(&mut members, fleet, &is_avoided);
+    let mut chosen: BTreeMap<SocketAddrV4, Mode> = if fleet.replica.is_some() {
+        members.iter().map(|(_, member)| (member.internal, Mode::Follow)).collect()
+    } else {
+        members.iter().map(|(_, member)| member.internal).zip([Mode::Follow, Mode::Poll]).collect()
+    };
+    let is_anyone_sound = chosen.keys().any(|address| !is_avoided(*address));
+    if !is_anyone_sound || is_young && fleet.replica.is_some() {
+        let seeds = settings.seeds.iter().map(|seed| settings.internal_address_of(*seed));
+        chosen.extend(seeds.map(|seed| (seed, Mode::Follow)));
+    }
+    chosen.remove(&own);
+    chosen
+}
+
+/// Those that are up first, then those of the own zone, spread over them by the node's place on the ring.
+fn sort_by_preference(
+    members: &mut [(CompactString, Member)],
+    fleet: &Fleet,
+    is_avoided: impl Fn(SocketAddrV4) -> bool,
+) {
+    let settings = &fleet.settings;
+    let names: BTreeSet<CompactString> =
+        members.iter().map(|(name, _)| name.clone()).chain([settings.node_name.clone()]).collect();
+    let order = ring::successors(&names, &settings.node_name, names.len());
+    members.sort_by_key(|(name, member)| {
+        let place = order.iter().position(|other| other == name);
+        let is_down = member.status != MemberStatus::Up || is_avoided(member.internal);
+        (is_down, member.zone != settings.zone, place)
+    });
+}
