The policy is split by concern; timers and calls stand in files of their own

Change: admission, cold servers, health and sending in files of their own under src/choice/, all named as policy; bookkeeping that decides nothing (timers, calls out to a server) in src/timers.rs and src/calls.rs. No behaviour changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod calls;
 pub mod choice;
 pub mod interface;
+mod timers;
 pub mod wire;
 
 pub use choice::Aggregator;
