Heartbeats are spread over the replicas of a zone; news are gathered by the size of the fleet

Change: a backend's heartbeat address is chosen by a hash among its zone's replicas, and a router without a replica passes on in that order too; answers to pulls gather news for 0.5 ms a member, 250 ms at most.

--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -19,6 +19,7 @@
 use routing::locations::Locations;
 use std::collections::BTreeSet;
 use std::future::Future;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -34,8 +35,10 @@
 const WHOLE_PATIENCE: Duration = Duration::from_millis(4_000);
 /// A late answer is given up after this. A connection whose other end has gone breaks sooner.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(5_000);
-/// News that come one by one are taken together for this long, where the asker holds no replica.
-const GATHER: Duration = Duration::from_millis(50);
+/// News that come one by one are taken together where the asker holds no replica: for so long a member of the fleet, so that
+/// large fleets are not told of each backend by an answer of its own, and at the most for this long.
+const GATHER_EACH: Duration = Duration::from_micros(500);
+const LONGEST_GATHER: Duration = Duration::from_millis(250);
 /// Kilobytes of answers with everything that are in memory at once.
 const WHOLE_ANSWERS_KB: u32 = 8 << 10;
 /// A record takes about so many bytes in an answer.
@@ -290,7 +293,8 @@
                 changed = news.changed() => if changed.is_err() { break },
             }
             if request.member.replica.is_none() && self.has_news_for(&request) {
-                tokio::time::sleep(GATHER).await;
+                let members = u32::try_from(self.members_up()).unwrap_or(u32::MAX);
+                tokio::time::sleep(GATHER_EACH.saturating_mul(members).min(LONGEST_GATHER)).await;
             }
         }
         let permit = if self.wants_everything(&request) {
@@ -376,7 +380,7 @@
         if self.replica.is_some() && !self.is_leaving() {
             return Some(self.take_backend(id, backend).await);
         }
-        for (_, member) in self.nearest_replicas().into_iter().take(2) {
+        for member in self.replicas_for(&id).into_iter().take(2) {
             let request = Request::Register { id: id.clone(), backend: backend.clone() };
             let asked = self.links.ask(member.internal, request, FORWARD_PATIENCE / 2).await;
             if let Some(Response::Registered(address)) = asked {
@@ -405,11 +409,12 @@
             lock(&self.heard_backends).heard(id.clone());
         }
         let zone = backend.zone.clone();
+        let address = self.address_for(&id, &zone);
         let changed = self.put_backend(key, backend);
         if leaves && changed {
             self.wait_until_spread().await;
         }
-        self.address_for(&zone)
+        address
     }
 
     /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on.
@@ -445,17 +450,25 @@
         let _ = tokio::time::timeout(DRAIN_SPREAD, known).await;
     }
 
-    /// Where a backend of a zone should send its heartbeats: to a node with a replica in its zone.
-    fn address_for(&self, zone: &str) -> Option<SocketAddrV4> {
-        if self.settings.zone == zone {
-            return self.settings.listen.control_plane;
-        }
+    /// Where a backend should send its heartbeats: to a node with a replica in its zone. Backends are spread over these.
+    fn address_for(&self, id: &str, zone: &str) -> Option<SocketAddrV4> {
         let members = self.replica_members();
-        let mut near = members.iter().filter(|(_, m)| m.zone == zone && m.status == MemberStatus::Up);
-        let near = near.find_map(|(_, member)| member.control);
+        let near = members.iter().filter(|(_, m)| m.zone == zone && m.status == MemberStatus::Up);
+        let near = near.max_by_key(|(name, _)| place(id, name));
+        let near = near.and_then(|(_, member)| member.control);
         near.or(self.settings.listen.control_plane)
     }
 
+    /// Nodes with replicas that may take a backend's heartbeat, those of this node's zone first, in an order that differs by
+    /// backend.
+    fn replicas_for(&self, id: &str) -> Vec<Member> {
+        let mut members = self.nearest_replicas();
+        members.sort_by_key(|(name, member)| {
+            (member.zone != self.settings.zone, std::cmp::Reverse(place(id, name)))
+        });
+        members.into_iter().map(|(_, member)| member).collect()
+    }
+
     /// Marks backends as silent whose heartbeats have stopped coming here.
     pub fn watch_backends(&self, now: Millis) {
         let patience = 5 * self.settings.heartbeat_interval_ms / 2;
@@ -568,6 +581,13 @@
     }
 }
 
+/// A member's place in the order in which it is chosen for a backend.
+fn place(backend: &str, member: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (backend, member).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Counted time after which a monitored member is missed.
 const MEMBER_PATIENCE: Millis = 3_500;
 
