A router says in its log when a configuration comes into force

Cause: after a loss of power it could not be seen which routers still wait for their configuration. Change: one log line per configuration.

--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -92,6 +92,7 @@
     fn load(&mut self, history: History) -> bool {
         match Configuration::parse(history.text()) {
             Ok(parsed) => {
+                log::info!("configuration {} is in force here", parsed.version);
                 self.configuration = Some(Arc::new(parsed));
                 self.history = history;
                 self.wants_whole = false;
