--- /dev/null
+++ b/router/src/fleet/registration.rs
@@ -0,0 +1,166 @@
+//! Heartbeats of backends: taking them, passing them on, and noticing that they have stopped.
+
+use super::{FORWARD_PATIENCE, Fleet};
+use crate::links::lock;
+use crate::protocol::{Request, Response};
+use compact_str::CompactString;
+use control::Millis;
+use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Origin, Value};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// How long an acknowledgement of a draining backend waits for another node to know of it.
+const DRAIN_SPREAD: Duration = Duration::from_millis(300);
+
+impl Fleet {
+    /// Takes a backend's heartbeat or end, here or at a node with a replica. The value says whether it is
+    /// acknowledged, and where later heartbeats should go.
+    pub async fn register(&self, id: CompactString, backend: Backend) -> Option<Option<SocketAddrV4>> {
+        if self.replica.is_some() && !self.is_leaving() {
+            return Some(self.take_backend(id, backend).await);
+        }
+        for member in self.replicas_for(&id).into_iter().take(2) {
+            let request = Request::Register { id: id.clone(), backend: backend.clone() };
+            let asked = self.links.ask(member.internal, request, FORWARD_PATIENCE / 2).await;
+            if let Some(Response::Registered(address)) = asked {
+                return Some(address);
+            }
+        }
+        None
+    }
+
+    /// Nodes with replicas that are up: the leader's zone does not matter, this node's own does.
+    pub fn nearest_replicas(&self) -> Vec<(CompactString, Member)> {
+        let mut members = self.replica_members();
+        members
+            .retain(|(name, member)| member.status == MemberStatus::Up && *name != self.settings.node_name);
+        members.sort_by_key(|(name, member)| (member.zone != self.settings.zone, name.clone()));
+        members
+    }
+
+    pub(super) async fn take_backend(&self, id: CompactString, mut backend: Backend) -> Option<SocketAddrV4> {
+        backend.owner = self.settings.node_name.clone();
+        let key = Key::Backend(id.clone());
+        let leaves = backend.phase != BackendPhase::Ready;
+        if backend.phase == BackendPhase::Gone {
+            lock(&self.heard_backends).forget(&id);
+        } else {
+            lock(&self.heard_backends).heard(id.clone());
+        }
+        let zone = backend.zone.clone();
+        let address = self.address_for(&id, &zone);
+        let changed = self.put_backend(key, backend);
+        if leaves && changed {
+            self.wait_until_spread().await;
+        }
+        address
+    }
+
+    /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on.
+    fn put_backend(&self, key: Key, mut backend: Backend) -> bool {
+        let mut directory = lock(&self.directory);
+        if let Some(Value::Backend(held)) = directory.get(&key) {
+            if held.phase == BackendPhase::Gone || held.sequence > backend.sequence {
+                return false;
+            }
+            let counts_up = Backend { sequence: held.sequence, ..backend.clone() };
+            if counts_up == *held {
+                return false;
+            }
+            // A deregistration carries nothing but the id.
+            if backend.phase == BackendPhase::Gone {
+                backend = Backend { phase: BackendPhase::Gone, ..held.clone() };
+            }
+        }
+        let changed = directory.put(key, Value::Backend(backend));
+        drop(directory);
+        if changed {
+            self.announce();
+        }
+        changed
+    }
+
+    /// Waits until another node with a replica has what this one has written, as far as there is one in reach.
+    async fn wait_until_spread(&self) {
+        let own = lock(&self.directory).vector().get(&Origin(self.life)).copied().unwrap_or(0);
+        let mut spread = self.spread.subscribe();
+        let known = spread.wait_for(|known| *known >= own);
+        // Without another node in reach the backend's own repetition has to do.
+        let _ = tokio::time::timeout(DRAIN_SPREAD, known).await;
+    }
+
+    /// Where a backend should send its heartbeats: to a node with a replica in its zone. Backends are spread over these.
+    fn address_for(&self, id: &str, zone: &str) -> Option<SocketAddrV4> {
+        let members = self.replica_members();
+        let near = members.iter().filter(|(_, m)| m.zone == zone && m.status == MemberStatus::Up);
+        let near = near.max_by_key(|(name, _)| place(id, name));
+        let near = near.and_then(|(_, member)| member.control);
+        near.or(self.settings.listen.control_plane)
+    }
+
+    /// Nodes with replicas that may take a backend's heartbeat, those of this node's zone first, in an order that differs by
+    /// backend.
+    fn replicas_for(&self, id: &str) -> Vec<Member> {
+        let mut members = self.nearest_replicas();
+        members.sort_by_key(|(name, member)| {
+            (member.zone != self.settings.zone, std::cmp::Reverse(place(id, name)))
+        });
+        members.into_iter().map(|(_, member)| member).collect()
+    }
+
+    /// Marks backends as silent whose heartbeats have stopped coming here.
+    pub fn watch_backends(&self, now: Millis) {
+        let patience = 5 * self.settings.heartbeat_interval_ms / 2;
+        let orphans = self.orphaned_backends();
+        let silent = {
+            let mut heard = lock(&self.heard_backends);
+            heard.advance(now);
+            for id in orphans {
+                if !heard.knows(&id) {
+                    heard.heard(id);
+                }
+            }
+            heard.silent_for(patience)
+        };
+        for id in silent {
+            lock(&self.heard_backends).forget(&id);
+            self.mark_silent(id);
+        }
+    }
+
+    /// Backends whose heartbeats went to a node that is not there any more.
+    fn orphaned_backends(&self) -> Vec<CompactString> {
+        let directory = lock(&self.directory);
+        let is_up = |name: &CompactString| {
+            let member = directory.get(&Key::Member(name.clone()));
+            matches!(member, Some(Value::Member(member)) if member.status == MemberStatus::Up)
+        };
+        let heard = |backend: &Backend| {
+            backend.silent || backend.phase == BackendPhase::Gone || is_up(&backend.owner)
+        };
+        directory.backends().filter(|(_, backend)| !heard(backend)).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn mark_silent(&self, id: CompactString) {
+        let key = Key::Backend(id.clone());
+        let held = match lock(&self.directory).get(&key) {
+            Some(Value::Backend(backend)) => backend.clone(),
+            _ => return,
+        };
+        let owner = Key::Member(held.owner.clone());
+        let other_hears = held.owner != self.settings.node_name
+            && matches!(lock(&self.directory).get(&owner), Some(Value::Member(m)) if m.status == MemberStatus::Up);
+        if !held.silent && held.phase != BackendPhase::Gone && !other_hears {
+            log::info!("backend {id} is silent");
+            self.put(key, Value::Backend(Backend { silent: true, ..held }));
+        }
+    }
+}
+
+/// A member's place in the order in which it is chosen for a backend.
+fn place(backend: &str, member: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (backend, member).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/router/src/fleet/service.rs
@@ -0,0 +1,65 @@
+//! Answering the requests of other nodes.
+
+use super::Fleet;
+use crate::clock;
+use crate::links::{Answer, Service, lock};
+use crate::protocol::{MOST_HOPS, Request, Response};
+use crate::proxy::locator::Question;
+use control::digest::Digests;
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+impl Service for Fleet {
+    fn answer(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Option<Answer>> + Send>> {
+        Box::pin(async move {
+            let response = match request {
+                Request::Replica(envelope) => {
+                    if let Some(replica) = &self.replica {
+                        replica.receive(envelope);
+                    }
+                    None
+                }
+                Request::Pull(request) => return Some(self.answer_pull(request).await),
+                Request::Submit { change, hops } => {
+                    Some(Response::Outcome(self.submit(change, hops.min(MOST_HOPS)).await))
+                }
+                Request::ReadConfiguration { hops } => {
+                    Some(Response::Configuration(self.read_configuration(hops.min(MOST_HOPS)).await))
+                }
+                Request::Register { id, backend } => {
+                    if self.replica.is_none() || self.is_leaving() {
+                        return None;
+                    }
+                    Some(Response::Registered(self.take_backend(id, backend).await))
+                }
+                Request::Compare { range } => {
+                    let digests = Digests::new(lock(&self.directory).hashes());
+                    Some(Response::Summary(digests.summary(range)))
+                }
+                Request::StoreStatus { store } => Some(Response::StoreStatus(self.stores.status(store))),
+                Request::Locate { key, planned, wants_save } => {
+                    Some(Response::Located(self.locate(&Question { key, planned, wants_save })))
+                }
+                Request::Placed { key, placement } => {
+                    lock(&self.locations).placed(key, &placement, clock::now());
+                    None
+                }
+                Request::Evicted { backend, prefixes } => {
+                    self.take_evicted(&backend, &prefixes);
+                    None
+                }
+                Request::EvictedFromStore { prefixes } => {
+                    self.take_evicted_from_store(&prefixes);
+                    None
+                }
+                Request::Fetch { keys } => {
+                    let keys: BTreeSet<u64> = keys.into_iter().collect();
+                    Some(Response::Records(lock(&self.directory).by_hash(&keys)))
+                }
+            };
+            response.map(Answer::from)
+        })
+    }
+}
