Backends that fail requests are repeated around, judged by several routers' evidence and avoided

Idle connections that a backend had forgotten cost requests that may not be repeated an answer. Change: idempotent requests go elsewhere after a backend's own failure within attempts and budget; faults are told to one node with a replica that suspects a backend after 4 from 2 routers or more in 2 s, for 3 to 12 s, heeded for at most 3 in 10 backends of a service; after a forgotten connection what may not be repeated gets one that rested for less.

--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -36,6 +36,8 @@
     Member(CompactString),
     /// The last order given to a backend, by its instance id.
     Order(CompactString),
+    /// The last time a backend was suspected of failing requests, by its instance id.
+    Suspicion(CompactString),
 }
 
 /// How a backend stands.
@@ -126,6 +128,15 @@
     pub phase: OrderPhase,
 }
 
+/// Several routers saw a backend fail requests: it is to be avoided for a while, counted from when this becomes known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// Rises with each suspicion of this backend.
+    pub number: u64,
+    /// For how long, in milliseconds.
+    pub lasts_ms: u64,
+}
+
 /// The content of a record.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Value {
@@ -135,6 +146,8 @@
     Member(Member),
     /// An order.
     Order(Order),
+    /// A suspicion.
+    Suspicion(Suspicion),
 }
 
 impl Value {
@@ -152,6 +165,7 @@
                 (member.incarnation, later)
             }
             Value::Order(order) => (order.fence, order.number),
+            Value::Suspicion(suspicion) => (suspicion.number, 0),
         }
     }
 }
@@ -226,6 +240,14 @@
         }
     }
 
+    /// The last suspicion of a backend.
+    pub fn suspicion(&self, backend: &str) -> Option<Suspicion> {
+        match self.get(&Key::Suspicion(backend.into())) {
+            Some(Value::Suspicion(suspicion)) => Some(*suspicion),
+            _ => None,
+        }
+    }
+
     /// Writes a record of this node's own. False where what is held ranks higher or says the same.
     pub fn put(&mut self, key: Key, value: Value) -> bool {
         if let Some((_, held)) = self.records.get(&key)
@@ -300,14 +322,14 @@
         changed
     }
 
-    /// Keys of what has ended: backends that are gone with their orders, and members that are not there.
+    /// Keys of what has ended: backends that are gone with their orders and suspicions, and members that are not there.
     pub fn ended(&self) -> BTreeSet<Key> {
         let is_gone = |id: &CompactString| {
             let backend = self.get(&Key::Backend(id.clone()));
             backend.is_none_or(|value| matches!(value, Value::Backend(b) if b.phase == BackendPhase::Gone))
         };
         let has_ended = |key: &Key, value: &Value| match (key, value) {
-            (Key::Backend(id) | Key::Order(id), _) => is_gone(id),
+            (Key::Backend(id) | Key::Order(id) | Key::Suspicion(id), _) => is_gone(id),
             (_, Value::Member(member)) => member.status != MemberStatus::Up,
             _ => false,
         };
@@ -317,7 +339,8 @@
 
     /// Backends and members, to be kept on disk.
     pub fn lasting(&self) -> Vec<(Key, Value)> {
-        let lasting = self.records.iter().filter(|(key, _)| !matches!(key, Key::Order(_)));
+        let lasting =
+            self.records.iter().filter(|(key, _)| !matches!(key, Key::Order(_) | Key::Suspicion(_)));
         lasting.map(|(key, (_, value))| (key.clone(), value.clone())).collect()
     }
 
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! What a router knows of its fleet, and how it gets to know it: pulls by version vectors, and member heartbeats.
 
+mod faults;
 mod members;
 mod operators;
 mod pulls;
@@ -20,6 +21,7 @@
 use control::silence::Silence;
 use control::view::{Epoch, ReplicaId};
 use pulls::WHOLE_ANSWERS_KB;
+use routing::faults::FaultEvidence;
 use routing::locations::Locations;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,6 +47,8 @@
     pub stores: Stores,
     /// Where the shared starts of prompts are kept that this router owns.
     pub locations: Mutex<Locations>,
+    /// Faults of the backends that this node judges.
+    evidence: Mutex<FaultEvidence>,
     /// The replica that this node runs, if any.
     pub replica: Option<ReplicaHandle>,
     /// This process's own life.
@@ -69,6 +73,7 @@
             published: Mutex::new(Published::default()),
             stores: Stores::default(),
             locations: Mutex::default(),
+            evidence: Mutex::default(),
             replica,
             life,
             monitored: Mutex::new(Silence::new(now)),
--- a/router/src/fleet/registration.rs
+++ b/router/src/fleet/registration.rs
@@ -159,7 +159,7 @@
 }
 
 /// A member's place in the order in which it is chosen for a backend.
-fn place(backend: &str, member: &str) -> u64 {
+pub(super) fn place(backend: &str, member: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     (backend, member).hash(&mut hasher);
     hasher.finish()
--- a/router/src/fleet/service.rs
+++ b/router/src/fleet/service.rs
@@ -54,6 +54,10 @@
                     self.take_evicted_from_store(&prefixes);
                     None
                 }
+                Request::Faults { reporter, faults } => {
+                    self.take_faults(&reporter, &faults);
+                    None
+                }
                 Request::Fetch { keys } => {
                     let keys: BTreeSet<u64> = keys.into_iter().collect();
                     Some(Response::Records(lock(&self.directory).by_hash(&keys)))
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -82,6 +82,13 @@
         /// The prefixes.
         prefixes: Vec<(PrefixKey, u64)>,
     },
+    /// Tells of faults that a router saw at backends, each with how many; has no answer.
+    Faults {
+        /// The router's name.
+        reporter: CompactString,
+        /// The backends' instance ids.
+        faults: Vec<(CompactString, u32)>,
+    },
     /// Asks for records by the hashes of their keys.
     Fetch {
         /// The hashes.
--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend, up to the start of its answer.
 
-use super::backend::{Backend, Outstanding, Told};
+use super::answer::Answer;
+use super::backend::{Backend, Outstanding};
 use super::connection::{Connection, Failure};
 use super::headers;
 use super::salt::salt;
@@ -8,20 +9,20 @@
 use crate::clock;
 use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::{BodyExt, Collected, Full, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use control::Millis;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use routing::prompt::Prompt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Answers that are no streams are taken whole up to this size.
-const LONGEST_BUFFERED: usize = 8 << 20;
 /// How long a new connection may take.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(1_000);
+/// A reset right after the last answer says more of the backend than of its idle connections.
+const LEAST_REST: Millis = 50;
 /// A connection that is kept ends so long before the backend would close it.
 const KEEP_ALIVE_MARGIN_MS: u64 = 500;
 
@@ -46,6 +47,8 @@
     pub wall: CompactString,
     /// Whether the answer is a series of events.
     pub streaming: bool,
+    /// Whether it may be sent once more where it may have run.
+    pub is_repeatable: bool,
 }
 
 /// How one send differs from another.
@@ -142,21 +145,26 @@
     let begun = Instant::now();
     let outstanding = Outstanding::begin(backend.clone(), unread);
     let left = call.deadline.saturating_duration_since(begun);
-    let connection = match backend.connect(left.min(CONNECT_PATIENCE)).await {
+    let connection = match backend.connect(left.min(CONNECT_PATIENCE), call.is_repeatable).await {
         Ok(connection) => connection,
         Err(problem) => {
             log::debug!("backend {} can't be reached: {problem}", backend.id);
-            backend.failed();
+            backend.was_out_of_reach();
             return Err(Ended::NotSent);
         }
     };
+    let rested = connection.rested(clock::now());
     let request = build(&call, &backend, &variant);
     sent.set(true);
     let mut connection = connection;
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(failure) => {
-            backend.failed();
+            if rested >= LEAST_REST {
+                backend.forgot_connection(rested)
+            } else {
+                backend.failed()
+            }
             sent.set(failure == Failure::MayHaveRun);
             return Err(if failure == Failure::NotWritten { Ended::NotSent } else { Ended::Broken });
         }
@@ -196,140 +204,6 @@
     request
 }
 
-/// An answer whose head has come.
-struct Answer {
-    call: Arc<Call>,
-    backend: Arc<Backend>,
-    outstanding: Outstanding,
-    connection: Connection,
-    begun: Instant,
-}
-
-impl Answer {
-    async fn judge(self, response: Response<Incoming>) -> Result {
-        let (head, body) = response.into_parts();
-        let own = headers::text(&head.headers, &headers::REQUEST_ID);
-        let has_load = headers::text(&head.headers, &headers::LOAD);
-        if let Some(told) = has_load.and_then(|text| Told::read(text, clock::now())) {
-            self.backend.tell(told);
-        }
-        if own.is_some_and(|id| id != self.call.request_id) {
-            // The answer to another request stands where this one's should: nothing behind it can be trusted.
-            return Err(Ended::Broken);
-        }
-        let not_run = head.headers.contains_key(&headers::NOT_EXECUTED);
-        if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-            return self.reject(head.status, &head.headers, body).await;
-        }
-        let (sealed, success) = (head.headers.contains_key(&headers::SEAL), head.status.is_success());
-        let promises = matches!(head.status.as_u16(), 408 | 421 | 429 | 503);
-        if promises || (success && !(sealed && own.is_some())) {
-            // A promise that the backend does not make, or a success that is not proven to be its own.
-            return Err(Ended::Broken);
-        }
-        let version = headers::number(&head.headers, &headers::VERSIONS);
-        if let (Some(prompt), Some(version)) = (&self.call.prompt, version) {
-            self.backend.learn_version(&prompt.model, version);
-        }
-        let is_stream = success && self.call.streaming && is_event_stream(&head.headers);
-        let framed =
-            head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-        if !framed && !body.is_end_stream() {
-            // Whether such an answer is whole can't be told.
-            return Err(Ended::Broken);
-        }
-        if is_stream {
-            self.first_event(head.status, head.headers, body).await
-        } else {
-            self.whole(head.status, head.headers, body).await
-        }
-    }
-
-    /// The backend has not run the request.
-    async fn reject(self, status: StatusCode, head: &HeaderMap, body: Incoming) -> Result {
-        let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-        let retry_after = head.get("retry-after").and_then(|value| value.to_str().ok()?.parse().ok());
-        if let (Some(prompt), Some(version)) = (&self.call.prompt, headers::number(head, &headers::VERSIONS))
-        {
-            self.backend.learn_version(&prompt.model, version);
-        }
-        if misdirected {
-            let other = headers::text(head, &super::exchange::INSTANCE_ID);
-            if other.is_some_and(|id| id != self.backend.id) {
-                self.backend.failed();
-            }
-        }
-        let (backend, closes, keep_alive) = (self.backend.clone(), headers::closes(head), keep_alive(head));
-        if Limited::new(body, LONGEST_BUFFERED).collect().await.is_ok() {
-            recycle(backend, self.connection, closes, keep_alive);
-        }
-        Err(Ended::Rejected { retry_after, misdirected })
-    }
-
-    /// Waits for the first bytes of a stream.
-    async fn first_event(mut self, status: StatusCode, head: HeaderMap, mut body: Incoming) -> Result {
-        let first = loop {
-            match body.frame().await {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => break data,
-                    _ => {}
-                },
-                Some(Err(_)) => {
-                    self.backend.failed();
-                    return Err(Ended::Broken);
-                }
-                None if self.connection.is_broken() => {
-                    self.backend.failed();
-                    return Err(Ended::Broken);
-                }
-                None => break Bytes::new(),
-            }
-        };
-        self.outstanding.was_read();
-        self.backend.succeeded();
-        let events = Events {
-            first,
-            rest: body,
-            connection: self.connection,
-            outstanding: self.outstanding,
-            keep_alive: keep_alive(&head),
-            closes: headers::closes(&head),
-        };
-        let took = self.begun.elapsed();
-        let content = Content::Events(Box::new(events));
-        Ok(Begun { head, status, content, backend: self.backend, took })
-    }
-
-    /// Takes an answer whole, so that one which breaks off is never passed on as if it were.
-    async fn whole(self, status: StatusCode, head: HeaderMap, body: Incoming) -> Result {
-        let collected = Limited::new(body, LONGEST_BUFFERED).collect().await.map(Collected::to_bytes);
-        let told = headers::number(&head, &CONTENT_LENGTH);
-        let Some(bytes) = collected.ok().filter(|bytes| {
-            !self.connection.is_broken() && told.is_none_or(|length| length == bytes.len() as u64)
-        }) else {
-            self.backend.failed();
-            return Err(Ended::Broken);
-        };
-        self.backend.succeeded();
-        let took = self.begun.elapsed();
-        drop(self.outstanding);
-        recycle(self.backend.clone(), self.connection, headers::closes(&head), keep_alive(&head));
-        let content = Content::Whole(bytes);
-        Ok(Begun { head, status, content, backend: self.backend, took })
-    }
-}
-
-fn is_event_stream(head: &HeaderMap) -> bool {
-    let kind = head.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    kind.is_some_and(|kind| kind.trim_start().starts_with("text/event-stream"))
-}
-
-/// The time that a backend keeps an idle connection, in seconds.
-fn keep_alive(head: &HeaderMap) -> Option<u64> {
-    let value = headers::text(head, &headers::KEEP_ALIVE)?;
-    value.split(',').find_map(|option| option.trim().strip_prefix("timeout=")?.trim().parse().ok())
-}
-
 /// Keeps a connection whose answer is over, once it is ready for another request.
 pub fn recycle(backend: Arc<Backend>, mut connection: Connection, closes: bool, keep_alive: Option<u64>) {
     if closes {
--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -1,11 +1,13 @@
 //! A backend as this router sees it: what it was told of it, its load, and its connections.
 
 use super::connection::Connection;
+use super::fault_log::FaultLog;
 use crate::clock;
 use crate::links::lock;
 use compact_str::CompactString;
 use control::Millis;
-use control::directory::{Backend as Registered, BackendPhase, Order, OrderPhase};
+use control::directory::{Backend as Registered, BackendPhase, Order, OrderPhase, Suspicion};
+use routing::rest::TrustedRest;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
@@ -54,9 +56,17 @@
     told: Option<Told>,
     failures: u32,
     avoid_until: Millis,
+    suspicion: u64,
+    suspected_until: Millis,
     idle: Vec<Connection>,
 }
 
+/// What backends of one service share.
+#[derive(Debug, Default)]
+pub struct ServiceState {
+    trusted_rest: Mutex<TrustedRest>,
+}
+
 /// One incarnation of a backend.
 pub struct Backend {
     /// Its instance id.
@@ -69,6 +79,8 @@
     pub zone: CompactString,
     /// Requests that it works on at once.
     pub slots: u32,
+    service_state: Arc<ServiceState>,
+    faults: Arc<FaultLog>,
     live: Mutex<Live>,
 }
 
@@ -103,7 +115,12 @@
 
 impl Backend {
     /// A backend that has just become known.
-    pub fn new(id: CompactString, registered: &Registered) -> Self {
+    pub fn new(
+        id: CompactString,
+        registered: &Registered,
+        service_state: Arc<ServiceState>,
+        faults: Arc<FaultLog>,
+    ) -> Self {
         let live = Live {
             phase: registered.phase,
             silent: registered.silent,
@@ -114,6 +131,8 @@
             told: None,
             failures: 0,
             avoid_until: 0,
+            suspicion: 0,
+            suspected_until: 0,
             idle: Vec::new(),
         };
         Backend {
@@ -122,13 +141,19 @@
             address: registered.address,
             zone: registered.zone.clone(),
             slots: registered.slots,
+            service_state,
+            faults,
             live: Mutex::new(live),
         }
     }
 
     /// Takes what the directory says of it.
-    pub fn update(&self, registered: &Registered, order: Option<&Order>) {
+    pub fn update(&self, registered: &Registered, order: Option<&Order>, suspicion: Option<Suspicion>) {
         let mut live = lock(&self.live);
+        if let Some(suspicion) = suspicion.filter(|suspicion| suspicion.number > live.suspicion) {
+            live.suspicion = suspicion.number;
+            live.suspected_until = clock::now() + suspicion.lasts_ms;
+        }
         live.phase = registered.phase;
         live.silent = registered.silent;
         for (model, version) in &registered.models {
@@ -166,6 +191,11 @@
         if live.silent || now < live.avoid_until { Fitness::Doubtful } else { Fitness::Fit }
     }
 
+    /// Whether several routers have seen it fail requests lately.
+    pub fn is_suspected(&self) -> bool {
+        clock::now() < lock(&self.live).suspected_until
+    }
+
     /// The version of a model's weights that it has, as far as is known.
     pub fn version(&self, model: &str) -> Option<u64> {
         lock(&self.live).versions.get(model).copied()
@@ -190,29 +220,52 @@
     }
 
     /// A connection: an idle one, or a new one.
-    pub async fn connect(&self, patience: Duration) -> io::Result<Connection> {
-        let idle = {
-            let mut live = lock(&self.live);
-            live.idle.retain(|connection| !connection.is_closed());
-            let usable = live.idle.iter().rposition(Connection::is_usable);
-            usable.map(|at| live.idle.remove(at))
-        };
-        match idle {
-            Some(connection) => Ok(connection),
-            None => Connection::open(self.address, patience).await,
+    pub async fn connect(&self, patience: Duration, is_repeatable: bool) -> io::Result<Connection> {
+        if let Some(idle) = self.take_idle(is_repeatable, clock::now()) {
+            return Ok(idle);
         }
+        Connection::open(self.address, patience).await
+    }
+
+    /// An idle connection. Where the request may not be repeated, one that rested for too long to be trusted stays idle.
+    pub fn take_idle(&self, is_repeatable: bool, now: Millis) -> Option<Connection> {
+        let trusted = *lock(&self.service_state.trusted_rest);
+        let mut live = lock(&self.live);
+        live.idle.retain(|connection| !connection.is_closed());
+        let is_trusted =
+            |connection: &Connection| is_repeatable || trusted.allows(connection.rested(now), now);
+        let usable = |connection: &Connection| connection.is_usable(now) && is_trusted(connection);
+        let at = live.idle.iter().rposition(usable)?;
+        Some(live.idle.remove(at))
     }
 
     /// Keeps a connection for another request.
-    pub fn keep(&self, connection: Connection) {
+    pub fn keep(&self, mut connection: Connection) {
         let mut live = lock(&self.live);
         if live.phase == BackendPhase::Ready && live.idle.len() < IDLE {
+            connection.idle_since = Some(clock::now());
             live.idle.push(connection);
         }
     }
 
+    /// It could not be reached from here: this says nothing of others.
+    pub fn was_out_of_reach(&self) {
+        self.avoid();
+    }
+
     /// A request could not be brought to an answer by its fault.
     pub fn failed(&self) {
+        self.avoid();
+        self.faults.note(&self.id);
+    }
+
+    /// A connection that had rested was reset as a request was sent on it.
+    pub fn forgot_connection(&self, rested: Millis) {
+        lock(&self.service_state.trusted_rest).was_too_long(rested, clock::now());
+        lock(&self.live).idle.clear();
+    }
+
+    fn avoid(&self) {
         let now = clock::now();
         let mut live = lock(&self.live);
         if now >= live.avoid_until {
@@ -229,12 +282,6 @@
         live.failures = 0;
         live.avoid_until = 0;
     }
-
-    /// It said that it is full.
-    pub fn is_full_until(&self, until: Millis) {
-        let mut live = lock(&self.live);
-        live.avoid_until = live.avoid_until.max(until);
-    }
 }
 
 impl Live {
--- a/router/src/proxy/connection.rs
+++ b/router/src/proxy/connection.rs
@@ -1,6 +1,5 @@
 //! One connection to a backend: what was written on it, and whether it can be used again.
 
-use crate::clock;
 use crate::links::prepare;
 use bytes::Bytes;
 use control::Millis;
@@ -76,6 +75,8 @@
     task: JoinHandle<()>,
     /// The backend closes it when it was idle up to then.
     pub idle_until: Millis,
+    /// Since when it has been idle; none where it is new.
+    pub idle_since: Option<Millis>,
 }
 
 impl Drop for Connection {
@@ -102,12 +103,17 @@
                 log::debug!("a connection to a backend ended: {problem}");
             }
         });
-        Ok(Connection { sender, written, broken, task, idle_until: Millis::MAX })
+        Ok(Connection { sender, written, broken, task, idle_until: Millis::MAX, idle_since: None })
     }
 
     /// Whether it can take a request now.
-    pub fn is_usable(&self) -> bool {
-        self.sender.is_ready() && clock::now() < self.idle_until
+    pub fn is_usable(&self, now: Millis) -> bool {
+        self.sender.is_ready() && now < self.idle_until
+    }
+
+    /// How long it has been idle.
+    pub fn rested(&self, now: Millis) -> Millis {
+        self.idle_since.map_or(0, |since| now.saturating_sub(since))
     }
 
     /// Whether it ended by a failure. A body whose connection fails may end as if it were whole, so this is asked where one
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -1,5 +1,6 @@
 //! One request of a client, from its first send to the start of its answer: first sends, copies, repeats.
 
+use super::answer::is_own_failure;
 use super::attempt::{self, Begun, Call, Content, Ended, Sent, Variant};
 use super::backend::{Backend, Fitness};
 use super::locator::{Locator, Question};
@@ -251,6 +252,7 @@
             advice: None,
             located: None,
             pending: None,
+            failure: None,
         };
         exchange.run().await
     }
@@ -295,6 +297,8 @@
     advice: Option<f64>,
     located: Option<Located>,
     pending: Option<PendingId>,
+    /// A backend's own failure, to be passed on where nothing better comes.
+    failure: Option<Begun>,
 }
 
 impl Exchange<'_> {
@@ -320,22 +324,24 @@
         loop {
             tokio::select! {
                 biased;
-                Some(result) = self.running.next() => match result {
-                    Ok(begun) => return Ok((self.finish(begun), std::mem::take(&mut self.tries))),
-                    Err(ended) => {
-                        if !self.goes_on(ended) && self.running.is_empty() {
-                            return Err(self.give_up(false));
-                        }
-                        if self.running.is_empty() {
-                            self.send_again().await?;
+                Some(result) = self.running.next() => {
+                    let may_go_on = match result {
+                        Ok(begun) if self.is_to_be_repeated(&begun) => {
+                            self.failure = Some(begun);
+                            true
                         }
+                        Ok(begun) => return Ok(self.finish(begun)),
+                        Err(ended) => self.goes_on(ended),
+                    };
+                    if self.running.is_empty() && !(may_go_on && self.send_again().await) {
+                        return self.end_without_success(false);
                     }
-                },
+                }
                 () = &mut hedge, if may_copy => {
                     may_copy = false;
                     self.copy();
                 }
-                () = &mut late => return Err(self.give_up(true)),
+                () = &mut late => return self.end_without_success(true),
             }
         }
     }
@@ -415,22 +421,36 @@
         }
     }
 
-    async fn send_again(&mut self) -> Result<(), GivenUp> {
+    /// Whether a backend failed by its own fault, and another one may do better.
+    fn is_to_be_repeated(&self, begun: &Begun) -> bool {
+        let call = &self.job.call;
+        is_own_failure(begun.status) && call.is_repeatable && self.tries.runs < self.job.route.attempts
+    }
+
+    /// Sends the request once more. False where that is not permitted, or there is nowhere to send it.
+    async fn send_again(&mut self) -> bool {
         if !self.exchanges.take_repeat(&self.job.service, 0.0) {
-            return Err(self.give_up(false));
+            return false;
         }
         let tried = self.tries.tried.clone();
-        match self.exchanges.choose_soon(self.job, &tried, self.located.as_ref()).await {
-            Some(choice) => {
-                self.send(choice);
-                Ok(())
-            }
-            None => Err(self.give_up(false)),
+        let choice = self.exchanges.choose_soon(self.job, &tried, self.located.as_ref()).await;
+        let found = choice.is_some();
+        if let Some(choice) = choice {
+            self.send(choice);
+        }
+        found
+    }
+
+    /// Passes a backend's own failure on where there was one; else the request is given up.
+    fn end_without_success(&mut self, late: bool) -> Result<(Begun, Tries), GivenUp> {
+        match self.failure.take() {
+            Some(failure) => Ok(self.finish(failure)),
+            None => Err(self.give_up(late)),
         }
     }
 
     /// The first answer wins. Dropping the other sends closes their connections.
-    fn finish(&mut self, begun: Begun) -> Begun {
+    fn finish(&mut self, begun: Begun) -> (Begun, Tries) {
         self.running.clear();
         if let Some(pending) = self.pending.take() {
             self.exchanges.with_admission(&self.job.service, |admission| {
@@ -441,7 +461,7 @@
             let took = begun.took.as_nanos() as u64;
             self.exchanges.with_learned(self.job, |learned| learned.pace.add(took));
         }
-        begun
+        (begun, std::mem::take(&mut self.tries))
     }
 
     fn give_up(&mut self, late: bool) -> GivenUp {
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -214,6 +214,7 @@
         prompt,
         wall: wall(configuration, tenant),
         streaming: route.kind == Kind::Streaming,
+        is_repeatable: route.is_idempotent() && route.attempts > 1,
     })
 }
 
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -1,10 +1,12 @@
 //! The data plane: requests of clients, sent on to backends.
 
+mod answer;
 pub mod attempt;
 pub mod backend;
 pub mod connection;
 pub mod events;
 pub mod exchange;
+pub mod fault_log;
 pub mod headers;
 pub mod ingress;
 pub mod kept;
--- a/router/src/proxy/pick.rs
+++ b/router/src/proxy/pick.rs
@@ -2,6 +2,7 @@
 
 use super::backend::{Backend, Fitness};
 use compact_str::CompactString;
+use routing::faults::are_few_suspected;
 use routing::locations::Located;
 use routing::prompt::Prompt;
 use routing::selection::{Candidate, least_loaded};
@@ -48,6 +49,8 @@
 pub fn pick(backends: &[Arc<Backend>], need: Need<'_>, tried: &[CompactString]) -> Option<Choice> {
     let model = need.prompt.map(|prompt| (prompt.model.as_str(), need.least_version));
     let home = need.prompt.and_then(|prompt| home(backends, need.wall, prompt));
+    let suspected = backends.iter().filter(|backend| backend.is_suspected()).count();
+    let heeds_suspicions = are_few_suspected(suspected, backends.len());
     let mut eligible = Vec::new();
     let mut candidates = Vec::new();
     for backend in backends.iter().filter(|backend| !tried.contains(&backend.id)) {
@@ -57,7 +60,8 @@
         }
         let is_home = home.as_ref() == Some(&backend.id);
         let (load, choice) = weigh(backend, need, is_home);
-        candidates.push(Candidate { load, avoided: fitness == Fitness::Doubtful });
+        let is_suspected = heeds_suspicions && backend.is_suspected();
+        candidates.push(Candidate { load, avoided: is_suspected || fitness == Fitness::Doubtful });
         eligible.push(choice);
     }
     let at = least_loaded(&candidates, &mut fastrand::Rng::new())?;
--- a/router/src/proxy/table.rs
+++ b/router/src/proxy/table.rs
@@ -1,10 +1,11 @@
 //! The backends that this router may send to, by service.
 
-use super::backend::Backend;
+use super::backend::{Backend, ServiceState};
+use super::fault_log::FaultLog;
 use crate::fleet::Fleet;
 use crate::links::lock;
 use compact_str::CompactString;
-use control::directory::BackendPhase;
+use control::directory::{Backend as Registered, BackendPhase};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 
@@ -16,6 +17,8 @@
 pub struct Table {
     services: Mutex<Arc<Services>>,
     known: Mutex<HashMap<CompactString, Arc<Backend>>>,
+    service_states: Mutex<HashMap<CompactString, Arc<ServiceState>>>,
+    faults: Arc<FaultLog>,
 }
 
 impl Table {
@@ -30,6 +33,11 @@
         lock(&self.known).get(id).cloned()
     }
 
+    /// Faults that were seen and not told of yet.
+    pub fn faults(&self) -> Arc<FaultLog> {
+        self.faults.clone()
+    }
+
     /// Whether any backend is known.
     pub fn is_empty(&self) -> bool {
         lock(&self.services).is_empty()
@@ -48,19 +56,26 @@
         for (id, registered) in directory.backends() {
             if registered.phase == BackendPhase::Gone {
                 if let Some(backend) = known.remove(id) {
-                    backend.update(registered, None);
+                    backend.update(registered, None, None);
                 }
                 continue;
             }
-            let backend =
-                known.entry(id.clone()).or_insert_with(|| Arc::new(Backend::new(id.clone(), registered)));
-            backend.update(registered, directory.order(id));
+            let backend = known.entry(id.clone()).or_insert_with(|| Arc::new(self.make(id, registered)));
+            backend.update(registered, directory.order(id), directory.suspicion(id));
             services.entry(registered.service.clone()).or_default().push(backend.clone());
         }
         *lock(&self.services) = Arc::new(services);
     }
 }
 
+impl Table {
+    fn make(&self, id: &CompactString, registered: &Registered) -> Backend {
+        let mut states = lock(&self.service_states);
+        let state = states.entry(registered.service.clone()).or_default();
+        Backend::new(id.clone(), registered, state.clone(), self.faults.clone())
+    }
+}
+
 /// Keeps the table in step with the directory.
 pub async fn keep_in_step(table: Arc<Table>, fleet: Arc<Fleet>) {
     let mut news = fleet.subscribe();
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::listener::{BreakableAcceptor, Breakers};
 use crate::membership;
 use crate::proxy::exchange::Exchanges;
+use crate::proxy::fault_log;
 use crate::proxy::ingress::Ingress;
 use crate::proxy::kept;
 use crate::proxy::locator::Locator;
@@ -135,6 +136,7 @@
     tokio::spawn(kept::keep_reading(fleet.clone(), locator.clone(), client.clone()));
     tokio::spawn(stores::keep_watch(fleet.clone(), locator, client));
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
+    tokio::spawn(fault_log::keep_telling(table.faults(), fleet.clone()));
 
     let ready = Ready::new(fleet.clone(), table);
     listen(settings.listen.readiness, ready);
--- a/router/src/traffic.rs
+++ b/router/src/traffic.rs
@@ -16,18 +16,21 @@
     Register,
     /// Where shared starts of prompts are kept.
     Locate,
+    /// Faults of backends.
+    Faults,
     /// Comparison of range digests.
     Repair,
 }
 
 impl MessageKind {
     /// Every kind, in the order of its counters.
-    pub const ALL: [MessageKind; 6] = [
+    pub const ALL: [MessageKind; 7] = [
         MessageKind::Replica,
         MessageKind::Pull,
         MessageKind::Operator,
         MessageKind::Register,
         MessageKind::Locate,
+        MessageKind::Faults,
         MessageKind::Repair,
     ];
 
@@ -50,6 +53,7 @@
             | Request::Placed { .. }
             | Request::Evicted { .. }
             | Request::EvictedFromStore { .. } => MessageKind::Locate,
+            Request::Faults { .. } => MessageKind::Faults,
             Request::Compare { .. } | Request::Fetch { .. } => MessageKind::Repair,
         }
     }
--- /dev/null
+++ b/router/tests/faults.rs
@@ -0,0 +1,126 @@
+//! Backends that fail requests while they say that they are well, and connections that they forget.
+
+mod common;
+
+use common::*;
+use control::directory::{Key, Value};
+use router::clock;
+use std::collections::BTreeMap;
+
+fn failure() -> String {
+    answer("500 Internal Server Error", "X-Response-Seal: s\r\n", "why")
+}
+
+#[tokio::test]
+async fn a_safe_request_that_a_backend_failed_is_answered_by_another() {
+    let failing = StandIn::start(vec![Act::Say(failure())]).await;
+    let sound = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let router = Router::start(&[&failing, &sound]).await;
+    for _ in 0..20 {
+        let answer = router.ask("/safe/", KEY).await;
+        assert_eq!((status(&answer), body(&answer)), ("200", "ok"), "{answer}");
+    }
+    assert!(failing.count() >= 1);
+}
+
+#[tokio::test]
+async fn where_all_fail_the_first_failure_goes_back_as_it_is() {
+    let (first, second) =
+        (StandIn::start(vec![Act::Say(failure())]).await, StandIn::start(vec![Act::Say(failure())]).await);
+    let router = Router::start(&[&first, &second]).await;
+    let answer = router.ask("/safe/", KEY).await;
+    assert_eq!((status(&answer), body(&answer)), ("500", "why"));
+    assert_eq!(header(&answer, "x-response-seal").as_deref(), Some("s"));
+    assert_eq!(first.count() + second.count(), 2, "as many as the route's attempts");
+}
+
+#[tokio::test]
+async fn a_failure_then_a_break_goes_back_as_the_failure() {
+    let acts = || vec![Act::Say(failure()), Act::SayAndReset(String::new())];
+    let first = StandIn::start(acts()).await;
+    let second = first.clone();
+    let router = Router::start(&[&first, &second]).await;
+    let answer = router.ask("/safe/", KEY).await;
+    assert_eq!((status(&answer), body(&answer)), ("500", "why"));
+}
+
+#[tokio::test]
+async fn an_unsafe_request_that_a_backend_failed_is_not_sent_again() {
+    let (first, second) =
+        (StandIn::start(vec![Act::Say(failure())]).await, StandIn::start(vec![Act::Say(failure())]).await);
+    let router = Router::start(&[&first, &second]).await;
+    assert_eq!(status(&router.ask("/unsafe/", KEY).await), "500");
+    assert_eq!(first.count() + second.count(), 1);
+}
+
+#[tokio::test]
+async fn faults_that_routers_saw_make_a_backend_avoided_by_all() {
+    let failing = StandIn::start(vec![Act::Say(failure())]).await;
+    let sound = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let others = [StandIn::start(vec![Act::Say(success("ok"))]).await, sound.clone(), sound.clone()];
+    let router = Router::start(&[&failing, &sound, &others[0], &others[1], &others[2]]).await;
+    let told = [("i-0".into(), 2)];
+    router.fleet.take_faults(&"n2".into(), &told);
+    assert_eq!(router.fleet.directory.lock().unwrap().suspicion("i-0"), None, "one router's word");
+    router.fleet.take_faults(&"n3".into(), &told);
+    router.table.refresh(&router.fleet);
+    for _ in 0..20 {
+        assert_eq!(status(&router.ask("/unsafe/", KEY).await), "200");
+    }
+    assert_eq!(failing.count(), 0);
+}
+
+#[tokio::test]
+async fn a_suspected_backend_is_used_where_no_other_is_there() {
+    let only = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let router = Router::start(&[&only]).await;
+    for reporter in ["n2", "n3"] {
+        router.fleet.take_faults(&reporter.into(), &[("i-0".into(), 2)]);
+    }
+    router.table.refresh(&router.fleet);
+    assert_eq!(status(&router.ask("/unsafe/", KEY).await), "200");
+}
+
+#[tokio::test]
+async fn a_failure_of_a_backend_is_noted_for_its_judge() {
+    let failing = StandIn::start(vec![Act::Say(failure())]).await;
+    let router = Router::start(&[&failing]).await;
+    router.ask("/unsafe/", KEY).await;
+    assert_eq!(router.table.faults().take(), BTreeMap::from([("i-0".into(), 1)]));
+}
+
+#[tokio::test]
+async fn suspicions_are_numbered_on_from_what_another_judge_wrote() {
+    let router = Router::start(&[]).await;
+    let key = Key::Suspicion("i-9".into());
+    let former = control::directory::Suspicion { number: 7, lasts_ms: 3_000 };
+    router.fleet.put(key, Value::Suspicion(former));
+    for reporter in ["n2", "n3"] {
+        router.fleet.take_faults(&reporter.into(), &[("i-9".into(), 2)]);
+    }
+    let newest = router.fleet.directory.lock().unwrap().suspicion("i-9");
+    assert_eq!(newest.map(|suspicion| suspicion.number), Some(8));
+}
+
+#[tokio::test]
+async fn after_a_forgotten_connection_what_may_not_be_repeated_is_not_sent_on_one_that_rested_for_long() {
+    let backend = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let router = Router::start(&[&backend]).await;
+    let known = router.table.backend("i-0").unwrap();
+    let idle = async || {
+        let mut connection = known.connect(PATIENCE, true).await.unwrap();
+        assert!(connection.becomes_ready().await);
+        known.keep(connection);
+    };
+    let much_later = || clock::now() + 1_000;
+    idle().await;
+    let trusted = known.take_idle(false, much_later());
+    known.keep(trusted.expect("as long as none was forgotten, all are trusted"));
+    known.forgot_connection(400);
+    assert!(known.take_idle(true, clock::now()).is_none(), "those that rested as long are dropped");
+    idle().await;
+    assert!(known.take_idle(false, much_later()).is_none(), "it rested for longer than 200 ms");
+    assert!(known.take_idle(false, clock::now()).is_some(), "it has hardly rested");
+    idle().await;
+    assert!(known.take_idle(true, much_later()).is_some(), "what may be repeated can use it");
+}
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod admission;
 pub mod budget;
+pub mod faults;
 pub mod hedging;
 pub mod locations;
 pub mod owners;
 pub mod prompt;
+pub mod rest;
 pub mod selection;
 pub mod split;
 
