Long frames between routers are compressed; a new router asks one seed at a time

Change: frames of 2 KB or more are LZ4 blocks, in a module with typed errors; a router without a configuration asks one seed, the next after a failure or 0.2 s, in an order that differs by router.

--- /dev/null
+++ b/router/src/frame.rs
@@ -0,0 +1,96 @@
+//! Frames on a connection between routers: a length, and a `postcard` message. Long messages are compressed, as many routers
+//! may ask for everything at once and their links are slow.
+//!
+//! The length is a big-endian `u32` whose highest bit says that the bytes are compressed (LZ4 block with its size before it).
+
+use crate::protocol::{Frame, LONGEST};
+use crate::traffic::{MessageKind, Traffic};
+use std::io;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Says that what follows is compressed.
+const COMPRESSED: u32 = 1 << 31;
+/// Shorter messages go as they are.
+const LEAST_COMPRESSED: usize = 2 << 10;
+/// Bytes of the size before a compressed block.
+const SIZE_BYTES: usize = 4;
+
+/// Why bytes are no frame.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The message is longer than any router sends.
+    #[error(
+        "a frame of {length} bytes is longer than {LONGEST}: check that the other end is a router of this fleet"
+    )]
+    TooLong {
+        /// Its length.
+        length: usize,
+    },
+    /// The bytes can't be decompressed.
+    #[error("a frame can't be decompressed ({0}): check that the other end runs the same version")]
+    Compression(#[from] lz4_flex::block::DecompressError),
+    /// The message can't be read.
+    #[error("a frame can't be read ({0}): check that the other end runs the same version")]
+    Message(#[from] postcard::Error),
+}
+
+impl From<FrameError> for io::Error {
+    fn from(error: FrameError) -> Self {
+        io::Error::new(io::ErrorKind::InvalidData, error)
+    }
+}
+
+/// The bytes of a frame, its length first.
+pub fn encode(frame: &Frame) -> Result<Vec<u8>, FrameError> {
+    let message = postcard::to_stdvec(frame)?;
+    let is_compressed = message.len() >= LEAST_COMPRESSED;
+    let body = if is_compressed { lz4_flex::block::compress_prepend_size(&message) } else { message };
+    if body.len() > LONGEST {
+        return Err(FrameError::TooLong { length: body.len() });
+    }
+    let flag = if is_compressed { COMPRESSED } else { 0 };
+    let mut bytes = Vec::with_capacity(size_of::<u32>() + body.len());
+    bytes.extend((body.len() as u32 | flag).to_be_bytes());
+    bytes.extend(body);
+    Ok(bytes)
+}
+
+/// The frame whose bytes come after a length.
+fn decode(body: &[u8], is_compressed: bool) -> Result<Frame, FrameError> {
+    if !is_compressed {
+        return Ok(postcard::from_bytes(body)?);
+    }
+    let told = body.first_chunk::<SIZE_BYTES>().map_or(0, |size| u32::from_le_bytes(*size) as usize);
+    if told > LONGEST {
+        return Err(FrameError::TooLong { length: told });
+    }
+    let message = lz4_flex::block::decompress_size_prepended(body)?;
+    Ok(postcard::from_bytes(&message)?)
+}
+
+/// Writes a frame.
+pub async fn write_frame(
+    writer: &mut (impl AsyncWrite + Unpin),
+    frame: &Frame,
+    traffic: &Traffic,
+) -> io::Result<()> {
+    let bytes = encode(frame)?;
+    writer.write_all(&bytes).await?;
+    traffic.sent(MessageKind::of(frame), bytes.len());
+    Ok(())
+}
+
+/// Reads a frame.
+pub async fn read_frame(reader: &mut (impl AsyncRead + Unpin), traffic: &Traffic) -> io::Result<Frame> {
+    let told = reader.read_u32().await?;
+    let length = (told & !COMPRESSED) as usize;
+    if length > LONGEST {
+        return Err(FrameError::TooLong { length }.into());
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await?;
+    let frame = decode(&body, told & COMPRESSED != 0)?;
+    traffic.received(MessageKind::of(&frame), size_of::<u32>() + length);
+    Ok(frame)
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control_api;
 pub mod disk;
 pub mod fleet;
+pub mod frame;
 pub mod links;
 pub mod listener;
 pub mod membership;
--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -1,7 +1,8 @@
 //! Connections between routers: length-prefixed postcard frames over TCP, requests with answers and without.
 
-use crate::protocol::{Frame, LONGEST, Request, Response};
-use crate::traffic::{MessageKind, Traffic};
+use crate::frame::{read_frame, write_frame};
+use crate::protocol::{Frame, Request, Response};
+use crate::traffic::Traffic;
 use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::future::Future;
@@ -11,8 +12,6 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::timeout;
@@ -39,29 +38,6 @@
     socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(second).with_interval(second))
 }
 
-async fn write_frame(writer: &mut OwnedWriteHalf, frame: &Frame, traffic: &Traffic) -> io::Result<()> {
-    let body = postcard::to_stdvec(frame).map_err(io::Error::other)?;
-    let mut bytes = Vec::with_capacity(4 + body.len());
-    bytes.extend((body.len() as u32).to_be_bytes());
-    bytes.extend(body);
-    writer.write_all(&bytes).await?;
-    traffic.sent(MessageKind::of(frame), bytes.len());
-    Ok(())
-}
-
-async fn read_frame(reader: &mut OwnedReadHalf, traffic: &Traffic) -> io::Result<Frame> {
-    let length = reader.read_u32().await? as usize;
-    if length > LONGEST {
-        return Err(io::Error::new(io::ErrorKind::InvalidData, "a frame is too long"));
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).await?;
-    let frame: Frame =
-        postcard::from_bytes(&body).map_err(|problem| io::Error::new(io::ErrorKind::InvalidData, problem))?;
-    traffic.received(MessageKind::of(&frame), 4 + length);
-    Ok(frame)
-}
-
 type Pending = Arc<Mutex<HashMap<u32, oneshot::Sender<Response>>>>;
 
 /// One connection to another router, made when it is first used.
--- a/router/src/upstreams.rs
+++ b/router/src/upstreams.rs
@@ -2,14 +2,17 @@
 //! falls behind.
 
 use crate::fleet::{Fleet, PULL_WAIT, Pull};
+use crate::links::lock;
 use compact_str::CompactString;
 use control::directory::{Member, MemberStatus};
 use control::ring;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// Time between two choices of whom to pull from.
@@ -22,6 +25,8 @@
 const LONGEST_PULL_AGAIN: Duration = Duration::from_millis(1_000);
 /// A node that failed is only followed again after this, where there is another one.
 const AVOID: Duration = Duration::from_millis(3_000);
+/// A node that knows nothing yet asks one seed for everything, and the next one where that fails or takes so long.
+const NEXT_SEED: Duration = Duration::from_millis(200);
 /// For so long after its start a node with a replica follows its seeds as well.
 const SEED_TIME: Duration = Duration::from_secs(4);
 
@@ -46,6 +51,7 @@
     let mut upstreams: BTreeMap<SocketAddrV4, Upstream> = BTreeMap::new();
     let mut avoided: BTreeMap<SocketAddrV4, Instant> = BTreeMap::new();
     let mut choices = tokio::time::interval(CHOICE);
+    let failures = Arc::new(watch::Sender::new(0));
     loop {
         choices.tick().await;
         let now = Instant::now();
@@ -61,17 +67,53 @@
             }
             kept
         });
+        let turns = turns(&fleet, &wanted);
         for (address, mode) in wanted {
             upstreams.entry(address).or_insert_with(|| {
                 let failing = Arc::new(AtomicBool::new(false));
-                let task = tokio::spawn(pull_from(fleet.clone(), address, mode, failing.clone()));
+                let pulling = pull_from(fleet.clone(), address, mode, failing.clone(), failures.clone());
+                let turn = turns.get(&address).copied().unwrap_or(0);
+                let waiting = wait_for_turn(turn, failures.subscribe());
+                let task = tokio::spawn(async move {
+                    waiting.await;
+                    pulling.await;
+                });
                 Upstream { mode, task, failing }
             });
         }
     }
 }
 
-async fn pull_from(fleet: Arc<Fleet>, address: SocketAddrV4, mode: Mode, failing: Arc<AtomicBool>) {
+/// In which turn a router without a replica that has no configuration yet asks for everything: each router in another order,
+/// so that no seed is asked by all at once.
+fn turns(fleet: &Fleet, wanted: &BTreeMap<SocketAddrV4, Mode>) -> BTreeMap<SocketAddrV4, u32> {
+    if fleet.replica.is_some() || lock(&fleet.published).version().is_some() {
+        return BTreeMap::new();
+    }
+    let mut order: Vec<SocketAddrV4> = wanted.keys().copied().collect();
+    order.sort_by_key(|address| {
+        let mut hasher = DefaultHasher::new();
+        (&fleet.settings.node_name, address).hash(&mut hasher);
+        hasher.finish()
+    });
+    order.into_iter().zip(0..).collect()
+}
+
+/// Waits until the upstreams of earlier turns have failed, or have had the time to answer.
+async fn wait_for_turn(turn: u32, mut failures: watch::Receiver<u32>) {
+    let had_failed = *failures.borrow_and_update();
+    let all_failed = failures.wait_for(|failed| *failed >= had_failed + turn);
+    // Either way it is this one's turn.
+    let _ = tokio::time::timeout(turn * NEXT_SEED, all_failed).await;
+}
+
+async fn pull_from(
+    fleet: Arc<Fleet>,
+    address: SocketAddrV4,
+    mode: Mode,
+    failing: Arc<AtomicBool>,
+    failures: Arc<watch::Sender<u32>>,
+) {
     // The first answer comes at once, so that a new node knows what there is.
     let mut wait = Duration::ZERO;
     let mut again = PULL_AGAIN;
@@ -87,6 +129,7 @@
             }
             Pull::Failed => {
                 failing.store(true, Ordering::Relaxed);
+                failures.send_modify(|failed| *failed += 1);
                 tokio::time::sleep(again).await;
                 again = (2 * again).min(LONGEST_PULL_AGAIN);
             }
--- /dev/null
+++ b/router/tests/frames.rs
@@ -0,0 +1,73 @@
+//! Frames between routers: what was written is read, and what is no frame is refused.
+
+use assert_matches::assert_matches;
+use router::frame::{encode, read_frame, write_frame};
+use router::protocol::{Frame, LONGEST, Request, Response};
+use router::traffic::{MessageKind, Traffic};
+use std::io;
+
+const COMPRESSED: u32 = 1 << 31;
+
+fn fetch(keys: usize) -> Frame {
+    Frame::Request(7, Request::Fetch { keys: (0..keys as u64).map(|key| key % 3).collect() })
+}
+
+async fn read(bytes: &[u8]) -> io::Result<Frame> {
+    read_frame(&mut &bytes[..], &Traffic::default()).await
+}
+
+fn framed(length: u32, body: &[u8]) -> Vec<u8> {
+    let mut bytes = length.to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+#[tokio::test]
+async fn frames_of_every_length_around_the_bound_are_read_as_they_were_written() {
+    for keys in [0, 1, 2_040, 2_048, 2_056, 100_000] {
+        let mut bytes = Vec::new();
+        let traffic = Traffic::default();
+        write_frame(&mut bytes, &fetch(keys), &traffic).await.unwrap();
+        assert_eq!(bytes, encode(&fetch(keys)).unwrap());
+        let frame = read_frame(&mut &bytes[..], &traffic).await.unwrap();
+        assert_matches!(frame, Frame::Request(7, Request::Fetch { keys: read }) if read.len() == keys);
+        let (_, count) = traffic.counts().find(|(kind, _)| *kind == MessageKind::Repair).unwrap();
+        assert_eq!((count.bytes_sent, count.bytes_received), (bytes.len() as u64, bytes.len() as u64));
+    }
+}
+
+#[tokio::test]
+async fn long_frames_take_fewer_bytes_than_their_messages() {
+    let text = r#"{"name":"r-1","host":"h.example","pathPrefix":"/p/","kind":"streaming"}"#.repeat(1_000);
+    let frame = Frame::Response(1, Response::Configuration(Some(Some(text.clone().into_bytes()))));
+    let bytes = encode(&frame).unwrap();
+    assert!(bytes.len() < text.len() / 10, "{} bytes for {}", bytes.len(), text.len());
+    assert_matches!(read(&bytes).await.unwrap(), Frame::Response(1, Response::Configuration(Some(Some(read)))) => {
+        assert_eq!(read, text.into_bytes());
+    });
+}
+
+#[tokio::test]
+async fn what_is_no_frame_is_refused_without_taking_its_word_for_its_size() {
+    let too_long = LONGEST as u32 + 1;
+    let liar = [&too_long.to_le_bytes()[..], b"few bytes"].concat();
+    for bytes in [
+        framed(too_long, b"whatever"),
+        framed(too_long | COMPRESSED, b"whatever"),
+        framed(liar.len() as u32 | COMPRESSED, &liar),
+        framed(4 | COMPRESSED, &[200, 0, 0, 0]),
+        framed(3 | COMPRESSED, &[1, 2, 3]),
+        framed(2, &[255, 255]),
+    ] {
+        let refused = read(&bytes).await.map(|_| ());
+        assert_matches!(refused, Err(problem) if problem.kind() == io::ErrorKind::InvalidData, "{bytes:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_frame_that_is_cut_anywhere_is_none() {
+    let whole = encode(&fetch(3_000)).unwrap();
+    for length in 0..whole.len() {
+        assert!(read(&whole[..length]).await.is_err(), "cut after {length} of {} bytes", whole.len());
+    }
+}
--- a/routing/src/faults.rs
+++ b/routing/src/faults.rs
@@ -15,9 +15,9 @@
 /// A router's faults count for so many within the window, so that no single one can make a backend suspected.
 const MOST_EACH: u32 = 2;
 /// How long the first suspicion lasts.
-const SUSPECTED: Millis = 3_000;
+const SUSPECTED: Millis = 1_000;
 /// A suspicion lasts twice as long as the one before, up to this.
-const LONGEST: Millis = 12_000;
+const LONGEST: Millis = 8_000;
 /// A suspicion counts as another one in a row if it begins so soon after the end of the one before.
 const IN_A_ROW: Millis = 6_000;
 
