A backend that is overdue without saying that requests wait there counts as at fault

Change: without the start of an answer after four times the kind's 95th percentile and at least its objective the backend is noted as at fault, unless it has told that requests wait.

--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -60,6 +60,8 @@
     pub last_event_id: Option<String>,
     /// What it tells about stores.
     pub transfer: Transfer,
+    /// Without the start of an answer for so long, the backend is taken to be at fault.
+    pub overdue_after: Duration,
 }
 
 /// The start of an answer that may be passed on.
@@ -134,37 +136,44 @@
     }
 }
 
-/// Sends a call to a backend and waits for the start of its answer.
+/// Sends a call to a backend and waits for the start of its answer. A backend that is overdue without a reason is noted as
+/// at fault; it may answer still.
 pub async fn send(
     call: Arc<Call>,
     backend: Arc<Backend>,
     variant: Variant,
     unread: u64,
     sent: Sent,
+) -> Result {
+    let overdue_after = variant.overdue_after;
+    let answered = send_and_judge(call, backend.clone(), variant, unread, sent);
+    tokio::pin!(answered);
+    if let Ok(result) = tokio::time::timeout(overdue_after, &mut answered).await {
+        return result;
+    }
+    if !backend.load().says_that_requests_wait() {
+        backend.failed();
+    }
+    answered.await
+}
+
+async fn send_and_judge(
+    call: Arc<Call>,
+    backend: Arc<Backend>,
+    variant: Variant,
+    unread: u64,
+    sent: Sent,
 ) -> Result {
     let begun = Instant::now();
     let outstanding = Outstanding::begin(backend.clone(), unread);
-    let left = call.deadline.saturating_duration_since(begun);
-    let connection = match backend.connect(left.min(CONNECT_PATIENCE), call.is_repeatable).await {
-        Ok(connection) => connection,
-        Err(problem) => {
-            log::debug!("backend {} can't be reached: {problem}", backend.id);
-            backend.was_out_of_reach();
-            return Err(Ended::NotSent);
-        }
-    };
+    let mut connection = connect(&call, &backend).await?;
     let rested = connection.rested(clock::now());
     let request = build(&call, &backend, &variant);
     sent.set(true);
-    let mut connection = connection;
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(failure) => {
-            if rested >= LEAST_REST {
-                backend.forgot_connection(rested)
-            } else {
-                backend.failed()
-            }
+            note_failure(&backend, rested);
             sent.set(failure == Failure::MayHaveRun);
             return Err(if failure == Failure::NotWritten { Ended::NotSent } else { Ended::Broken });
         }
@@ -177,6 +186,25 @@
     result
 }
 
+async fn connect(call: &Call, backend: &Backend) -> std::result::Result<Connection, Ended> {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    let connected = backend.connect(left.min(CONNECT_PATIENCE), call.is_repeatable).await;
+    connected.map_err(|problem| {
+        log::debug!("backend {} can't be reached: {problem}", backend.id);
+        backend.was_out_of_reach();
+        Ended::NotSent
+    })
+}
+
+/// No answer came on a connection that had rested for so long before the request was sent.
+fn note_failure(backend: &Backend, rested: Millis) {
+    if rested >= LEAST_REST {
+        backend.forgot_connection(rested);
+    } else {
+        backend.failed();
+    }
+}
+
 fn build(call: &Call, backend: &Backend, variant: &Variant) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -96,6 +96,11 @@
 }
 
 impl Load {
+    /// Whether it has told lately that requests wait there.
+    pub fn says_that_requests_wait(&self) -> bool {
+        self.told.is_some_and(|told| told.waiting > 0)
+    }
+
     /// Whether, as far as it has told, requests wait there or half of its slots are taken.
     pub fn is_crowded(&self) -> bool {
         self.told.is_none_or(|told| told.waiting > 0 || 2 * told.running >= told.slots)
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -33,6 +33,8 @@
 const KEPT_FOR_FAILURES: f64 = 0.4;
 /// How often a request is sent on after backends turned it away.
 const MOST_REJECTIONS: u32 = 3;
+/// So many times the 95th percentile of a kind's answers, and at least the objective, is overdue.
+const OVERDUE: u32 = 4;
 /// Time between two looks for a backend while there is none.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Part of the objective that a request may wait for a backend before it is refused.
@@ -257,6 +259,13 @@
         exchange.run().await
     }
 
+    /// A backend that has not begun to answer after this is taken to be at fault.
+    fn overdue_after(&self, job: &Job) -> Duration {
+        let p95 = self.with_learned(job, |learned| learned.pace.p95);
+        let objective = Duration::from_millis(job.route.target_latency_ms);
+        objective.max(OVERDUE * Duration::from_nanos(p95 as u64))
+    }
+
     /// Goes on with a stream that broke off, at another backend.
     pub async fn resume(&self, job: &Job, tries: &mut Tries, last_event_id: String) -> Option<Begun> {
         while tries.runs < job.route.attempts && tries.rejections <= MOST_REJECTIONS {
@@ -266,7 +275,8 @@
             }
             let transfer = self.transfer(job, &choice, None);
             let last_event_id = Some(last_event_id.clone());
-            let variant = Variant { version: choice.version, last_event_id, transfer };
+            let overdue_after = self.overdue_after(job);
+            let variant = Variant { version: choice.version, last_event_id, transfer, overdue_after };
             tries.tried.push(choice.backend.id.clone());
             tries.runs += 1;
             let sent = Sent::default();
@@ -377,7 +387,8 @@
         self.tries.tried.push(choice.backend.id.clone());
         self.tries.runs += 1;
         let transfer = self.exchanges.transfer(self.job, &choice, self.located.as_ref());
-        let variant = Variant { version: choice.version, last_event_id: None, transfer };
+        let overdue_after = self.exchanges.overdue_after(self.job);
+        let variant = Variant { version: choice.version, last_event_id: None, transfer, overdue_after };
         let sent = Sent::default();
         self.sent.push(sent.clone());
         let send = attempt::send(self.job.call.clone(), choice.backend, variant, choice.unread, sent);
--- a/router/tests/faults.rs
+++ b/router/tests/faults.rs
@@ -89,6 +89,20 @@
     assert_eq!(router.table.faults().take(), BTreeMap::from([("i-0".into(), 1)]));
 }
 
+#[tokio::test]
+async fn a_backend_that_is_overdue_without_a_reason_is_noted_for_its_judge() {
+    let hanging = StandIn::start(vec![Act::Hang]).await;
+    let router = Router::start(&[&hanging]).await;
+    let client = router.send("/unsafe/", KEY).await;
+    let noted = async {
+        while !router.table.faults().take().contains_key("i-0") {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, noted).await.expect("a fault is noted while the request is pending");
+    drop(client);
+}
+
 #[tokio::test]
 async fn suspicions_are_numbered_on_from_what_another_judge_wrote() {
     let router = Router::start(&[]).await;
