A request under way stands in a module of its own

Change: proxy/pending.rs for one request, attempt.rs and answer.rs for one send and the judgement of its answer; no change of behaviour.

--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -1,9 +1,9 @@
 //! One request of a client, from its first send to the start of its answer: first sends, copies, repeats.
 
-use super::answer::is_own_failure;
 use super::attempt::{self, Begun, Call, Content, Ended, Sent, Variant};
 use super::backend::{Backend, Fitness};
-use super::locator::{Locator, Question};
+use super::locator::Locator;
+use super::pending::Pending;
 use super::pick::{Choice, Need, pick};
 use super::stores::Transfer;
 use super::table::Table;
@@ -13,13 +13,11 @@
 use compact_str::CompactString;
 use control::Millis;
 use control::configuration::{Kind, Route};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use hyper::header::HeaderName;
-use routing::admission::{Admission, PendingId};
+use routing::admission::Admission;
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
-use routing::locations::{Located, Placement, PrefixKey};
+use routing::locations::{Located, PrefixKey};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -29,22 +27,14 @@
 /// The header by which a backend names itself.
 pub const INSTANCE_ID: HeaderName = HeaderName::from_static("x-instance-id");
 
-/// Part of the retry budget that copies leave to repeats after failures.
-const KEPT_FOR_FAILURES: f64 = 0.4;
 /// How often a request is sent on after backends turned it away.
-const MOST_REJECTIONS: u32 = 3;
+pub(super) const MOST_REJECTIONS: u32 = 3;
 /// So many times the 95th percentile of a kind's answers, and at least the objective, is overdue.
 const OVERDUE: u32 = 4;
 /// Time between two looks for a backend while there is none.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Part of the objective that a request may wait for a backend before it is refused.
 const WAIT_SHARE: u32 = 5;
-/// Advice to clients that are refused, in seconds.
-const RETRY_AFTER: f64 = 0.15;
-/// Shared starts of fewer tokens are not asked for.
-const LEAST_SHARED: u64 = 64;
-/// A prompt is worth saving where so much of it is shared: a save brings the whole prompt to the store.
-const SAVE_SHARE: f64 = 0.25;
 /// So long before new weights must be everywhere, backends without them are used no more.
 const VERSION_MARGIN: Millis = 1_300;
 
@@ -65,9 +55,11 @@
 
 /// What is learned about one kind of request.
 #[derive(Debug)]
-struct Learned {
-    pace: Pace,
-    copies: CopyAllowance,
+pub(super) struct Learned {
+    /// How long answers take.
+    pub(super) pace: Pace,
+    /// Copies that may still be sent.
+    pub(super) copies: CopyAllowance,
 }
 
 /// A kind of request: its service, how it is answered, and its objective.
@@ -128,7 +120,7 @@
         (job.service.clone(), job.route.kind == Kind::Streaming, job.route.target_latency_ms)
     }
 
-    fn with_learned<T>(&self, job: &Job, look: impl FnOnce(&mut Learned) -> T) -> T {
+    pub(super) fn with_learned<T>(&self, job: &Job, look: impl FnOnce(&mut Learned) -> T) -> T {
         let mut learned = lock(&self.learned);
         let entry = learned.entry(Self::kind(job)).or_insert_with(|| Learned {
             pace: Pace::starting(job.route.target_latency_ms * 1_000_000),
@@ -151,20 +143,24 @@
         look(budget)
     }
 
-    fn with_admission<T>(&self, service: &CompactString, look: impl FnOnce(&mut Admission) -> T) -> T {
+    pub(super) fn with_admission<T>(
+        &self,
+        service: &CompactString,
+        look: impl FnOnce(&mut Admission) -> T,
+    ) -> T {
         let mut admissions = lock(&self.admissions);
         look(admissions.entry(service.clone()).or_default())
     }
 
     /// Whether a request is to be refused as its service can't answer all of them in time. Where even the least-loaded
     /// backend has room, nothing is.
-    fn is_one_too_many(&self, job: &Job, planned: &Choice) -> bool {
+    pub(super) fn is_one_too_many(&self, job: &Job, planned: &Choice) -> bool {
         let share = self.with_admission(&job.service, |admission| admission.refused_share(clock::now()));
         share > 0.0 && planned.backend.load().is_crowded() && fastrand::f64() < share
     }
 
     /// Takes one repeat out of the budget.
-    fn take_repeat(&self, service: &CompactString, kept: f64) -> bool {
+    pub(super) fn take_repeat(&self, service: &CompactString, kept: f64) -> bool {
         let routers = self.fleet.members_up();
         self.with_budget(service, |budget| budget.take(routers, kept, clock::now()))
     }
@@ -182,7 +178,12 @@
         (now >= *since + patience).then_some(target)
     }
 
-    fn choose(&self, job: &Job, tried: &[CompactString], located: Option<&Located>) -> Option<Choice> {
+    pub(super) fn choose(
+        &self,
+        job: &Job,
+        tried: &[CompactString],
+        located: Option<&Located>,
+    ) -> Option<Choice> {
         let backends = self.table.backends(&job.service);
         let prompt = job.call.prompt.as_ref();
         let need = Need {
@@ -197,7 +198,7 @@
 
     /// What a send tells its backend about kept prompts. Without a known version nothing is moved: the text under which parts
     /// are found is all that tells versions apart.
-    fn transfer(&self, job: &Job, choice: &Choice, located: Option<&Located>) -> Transfer {
+    pub(super) fn transfer(&self, job: &Job, choice: &Choice, located: Option<&Located>) -> Transfer {
         let Some((prompt, version)) = job.call.prompt.as_ref().zip(choice.version) else {
             return Transfer::default();
         };
@@ -222,7 +223,7 @@
     }
 
     /// Waits a little for a backend where there is none at present.
-    async fn choose_soon(
+    pub(super) async fn choose_soon(
         &self,
         job: &Job,
         tried: &[CompactString],
@@ -244,23 +245,11 @@
     /// Sends a request until there is an answer to pass on, or none can be had.
     pub async fn run(&self, job: &Job) -> Result<(Begun, Tries), GivenUp> {
         self.with_budget(&job.service, |budget| budget.request(clock::now()));
-        let mut exchange = Exchange {
-            exchanges: self,
-            job,
-            tries: Tries::default(),
-            running: FuturesUnordered::new(),
-            sent: Vec::new(),
-            copied: false,
-            advice: None,
-            located: None,
-            pending: None,
-            failure: None,
-        };
-        exchange.run().await
+        Pending::new(self, job).run().await
     }
 
     /// A backend that has not begun to answer after this is taken to be at fault.
-    fn overdue_after(&self, job: &Job) -> Duration {
+    pub(super) fn overdue_after(&self, job: &Job) -> Duration {
         let p95 = self.with_learned(job, |learned| learned.pace.p95);
         let objective = Duration::from_millis(job.route.target_latency_ms);
         objective.max(OVERDUE * Duration::from_nanos(p95 as u64))
@@ -294,216 +283,6 @@
     }
 }
 
-type Send<'a> = std::pin::Pin<Box<dyn Future<Output = attempt::Result> + std::marker::Send + 'a>>;
-
-/// One request under way.
-struct Exchange<'a> {
-    exchanges: &'a Exchanges,
-    job: &'a Job,
-    tries: Tries,
-    running: FuturesUnordered<Send<'a>>,
-    sent: Vec<Sent>,
-    copied: bool,
-    advice: Option<f64>,
-    located: Option<Located>,
-    pending: Option<PendingId>,
-    /// A backend's own failure, to be passed on where nothing better comes.
-    failure: Option<Begun>,
-}
-
-impl Exchange<'_> {
-    async fn run(&mut self) -> Result<(Begun, Tries), GivenUp> {
-        let Some(planned) = self.exchanges.choose_soon(self.job, &[], None).await else {
-            return Err(self.give_up(false));
-        };
-        if self.exchanges.is_one_too_many(self.job, &planned) {
-            return Err(GivenUp::NotRun { retry_after: overload_advice(self.job) });
-        }
-        let choice = self.locate(planned).await;
-        self.send(choice);
-        self.pending = Some(self.exchanges.with_admission(&self.job.service, |admission| {
-            admission.sent(self.job.route.target_latency_ms, clock::now())
-        }));
-        self.exchanges.with_learned(self.job, |learned| learned.copies.sent());
-        let hedge_after = self.exchanges.with_learned(self.job, |learned| learned.pace.p95);
-        let hedge = tokio::time::sleep(Duration::from_nanos(hedge_after as u64));
-        tokio::pin!(hedge);
-        let mut may_copy = self.job.route.is_idempotent() && self.job.route.attempts > 1;
-        let late = tokio::time::sleep_until(self.job.until);
-        tokio::pin!(late);
-        loop {
-            tokio::select! {
-                biased;
-                Some(result) = self.running.next() => {
-                    let may_go_on = match result {
-                        Ok(begun) if self.is_to_be_repeated(&begun) => {
-                            self.failure = Some(begun);
-                            true
-                        }
-                        Ok(begun) => return Ok(self.finish(begun)),
-                        Err(ended) => self.goes_on(ended),
-                    };
-                    if self.running.is_empty() && !(may_go_on && self.send_again().await) {
-                        return self.end_without_success(false);
-                    }
-                }
-                () = &mut hedge, if may_copy => {
-                    may_copy = false;
-                    self.copy();
-                }
-                () = &mut late => return self.end_without_success(true),
-            }
-        }
-    }
-
-    /// Asks where the shared start of the prompt is kept, and chooses anew where somebody keeps it.
-    async fn locate(&mut self, planned: Choice) -> Choice {
-        let Some(question) = self.question(&planned) else { return planned };
-        let key = question.key;
-        self.located = self.exchanges.locator.locate(question).await;
-        let Some(located) = self.located.as_ref().filter(|located| !located.holders.is_empty()) else {
-            return planned;
-        };
-        let choice = self.exchanges.choose(self.job, &[], Some(located)).unwrap_or(planned);
-        if let Some(placement) = placement(&choice)
-            && !located.is_held_by(&placement.backend, placement.version)
-        {
-            self.exchanges.locator.tell_placed(key, placement);
-        }
-        choice
-    }
-
-    /// What the owner of the prompt's shared start is asked; none where little is shared.
-    fn question(&self, planned: &Choice) -> Option<Question> {
-        let call = &self.job.call;
-        let prompt = call.prompt.as_ref()?;
-        let shared: u64 = prompt.shared().iter().map(|part| part.tokens).sum();
-        let key = PrefixKey::of(&call.wall, prompt).filter(|_| shared >= LEAST_SHARED)?;
-        let wants_save = shared as f64 >= SAVE_SHARE * prompt.tokens_in as f64;
-        Some(Question { key, planned: placement(planned)?, wants_save })
-    }
-
-    fn send(&mut self, choice: Choice) {
-        self.tries.tried.push(choice.backend.id.clone());
-        self.tries.runs += 1;
-        let transfer = self.exchanges.transfer(self.job, &choice, self.located.as_ref());
-        let overdue_after = self.exchanges.overdue_after(self.job);
-        let variant = Variant { version: choice.version, last_event_id: None, transfer, overdue_after };
-        let sent = Sent::default();
-        self.sent.push(sent.clone());
-        let send = attempt::send(self.job.call.clone(), choice.backend, variant, choice.unread, sent);
-        self.running.push(Box::pin(send));
-    }
-
-    /// One copy of a request that is pending for longer than most, at another backend.
-    fn copy(&mut self) {
-        if self.copied || self.running.len() != 1 || self.tries.runs >= self.job.route.attempts {
-            return;
-        }
-        let allowed = self.exchanges.with_learned(self.job, |learned| learned.copies.is_left());
-        if !allowed {
-            return;
-        }
-        let located = self.located.as_ref();
-        let Some(choice) = self.exchanges.choose(self.job, &self.tries.tried, located) else { return };
-        if self.exchanges.take_repeat(&self.job.service, KEPT_FOR_FAILURES) {
-            self.exchanges.with_learned(self.job, |learned| learned.copies.take());
-            self.copied = true;
-            self.send(choice);
-        }
-    }
-
-    /// Notes how a send ended. Whether the request may be sent once more.
-    fn goes_on(&mut self, ended: Ended) -> bool {
-        let route = &self.job.route;
-        match ended {
-            Ended::NotSent => {
-                self.tries.runs -= 1;
-                self.tries.rejections += 1;
-                self.tries.rejections <= MOST_REJECTIONS
-            }
-            Ended::Rejected { retry_after, .. } => {
-                self.tries.runs -= 1;
-                self.tries.rejections += 1;
-                self.advice = retry_after.or(self.advice);
-                self.tries.rejections <= MOST_REJECTIONS
-            }
-            Ended::Broken => route.is_idempotent() && self.tries.runs < route.attempts,
-        }
-    }
-
-    /// Whether a backend failed by its own fault, and another one may do better.
-    fn is_to_be_repeated(&self, begun: &Begun) -> bool {
-        let call = &self.job.call;
-        is_own_failure(begun.status) && call.is_repeatable && self.tries.runs < self.job.route.attempts
-    }
-
-    /// Sends the request once more. False where that is not permitted, or there is nowhere to send it.
-    async fn send_again(&mut self) -> bool {
-        if !self.exchanges.take_repeat(&self.job.service, 0.0) {
-            return false;
-        }
-        let tried = self.tries.tried.clone();
-        let choice = self.exchanges.choose_soon(self.job, &tried, self.located.as_ref()).await;
-        let found = choice.is_some();
-        if let Some(choice) = choice {
-            self.send(choice);
-        }
-        found
-    }
-
-    /// Passes a backend's own failure on where there was one; else the request is given up.
-    fn end_without_success(&mut self, late: bool) -> Result<(Begun, Tries), GivenUp> {
-        match self.failure.take() {
-            Some(failure) => Ok(self.finish(failure)),
-            None => Err(self.give_up(late)),
-        }
-    }
-
-    /// The first answer wins. Dropping the other sends closes their connections.
-    fn finish(&mut self, begun: Begun) -> (Begun, Tries) {
-        self.running.clear();
-        if let Some(pending) = self.pending.take() {
-            self.exchanges.with_admission(&self.job.service, |admission| {
-                admission.answered(pending, clock::now());
-            });
-        }
-        if begun.status.is_success() {
-            let took = begun.took.as_nanos() as u64;
-            self.exchanges.with_learned(self.job, |learned| learned.pace.add(took));
-        }
-        (begun, std::mem::take(&mut self.tries))
-    }
-
-    fn give_up(&mut self, late: bool) -> GivenUp {
-        self.running.clear();
-        if self.sent.iter().any(Sent::may_run) {
-            GivenUp::MayHaveRun { late }
-        } else {
-            GivenUp::NotRun { retry_after: self.advice.unwrap_or(RETRY_AFTER) }
-        }
-    }
-}
-
-impl Drop for Exchange<'_> {
-    fn drop(&mut self) {
-        if let Some(pending) = self.pending.take() {
-            self.exchanges.with_admission(&self.job.service, |admission| admission.forget(pending));
-        }
-    }
-}
-
-/// When a client that is refused for too much load may come back, in seconds: spread, so that not all do at once.
-fn overload_advice(job: &Job) -> f64 {
-    let objective = job.route.target_latency_ms as f64 / 1_000.0;
-    objective * (0.5 + fastrand::f64())
-}
-
-/// A choice as owners of prefixes know it.
-fn placement(choice: &Choice) -> Option<Placement> {
-    Some(Placement { backend: choice.backend.id.clone(), version: choice.version? })
-}
-
 /// Whether an answer is a stream.
 pub fn is_stream(begun: &Begun) -> bool {
     matches!(begun.content, Content::Events(_))
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 pub mod ingress;
 pub mod kept;
 pub mod locator;
+pub mod pending;
 pub mod pick;
 pub mod relay;
 pub mod salt;
