--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod days;
 pub mod history;
 pub mod link;
 pub mod timeline;
--- /dev/null
+++ b/lab/tests/days.rs
@@ -0,0 +1,67 @@
+//! Days drawn at random, and the table of what came of them.
+
+use lab::days::{KINDS, Played, draw, listed, table};
+use std::collections::BTreeSet;
+
+const LISTING: &str =
+    "Each entry has 'at' and 'kind'.\n\nhot_key: share\nhup: share\n\nthese may come too:\nburst: x times\n";
+
+fn names_kind(text: &str, name: &str) -> bool {
+    text.contains(&format!("kind = \"{name}\""))
+}
+
+#[test]
+fn only_kinds_that_the_deployment_lists_are_drawn() {
+    let kinds = listed(LISTING);
+    let names: Vec<&str> = kinds.iter().map(|kind| kind.name).collect();
+    assert_eq!(names, ["hup", "burst", "hot_key"]);
+    for seed in 0..200 {
+        let day = draw(&kinds, "d", seed);
+        for kind in KINDS.iter().filter(|kind| !names.contains(&kind.name)) {
+            assert!(!names_kind(&day, kind.name), "{day}");
+        }
+    }
+}
+
+#[test]
+fn a_seed_always_draws_the_same_day_and_all_kinds_come_up() {
+    let mut drawn = BTreeSet::new();
+    for seed in 0..400 {
+        let day = draw(KINDS, "d", seed);
+        assert_eq!(day, draw(KINDS, "d", seed));
+        drawn.extend(KINDS.iter().map(|kind| kind.name).filter(|name| names_kind(&day, name)));
+    }
+    assert_eq!(drawn.len(), KINDS.len());
+}
+
+#[test]
+fn planned_work_stands_in_the_plan_and_troubles_among_the_faults() {
+    for seed in 0..100 {
+        let day = draw(KINDS, "d", seed);
+        let (before, faults) = day.split_once("faults = ").unwrap();
+        let plan = before.split_once("plan = ").unwrap().1;
+        for kind in KINDS {
+            let other = if kind.planned { faults } else { plan };
+            assert!(!names_kind(other, kind.name), "{} in the wrong list of {day}", kind.name);
+        }
+        assert!(faults.matches("kind = ").count() >= 4, "two troubles and a pair: {faults}");
+    }
+}
+
+#[test]
+fn the_table_counts_days_by_kind_and_rule() {
+    let day = |kinds: &[&str], broken: &[&str]| Played {
+        kinds: kinds.iter().map(|&kind| kind.to_owned()).collect(),
+        broken: broken.iter().map(|&rule| rule.to_owned()).collect(),
+    };
+    let days = [day(&["hup", "burst"], &["CONFIG"]), day(&["burst"], &[])];
+    let text = table(&days);
+    let row = |name: &str| -> Vec<String> {
+        let line = text.lines().find(|line| line.starts_with(name)).unwrap();
+        line.split_whitespace().map(str::to_owned).collect()
+    };
+    assert_eq!(row("kind"), ["kind", "days", "CONFIG"]);
+    assert_eq!(row("burst"), ["burst", "2", "1"]);
+    assert_eq!(row("hup"), ["hup", "1", "1"]);
+    assert!(text.ends_with("2 days, 1 with a rule broken\n"));
+}
