What weights go where, and when, is decided without I/O; routers are told before an order

Change: control::rollout decides which backends lack weights, how many load at a time and when a new holder of the lease may order; the notice is longer by the time for which news are gathered.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod node;
 pub mod proposer;
 pub mod ring;
+pub mod rollout;
 pub mod silence;
 pub mod state;
 pub mod storage;
--- /dev/null
+++ b/control/tests/rollout.rs
@@ -0,0 +1,115 @@
+//! Which backends are brought to new weights, how many at a time, and when a holder of the lease may begin.
+
+use compact_str::CompactString;
+use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
+use control::rollout::{Rollout, Turn};
+use control::state::WeightsTarget;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const LEASE: u64 = 3_000;
+
+fn backend(version: u64) -> Backend {
+    Backend {
+        service: "s".into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        zone: "a".into(),
+        slots: 4,
+        phase: BackendPhase::Ready,
+        sequence: 1,
+        silent: false,
+        owner: "n1".into(),
+        models: vec![("m".into(), version)],
+    }
+}
+
+fn directory(backends: impl IntoIterator<Item = (&'static str, Backend)>) -> Directory {
+    let mut directory = Directory::new(Origin(1));
+    for (id, backend) in backends {
+        directory.put(Key::Backend(id.into()), Value::Backend(backend));
+    }
+    directory
+}
+
+fn targets(version: u64) -> BTreeMap<CompactString, WeightsTarget> {
+    BTreeMap::from([("m".into(), WeightsTarget { version, index: 1 })])
+}
+
+fn lacking(directory: &Directory, version: u64) -> Vec<String> {
+    let rollout = Rollout::of(directory, &targets(version));
+    rollout.lacking.into_iter().map(|lacking| lacking.id.to_string()).collect()
+}
+
+#[test]
+fn only_ready_backends_with_an_older_version_get_orders() {
+    let directory = directory([
+        ("old", backend(1)),
+        ("new", backend(2)),
+        ("drains", Backend { phase: BackendPhase::Draining, ..backend(1) }),
+        ("silent", Backend { silent: true, ..backend(1) }),
+        ("other", Backend { models: vec![("n".into(), 1)], ..backend(1) }),
+        ("none", Backend { models: Vec::new(), ..backend(1) }),
+    ]);
+    assert_eq!(lacking(&directory, 2), ["old"]);
+    assert_eq!(lacking(&directory, 1), [""; 0]);
+    assert_eq!(lacking(&directory, 3), ["new", "old"]);
+}
+
+#[test]
+fn an_order_that_is_done_counts_until_a_newer_version_is_named() {
+    let mut directory = directory([("b", backend(1))]);
+    let mut note = |phase, number| {
+        let order = Order { fence: 1, number, model: "m".into(), version: 2, phase };
+        directory.put(Key::Order("b".into()), Value::Order(order));
+        (lacking(&directory, 2), lacking(&directory, 3))
+    };
+    assert_eq!(note(OrderPhase::UnderWay, 1), (vec!["b".to_owned()], vec!["b".to_owned()]));
+    assert_eq!(note(OrderPhase::Done, 2), (vec![], vec!["b".to_owned()]));
+}
+
+#[test]
+fn a_quarter_of_the_backends_loads_at_a_time_and_at_least_one() {
+    for (count, most) in [(0, 1), (1, 1), (4, 1), (5, 2), (112, 28)] {
+        let mut directory = Directory::new(Origin(1));
+        for number in 0..count {
+            directory.put(Key::Backend(format!("b{number}").into()), Value::Backend(backend(1)));
+        }
+        assert_eq!(Rollout::of(&directory, &targets(2)).most_at_once, most, "{count} backends");
+    }
+}
+
+#[test]
+fn a_new_holder_waits_for_longer_than_a_lease() {
+    let mut turn = Turn::default();
+    assert!(!turn.may_order(LEASE, 0));
+    turn.update(Some(7), 1_000);
+    assert!(!turn.may_order(LEASE, 1_000 + LEASE));
+    assert!(turn.may_order(LEASE, 1_100 + LEASE));
+}
+
+#[test]
+fn the_first_holder_begins_at_once_and_the_same_one_goes_on_under_a_new_epoch() {
+    let mut turn = Turn::default();
+    turn.update(Some(1), 500);
+    assert!(turn.may_order(LEASE, 500));
+    turn.update(Some(2), 600);
+    assert!(!turn.may_order(LEASE, 600), "under the second epoch a lease has to have passed since it began");
+    assert!(turn.may_order(LEASE, 600 + LEASE));
+}
+
+#[test]
+fn who_lost_the_lease_waits_again_in_every_order_of_losses_and_gains() {
+    // Each bit says whether the lease is held at that second; orders may only follow a whole lease held without a break.
+    for history in 0_u32..1 << 10 {
+        let mut turn = Turn::default();
+        let mut since = None;
+        for second in 0..10 {
+            let now = 1_000 * second;
+            let is_held = history >> second & 1 == 1;
+            since = if is_held { since.or(Some(now)) } else { None };
+            turn.update(is_held.then_some(5), now);
+            let expected = since.is_some_and(|since| now >= since + LEASE + 100);
+            assert_eq!(turn.may_order(LEASE, now), expected, "history {history:010b}, second {second}");
+        }
+    }
+}
--- a/router/examples/capacity.rs
+++ b/router/examples/capacity.rs
@@ -6,6 +6,7 @@
     Backend, BackendPhase, Directory, Key, Member, MemberStatus, Origin, Value, VersionVector,
 };
 use control::state::Position;
+use router::frame::encode;
 use router::protocol::{Frame, PullRequest, Pulled, Request, Response};
 use routing::locations::{Locations, Placement, PrefixKey};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -53,7 +54,7 @@
 }
 
 fn bytes(frame: &Frame) -> usize {
-    postcard::to_stdvec(frame).map_or(0, |bytes| bytes.len() + 4)
+    encode(frame).map_or(0, |bytes| bytes.len())
 }
 
 fn pulled(directory: &Directory, vector: &VersionVector) -> Frame {
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -104,8 +104,7 @@
                 changed = news.changed() => if changed.is_err() { break },
             }
             if request.member.replica.is_none() && self.has_news_for(&request) {
-                let members = u32::try_from(self.members_up()).unwrap_or(u32::MAX);
-                tokio::time::sleep(GATHER_EACH.saturating_mul(members).min(LONGEST_GATHER)).await;
+                tokio::time::sleep(self.gather_time()).await;
             }
         }
         let permit = if self.wants_everything(&request) {
@@ -125,6 +124,12 @@
         Answer { response: Response::Pulled(Box::new(pulled)), permit }
     }
 
+    /// For how long news are gathered before routers without replicas are told of them.
+    pub fn gather_time(&self) -> Duration {
+        let members = u32::try_from(self.members_up()).unwrap_or(u32::MAX);
+        GATHER_EACH.saturating_mul(members).min(LONGEST_GATHER)
+    }
+
     /// Whether the answer to a pull holds all members and backends, or a whole configuration.
     fn wants_everything(&self, request: &PullRequest) -> bool {
         let knows_some = !request.vector.is_empty();
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -1,21 +1,23 @@
 //! Bringing new weights to the backends: the holder of the lease gives fenced orders, a few at a time.
 
+use crate::clock;
 use crate::fleet::Fleet;
 use crate::links::lock;
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
-use control::directory::{BackendPhase, Key, Order, OrderPhase, Value};
+use control::directory::{Key, Order, OrderPhase, Value};
+use control::rollout::{Lacking, Rollout, Turn};
 use control::view::Epoch;
 use serde::Deserialize;
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what has to be done.
 const LOOK: Duration = Duration::from_millis(100);
-/// After routers were told that a backend is about to load, so long passes before its order.
+/// After routers were told that a backend is about to load, so long passes before its order, beyond the time for which news
+/// are gathered on the way to them.
 const NOTICE: Duration = Duration::from_millis(40);
 /// Patience for an order or a report.
 const CALL_PATIENCE: Duration = Duration::from_millis(600);
@@ -23,17 +25,6 @@
 const REPORT: Duration = Duration::from_millis(150);
 /// An order that is not done by then is given anew.
 const ORDER_PATIENCE: Duration = Duration::from_secs(4);
-/// One in so many backends of a model may load at the same time.
-const LOADING_SHARE: usize = 4;
-
-/// A backend that lacks a version.
-#[derive(Debug, Clone)]
-struct Lacking {
-    id: CompactString,
-    address: SocketAddrV4,
-    model: CompactString,
-    version: u64,
-}
 
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -65,25 +56,17 @@
 
     /// Keeps looking for backends that lack weights.
     pub async fn run(self: Arc<Self>) {
-        let mut held: Option<(Epoch, Instant)> = None;
+        let mut turn = Turn::default();
         let mut under_way: HashMap<CompactString, tokio::task::JoinHandle<()>> = HashMap::new();
         loop {
             tokio::time::sleep(LOOK).await;
             under_way.retain(|_, task| !task.is_finished());
-            let Some(fence) = self.replica.fence() else {
-                held = None;
-                continue;
-            };
-            let (_, since) = *held.insert(match held {
-                Some((epoch, since)) if epoch == fence => (epoch, since),
-                // The same holder goes on at once; a new one lets the former's time pass.
-                Some((_, since)) => (fence, since),
-                None => (fence, Instant::now()),
-            });
-            if since.elapsed() < self.takeover_wait() {
+            let now = clock::now();
+            turn.update(self.replica.fence(), now);
+            if !turn.may_order(self.fleet.settings.bounds.lease_ms, now) {
                 continue;
             }
-            let (lacking, most) = self.lacking();
+            let Rollout { lacking, most_at_once: most } = self.rollout();
             for backend in lacking {
                 if under_way.len() >= most {
                     break;
@@ -95,43 +78,10 @@
         }
     }
 
-    /// A new holder waits until no order of a former one can cross its own. The first epoch has no former holder.
-    fn takeover_wait(&self) -> Duration {
-        let first = self.replica.fence() == Some(1);
-        let lease = Duration::from_millis(self.fleet.settings.bounds.lease_ms);
-        if first { Duration::ZERO } else { lease + Duration::from_millis(100) }
-    }
-
-    /// Backends that lack the newest version of a model, and how many may load at the same time.
-    fn lacking(&self) -> (Vec<Lacking>, usize) {
+    /// What is to be done.
+    fn rollout(&self) -> Rollout {
         let published = lock(&self.fleet.published);
-        let directory = lock(&self.fleet.directory);
-        let mut lacking = Vec::new();
-        let mut all: usize = 0;
-        for (id, backend) in directory.backends() {
-            if backend.phase != BackendPhase::Ready || backend.silent || backend.models.is_empty() {
-                continue;
-            }
-            all += 1;
-            let order = directory.order(id);
-            for (model, version) in &backend.models {
-                let Some(target) = published.weights().get(model) else { continue };
-                let done = order.is_some_and(|order| {
-                    order.model == *model
-                        && order.version >= target.version
-                        && order.phase == OrderPhase::Done
-                });
-                if *version < target.version && !done {
-                    lacking.push(Lacking {
-                        id: id.clone(),
-                        address: backend.address,
-                        model: model.clone(),
-                        version: target.version,
-                    });
-                }
-            }
-        }
-        (lacking, all.div_ceil(LOADING_SHARE).max(1))
+        Rollout::of(&lock(&self.fleet.directory), published.weights())
     }
 
     fn note(&self, backend: &Lacking, fence: Epoch, phase: OrderPhase) {
@@ -149,7 +99,7 @@
     async fn bring(self: Arc<Self>, backend: Lacking) {
         let Some(fence) = self.replica.fence() else { return };
         self.note(&backend, fence, OrderPhase::UnderWay);
-        tokio::time::sleep(NOTICE).await;
+        tokio::time::sleep(NOTICE + self.fleet.gather_time()).await;
         let begun = Instant::now();
         let taken = self.order(&backend).await;
         if taken == Some(true) {
