--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -18,7 +18,7 @@
 /// How often a call may be passed on.
 pub const MOST_HOPS: u8 = 2;
 
-/// What is asked.
+/// What is asked. New kinds go last, as their places are their numbers on the wire.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Request {
     /// A message between replicas of the control state; has no answer.
@@ -82,6 +82,11 @@
         /// The prefixes.
         prefixes: Vec<(PrefixKey, u64)>,
     },
+    /// Asks for records by the hashes of their keys.
+    Fetch {
+        /// The hashes.
+        keys: Vec<u64>,
+    },
     /// Tells of faults that a router saw at backends, each with how many; has no answer.
     Faults {
         /// The router's name.
@@ -89,11 +94,6 @@
         /// The backends' instance ids.
         faults: Vec<(CompactString, u32)>,
     },
-    /// Asks for records by the hashes of their keys.
-    Fetch {
-        /// The hashes.
-        keys: Vec<u64>,
-    },
 }
 
 /// What is answered.
