A router leaves an upstream that has lost touch with the primary

With three machines a router follows one and polls another, of which one is always in the majority. Change: a replica knows when its state was last known to be the newest (a heartbeat of the primary, or its own lease) and tells its age with every answer to a pull, at once when a second has passed; whoever pulls from it then avoids it.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -141,6 +141,7 @@
     attempt: Option<Attempt>,
     round: u64,
     heard_primary: Millis,
+    current_at: Option<Millis>,
     retry_at: Millis,
     join_at: Millis,
     known: BTreeSet<ReplicaId>,
@@ -173,6 +174,7 @@
             attempt: None,
             round: 0,
             heard_primary,
+            current_at: None,
             retry_at: 0,
             join_at: 0,
             known: BTreeSet::new(),
@@ -246,6 +248,11 @@
         }
     }
 
+    /// When the committed state here was last known to be the newest: the primary said so, or this replica led.
+    pub fn current_at(&self, now: Millis) -> Option<Millis> {
+        if self.leads(now).is_some() { Some(now) } else { self.current_at }
+    }
+
     /// Other replicas that are known to exist, of which one may be asked to be taken in.
     pub fn know(&mut self, replicas: BTreeSet<ReplicaId>) {
         self.known = replicas;
--- a/control/src/node/handling.rs
+++ b/control/src/node/handling.rs
@@ -74,6 +74,9 @@
         if current {
             self.heard_primary = now;
             self.commit_up_to(committed);
+            if self.state.position >= committed {
+                self.current_at = Some(now);
+            }
         }
         let granted = current && self.witness.grant(&from, epoch, now);
         let newer = self.witness.accepted().filter(|accepted| accepted.view.epoch > epoch).cloned();
--- a/control/tests/replication.rs
+++ b/control/tests/replication.rs
@@ -216,3 +216,25 @@
         world.assert_nothing_lost();
     }
 }
+
+#[test]
+fn who_is_cut_off_from_the_primary_does_not_take_its_state_for_the_newest() {
+    const OUT_OF_TOUCH: u64 = 1_000;
+    let mut world = World::founded(11, 5, 2);
+    world.run(500);
+    let primary = world.primary().unwrap();
+    let is_current =
+        |world: &World, name: &str| world.current_at(name).is_some_and(|at| world.now < at + OUT_OF_TOUCH);
+    for name in world.names() {
+        assert!(is_current(&world, &name), "{name} hears the primary {primary}");
+    }
+    let away: Vec<String> = world.names().into_iter().filter(|name| *name != primary).take(2).collect();
+    away.iter().for_each(|name| world.cut_off(name));
+    world.run(1_500);
+    for name in world.names() {
+        assert_eq!(is_current(&world, &name), !away.contains(&name), "{name} after the cut");
+    }
+    acknowledged(&mut world, 2);
+    world.heal();
+    assert!(world.until(5_000, |world| away.iter().all(|name| is_current(world, name))), "after the cut");
+}
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -213,6 +213,11 @@
         self.machines.iter().find(|(_, machine)| leads(machine)).map(|(name, _)| name.clone())
     }
 
+    /// When a machine's state was last known to be the newest.
+    pub fn current_at(&self, name: &str) -> Option<Millis> {
+        self.machines[name].node.as_ref()?.current_at(self.now)
+    }
+
     pub fn role(&self, name: &str) -> Option<RoleName> {
         self.machines[name].node.as_ref().map(ControlNode::role)
     }
--- a/router/examples/capacity.rs
+++ b/router/examples/capacity.rs
@@ -63,6 +63,7 @@
         vector: directory.vector().clone(),
         state: None,
         leader: None,
+        age_ms: Some(100),
     };
     Frame::Response(1, Response::Pulled(Box::new(pulled)))
 }
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use crate::replica::ReplicaHandle;
 use crate::settings::Settings;
 use compact_str::CompactString;
+use control::Millis;
 use control::directory::{Directory, Key, Member, MemberStatus, Origin, Value};
 use control::silence::Silence;
 use control::view::{Epoch, ReplicaId};
@@ -57,6 +58,8 @@
     pub monitored: Mutex<Silence<MonitoredLife>>,
     heard_backends: Mutex<Silence<CompactString>>,
     leader: Mutex<Option<(Epoch, ReplicaId)>>,
+    /// When the control state, as pulled from others, was last known to be the newest.
+    pulled_current_at: Mutex<Option<Millis>>,
     leaving: AtomicBool,
     news: watch::Sender<u64>,
     spread: watch::Sender<u64>,
@@ -79,6 +82,7 @@
             monitored: Mutex::new(Silence::new(now)),
             heard_backends: Mutex::new(Silence::new(now)),
             leader: Mutex::new(None),
+            pulled_current_at: Mutex::new(None),
             leaving: AtomicBool::new(false),
             news: watch::Sender::new(0),
             spread: watch::Sender::new(0),
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -1,8 +1,11 @@
 //! Pulling news from other nodes and answering their pulls.
 
 use super::Fleet;
+use crate::clock;
 use crate::links::{Answer, lock};
 use crate::protocol::{PullRequest, Pulled, Request, Response};
+use crate::replica::ReplicaHandle;
+use control::Millis;
 use control::directory::{Key, MemberStatus, Origin, Value};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -19,6 +22,9 @@
 /// large fleets are not told of each backend by an answer of its own, and at the most for this long.
 const GATHER_EACH: Duration = Duration::from_micros(500);
 const LONGEST_GATHER: Duration = Duration::from_millis(250);
+/// A node whose control state was not known to be the newest for so long has lost touch with the primary, whose heartbeats
+/// come every 0.2 s.
+const OUT_OF_TOUCH: Millis = 1_000;
 /// Kilobytes of answers with everything that are in memory at once.
 pub(super) const WHOLE_ANSWERS_KB: u32 = 8 << 10;
 /// A record takes about so many bytes in an answer.
@@ -28,6 +34,8 @@
 pub enum Pull {
     /// There was an answer.
     Answered,
+    /// There was one, of a node that has lost touch with the primary: another one may know more.
+    OutOfTouch,
     /// There was none in time, or the connection broke.
     Failed,
 }
@@ -80,7 +88,37 @@
         if !changed.is_empty() || news {
             self.announce();
         }
-        Pull::Answered
+        self.note_age(pulled.age_ms);
+        let is_in_touch = pulled.age_ms.is_some_and(|age| age < OUT_OF_TOUCH);
+        if is_in_touch { Pull::Answered } else { Pull::OutOfTouch }
+    }
+
+    /// Another node's state, which is here now, was last known to be the newest so long ago.
+    fn note_age(&self, age_ms: Option<u64>) {
+        let at = age_ms.map(|age| clock::now().saturating_sub(age));
+        let mut known = lock(&self.pulled_current_at);
+        *known = (*known).max(at);
+    }
+
+    /// How long ago the control state here was last known to be the newest; none where it never was.
+    fn age(&self) -> Option<Millis> {
+        let own = self.replica.as_ref().and_then(ReplicaHandle::current_at);
+        let at = own.max(*lock(&self.pulled_current_at))?;
+        Some(clock::now().saturating_sub(at))
+    }
+
+    fn is_in_touch(&self) -> bool {
+        self.age().is_some_and(|age| age < OUT_OF_TOUCH)
+    }
+
+    /// Comes back once this node has lost touch with the primary; never where it had before.
+    async fn loses_touch(&self) {
+        if !self.is_in_touch() {
+            return std::future::pending().await;
+        }
+        while let Some(age) = self.age().filter(|age| *age < OUT_OF_TOUCH) {
+            tokio::time::sleep(Duration::from_millis(OUT_OF_TOUCH - age)).await;
+        }
     }
 
     /// Answers a pull as soon as there is news for the asker. Answers with everything are large, and many routers may ask for
@@ -94,13 +132,15 @@
             self.spread.send_modify(|spread| *spread = (*spread).max(knows));
         }
         let wait = tokio::time::sleep(Duration::from_millis(request.wait_ms));
-        tokio::pin!(wait);
+        let loses_touch = self.loses_touch();
+        tokio::pin!(wait, loses_touch);
         loop {
             if self.has_news_for(&request) {
                 break;
             }
             tokio::select! {
                 () = &mut wait => break,
+                () = &mut loses_touch => break,
                 changed = news.changed() => if changed.is_err() { break },
             }
             if request.member.replica.is_none() && self.has_news_for(&request) {
@@ -120,6 +160,7 @@
             vector: directory.vector().clone(),
             state: lock(&self.published).news_for(request.position, request.base),
             leader: self.leader(),
+            age_ms: self.age(),
         };
         Answer { response: Response::Pulled(Box::new(pulled)), permit }
     }
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -156,6 +156,8 @@
     pub state: Option<PublishedState>,
     /// The newest epoch and its primary.
     pub leader: Option<(Epoch, ReplicaId)>,
+    /// So many milliseconds ago the answerer's control state was last known to be the newest; none where it never was.
+    pub age_ms: Option<u64>,
 }
 
 /// The committed control state as routers use it.
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -36,6 +36,7 @@
 #[derive(Debug, Default)]
 struct Shown {
     lease: Option<(Epoch, Millis)>,
+    current_at: Option<Millis>,
     has_view: bool,
     status: String,
 }
@@ -75,6 +76,11 @@
         lock(&self.shown).lease.filter(|(_, until)| clock::now() < *until).map(|(epoch, _)| epoch)
     }
 
+    /// When its committed state was last known to be the newest.
+    pub fn current_at(&self) -> Option<Millis> {
+        lock(&self.shown).current_at
+    }
+
     /// Whether it knows any view.
     pub fn has_view(&self) -> bool {
         lock(&self.shown).has_view
@@ -232,6 +238,7 @@
         let now = clock::now();
         let mut shown = lock(&self.handle.shown);
         shown.lease = self.node.lease(now);
+        shown.current_at = self.node.current_at(now);
         shown.has_view = self.node.view().is_some();
         shown.status = format!(
             "{:?} in epoch {}, change {}",
--- a/router/src/upstreams.rs
+++ b/router/src/upstreams.rs
@@ -23,7 +23,7 @@
 /// Wait after a pull that failed, and the longest one after several.
 const PULL_AGAIN: Duration = Duration::from_millis(120);
 const LONGEST_PULL_AGAIN: Duration = Duration::from_millis(1_000);
-/// A node that failed is only followed again after this, where there is another one.
+/// A node that failed, or has lost touch with the primary, is only followed again after this, where there is another one.
 const AVOID: Duration = Duration::from_millis(3_000);
 /// A node that knows nothing yet asks one seed for everything, and the next one where that fails or takes so long.
 const NEXT_SEED: Duration = Duration::from_millis(200);
@@ -119,8 +119,8 @@
     let mut again = PULL_AGAIN;
     loop {
         match fleet.pull(address, wait, || failing.store(true, Ordering::Relaxed)).await {
-            Pull::Answered => {
-                failing.store(false, Ordering::Relaxed);
+            answered @ (Pull::Answered | Pull::OutOfTouch) => {
+                failing.store(answered == Pull::OutOfTouch, Ordering::Relaxed);
                 again = PULL_AGAIN;
                 match mode {
                     Mode::Follow => wait = PULL_WAIT,
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -6,10 +6,11 @@
 use control::directory::{Member, MemberStatus, VersionVector};
 use control::state::Position;
 use futures_util::FutureExt;
-use router::fleet::Fleet;
-use router::links::{Answer, Service};
+use router::fleet::{Fleet, Pull};
+use router::links::{self, Answer, Service};
 use router::protocol::{PullRequest, Request, Response};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A router that asks; one that knows a configuration names it as its base.
 fn asks(number: u64, base: Option<u64>, wait_ms: u64) -> Request {
@@ -103,3 +104,14 @@
         assert!(matches!(&answer.response, Response::Pulled(pulled) if pulled.state.is_some()));
     }
 }
+
+#[tokio::test]
+async fn a_node_that_never_heard_of_a_primary_says_so() {
+    let asked = Router::start(&[]).await;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    tokio::spawn(links::serve(listener, asked.fleet.clone(), Arc::default()));
+    let asker = Router::without_configuration();
+    assert_eq!(asker.pull(address, Duration::ZERO, || {}).await, Pull::OutOfTouch);
+    assert_eq!(asker.published.lock().unwrap().version(), Some(1), "what it has is taken all the same");
+}
