--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -18,6 +18,7 @@
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
 use routing::locations::{Located, PrefixKey};
+use routing::version_floor::VersionFloors;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -76,7 +77,7 @@
     learned: Mutex<HashMap<KindKey, Learned>>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     admissions: Mutex<HashMap<CompactString, Admission>>,
-    targets: Mutex<HashMap<CompactString, (u64, Millis)>>,
+    version_floors: Mutex<VersionFloors>,
 }
 
 /// How often a request was sent, and where.
@@ -112,7 +113,7 @@
             learned: Mutex::default(),
             budgets: Mutex::default(),
             admissions: Mutex::default(),
-            targets: Mutex::default(),
+            version_floors: Mutex::default(),
         })
     }
 
@@ -168,14 +169,8 @@
     /// The least version of a model's weights that a request may start on by now.
     fn least_version(&self, model: &str) -> Option<u64> {
         let target = lock(&self.fleet.published).weights().get(model).map(|target| target.version)?;
-        let now = clock::now();
-        let mut targets = lock(&self.targets);
-        let (version, since) = targets.entry(model.into()).or_insert((target, now));
-        if *version != target {
-            (*version, *since) = (target, now);
-        }
         let patience = self.fleet.settings.bounds.version_ms.saturating_sub(VERSION_MARGIN);
-        (now >= *since + patience).then_some(target)
+        lock(&self.version_floors).least(model, target, patience, clock::now())
     }
 
     pub(super) fn choose(
--- a/routing/src/lib.rs
+++ b/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod rest;
 pub mod selection;
 pub mod split;
+pub mod version_floor;
 
 /// A moment or a duration on a steady clock, in milliseconds.
 pub type Millis = u64;
