--- a/control/src/changes.rs
+++ b/control/src/changes.rs
@@ -1,17 +1,19 @@
 //! Changes of the control state, and what comes of them.
 
+use crate::state::StoredConfiguration;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// A change that an operator asks for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
     /// A whole configuration on top of a version.
     Configuration {
         /// The version that it builds on; 0 for the first.
         base: u64,
         /// The body, byte for byte.
-        body: Vec<u8>,
+        body: Arc<[u8]>,
     },
     /// A new version of a model's weights.
     Weights {
@@ -22,6 +24,16 @@
     },
 }
 
+impl Change {
+    /// How many bytes it takes, about.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Change::Configuration { body, .. } => body.len(),
+            Change::Weights { model, .. } => model.len(),
+        }
+    }
+}
+
 /// Why a change is not made.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
@@ -44,3 +56,13 @@
     /// Nobody can tell at present: ask again, here or elsewhere.
     Unknown,
 }
+
+/// What came of a question for the newest configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reading {
+    /// The newest configuration; none where there is none yet. At a moment after the question came, a majority of the
+    /// witnesses confirmed that no other replica leads.
+    Newest(Option<StoredConfiguration>),
+    /// Nobody can tell here at present: ask again, or elsewhere.
+    Unknown,
+}
--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -216,6 +216,11 @@
         self.records.get(key).map(|(_, value)| value)
     }
 
+    /// Who wrote what is held about a thing.
+    pub fn stamp(&self, key: &Key) -> Option<Stamp> {
+        self.records.get(key).map(|(stamp, _)| *stamp)
+    }
+
     /// Every backend with its id.
     pub fn backends(&self) -> impl Iterator<Item = (&CompactString, &Backend)> {
         self.records.iter().filter_map(|(key, (_, value))| match (key, value) {
--- a/control/src/message.rs
+++ b/control/src/message.rs
@@ -2,62 +2,72 @@
 
 use crate::Millis;
 use crate::state::{ControlState, Position, Update};
-use crate::view::{Accepted, Ballot, Epoch, ReplicaId, View};
+use crate::view::{Ballot, Epoch, Life, Proposal, ReplicaId, View};
 use crate::witness::Vote;
 use serde::{Deserialize, Serialize};
 
 /// A message with its sender.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Envelope {
     /// Who sent it.
     pub from: ReplicaId,
+    /// In which life of its process.
+    pub life: Life,
     /// Who it is for; a replica that lost its disk doesn't take what was sent to the former one.
     pub to: ReplicaId,
+    /// Where it is an answer: in which life the receiver asked. An answer to a former process is dropped.
+    pub answers: Option<Life>,
     /// What it says.
     pub message: Message,
 }
 
+/// A moment on the clock of one life of a replica, as its primary gives it back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Echo {
+    /// The life.
+    pub life: Life,
+    /// The moment.
+    pub at: Millis,
+}
+
 /// What one replica says to another.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// The first view of a new system.
-    Found {
-        /// The view.
-        view: View,
-    },
     /// The primary is there, and asks for its lease.
     Heartbeat {
         /// Its epoch.
         epoch: Epoch,
-        /// The last change that is committed.
-        committed: Position,
-        /// The sender's clock, to come back with the reply.
-        sent_at: Millis,
+        /// Rises with each round of heartbeats of a life, to come back with the reply.
+        round: u64,
+        /// The last change that is committed; none where the primary does not know that it is the newest.
+        committed: Option<Position>,
+        /// When the receiver sent the last reply that the primary has got.
+        echo: Option<Echo>,
     },
     /// The answer to a heartbeat.
     HeartbeatReply {
         /// The epoch of the heartbeat.
         epoch: Epoch,
         /// As in the heartbeat.
-        sent_at: Millis,
+        round: u64,
         /// Whether the lease is granted.
         granted: bool,
-        /// The newest epoch that the replier knows to be decided.
-        known: Epoch,
-        /// A later view than that of the heartbeat.
-        newer: Option<Accepted>,
+        /// The newest view that the replier knows to be decided, where it is another one than the heartbeat's.
+        other_view: Option<View>,
+        /// Whether the replier does not know the heartbeat's view.
+        wants_view: bool,
+        /// The replier's clock.
+        sent_at: Millis,
     },
     /// Asks a witness to promise.
     Prepare {
-        /// The epoch to be decided.
-        epoch: Epoch,
+        /// The decided view that another one is to follow.
+        current: View,
         /// The attempt.
         ballot: Ballot,
     },
     /// A witness's vote.
     PrepareReply {
-        /// The epoch to be decided.
-        epoch: Epoch,
         /// The attempt.
         ballot: Ballot,
         /// The vote.
@@ -65,40 +75,36 @@
     },
     /// Asks a witness to accept a view.
     Accept {
+        /// The decided view that it is to follow.
+        current: View,
         /// The view and its attempt.
-        proposal: Accepted,
+        proposal: Proposal,
     },
     /// Whether a witness accepted.
     AcceptReply {
-        /// The epoch to be decided.
-        epoch: Epoch,
         /// The attempt.
         ballot: Ballot,
-        /// Whether it was accepted.
-        yes: bool,
+        /// Nothing where it was accepted; else the round that the witness has promised to.
+        answer: Result<(), u64>,
     },
     /// A view has been decided.
     Decided {
         /// The view.
         view: View,
-        /// The attempt that decided it.
-        ballot: Ballot,
     },
-    /// A new primary asks a backup whether it stores the same last change.
+    /// A new primary asks a backup what it stores.
     Synchronize {
         /// The new epoch.
         epoch: Epoch,
-        /// The primary's last stored change.
-        last: Position,
     },
-    /// Whether the backup stores the same last change.
-    SynchronizeReply {
-        /// The epoch.
+    /// What a backup, or a replica that asks to be taken in, stores.
+    Holds {
+        /// The epoch of the primary.
         epoch: Epoch,
-        /// The primary's last stored change.
+        /// The last stored change.
         last: Position,
-        /// Whether they are the same.
-        same: bool,
+        /// The last change that is known to be committed.
+        committed: Position,
     },
     /// The primary's whole state, to take the place of the receiver's.
     Install {
@@ -109,26 +115,14 @@
         /// A change that is stored and not yet committed.
         tail: Option<Update>,
     },
-    /// A state has been stored.
-    Installed {
-        /// The epoch.
-        epoch: Epoch,
-        /// The last change in it.
-        last: Position,
-    },
-    /// A change to be stored.
+    /// Changes to be stored, one after the other.
     Replicate {
         /// The epoch.
         epoch: Epoch,
-        /// The change.
-        update: Update,
-    },
-    /// A change has been stored.
-    Replicated {
-        /// The epoch.
-        epoch: Epoch,
-        /// The change.
-        position: Position,
+        /// The change before them. Who stores another one there needs other changes first.
+        previous: Position,
+        /// The changes.
+        updates: Vec<Update>,
     },
     /// Changes up to this one are committed.
     Committed {
@@ -137,12 +131,17 @@
         /// The last committed change.
         position: Position,
     },
-    /// A replica outside the view asks to be taken in.
+    /// A replica that does not store every change asks to be taken in.
     Join {
-        /// The newest epoch that it knows of; 0 for none.
-        epoch: Epoch,
-        /// What its last stored change is.
+        /// Its last stored change.
         last: Position,
+        /// The last change that it knows to be committed.
+        committed: Position,
+    },
+    /// A replica whose process is about to end asks to be taken out, so that no change waits for it.
+    Leave {
+        /// The epoch.
+        epoch: Epoch,
     },
     /// The primary gives its lease back and takes no further changes.
     Resign {
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -3,69 +3,35 @@
 //! The primary orders one change at a time. A change is acknowledged once every in-sync replica has stored it; a
 //! replica that falls silent is taken out of the in-sync set by a new view, and taken in again once it has caught
 //! up. Only an in-sync replica may become primary, so every acknowledged change outlives a failover. The lease that
-//! a majority of witnesses grants makes reads current and singleton work exclusive.
+//! a majority of witnesses grants makes singleton work exclusive; whatever else is answered without a change being stored
+//! is confirmed by a majority after the call came.
 
-mod handling;
-mod leading;
+mod backlog;
+mod calls;
+mod lease;
+mod membership;
 mod primary;
-mod standing;
+mod replication;
+mod timing;
+mod views;
 
+pub use timing::Timing;
+
+use backlog::Backlog;
+use calls::Calls;
 use primary::{Primary, Stage};
 
 use crate::Millis;
-use crate::changes::{Change, Outcome};
+use crate::changes::{Change, Outcome, Reading};
 use crate::message::{Envelope, Message};
 use crate::proposer::Attempt;
 use crate::state::{ControlState, Position, Update};
 use crate::storage::{Record, Recovered};
-use crate::view::{Ballot, Epoch, ReplicaId, View};
+use crate::view::{Epoch, Life, ReplicaId, View};
 use crate::witness::Witness;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
-/// Times and counts of a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timing {
-    /// How long a grant of the lease lasts.
-    pub lease: Millis,
-    /// By how much the holder stops before its lease ends.
-    pub lease_margin: Millis,
-    /// Time between two heartbeats of the primary.
-    pub heartbeat: Millis,
-    /// A replica that was not heard for so long is taken out of the in-sync set.
-    pub silence: Millis,
-    /// A disk write that takes longer makes a primary resign.
-    pub storage_patience: Millis,
-    /// Added to a candidate's wait for each candidate before it.
-    pub stagger: Millis,
-    /// Time between two attempts to be taken in.
-    pub join_interval: Millis,
-    /// A change that waits longer gets no clear answer.
-    pub change_patience: Millis,
-    /// A witness that was not heard for so long is taken out where enough others are left.
-    pub witness_silence: Millis,
-    /// How many replicas have to store a change before it is acknowledged.
-    pub copies: usize,
-}
-
-impl Timing {
-    /// The usual times, for a system that bears the loss of `faults` replicas.
-    pub fn tolerating(faults: usize) -> Self {
-        Timing {
-            lease: 1_000,
-            lease_margin: 150,
-            heartbeat: 200,
-            silence: 750,
-            storage_patience: 700,
-            stagger: 150,
-            join_interval: 250,
-            change_patience: 3_500,
-            witness_silence: 2_000,
-            copies: faults + 1,
-        }
-    }
-}
+use std::collections::{BTreeSet, VecDeque};
 
-/// Identifies a caller that waits for the outcome of its change.
+/// Identifies a caller that waits for an answer.
 pub type Ticket = u64;
 
 /// What the program has to do for a replica.
@@ -87,6 +53,13 @@
         /// What came of it.
         outcome: Outcome,
     },
+    /// Tell a caller the newest configuration.
+    Read {
+        /// Which caller.
+        ticket: Ticket,
+        /// What it is told.
+        reading: Reading,
+    },
     /// The committed state has changed.
     Committed,
     /// The role has changed; for the log.
@@ -113,13 +86,6 @@
     Primary,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    ticket: Ticket,
-    change: Change,
-    since: Millis,
-}
-
 #[derive(Debug)]
 enum Role {
     Outside,
@@ -127,25 +93,38 @@
     Primary(Box<Primary>),
 }
 
+/// Who a replica is, and how it starts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The replica.
+    pub id: ReplicaId,
+    /// Drawn for this run of the process.
+    pub life: Life,
+    /// Whether it started together with the system, so that it may vote on the first view.
+    pub may_found: bool,
+}
+
 /// One replica.
 #[derive(Debug)]
 pub struct ControlNode {
-    id: ReplicaId,
+    identity: Identity,
     timing: Timing,
     witness: Witness,
-    view: Option<View>,
     state: ControlState,
     tail: Option<Update>,
     tail_ticket: Option<Ticket>,
+    backlog: Backlog,
     role: Role,
+    leaving: bool,
     attempt: Option<Attempt>,
+    attempt_resend_at: Millis,
     round: u64,
     heard_primary: Millis,
     current_at: Option<Millis>,
     retry_at: Millis,
     join_at: Millis,
     known: BTreeSet<ReplicaId>,
-    queue: VecDeque<Waiting>,
+    calls: Calls,
     made: u64,
     durable: u64,
     waiting_since: Millis,
@@ -156,29 +135,31 @@
 
 impl ControlNode {
     /// A replica that starts with what its disk holds.
-    pub fn new(id: ReplicaId, recovered: Recovered, timing: Timing, now: Millis) -> Self {
-        let accepted = recovered.votes.accepted.clone();
-        let view = accepted.map(|accepted| accepted.previous.unwrap_or(accepted.view));
+    pub fn new(identity: Identity, recovered: Recovered, timing: Timing, now: Millis) -> Self {
+        let view = recovered.votes.decided.as_ref();
         // The primary on file asks for its role back at once; others wait for it.
-        let own = view.as_ref().is_some_and(|view| view.primary == id);
-        let heard_primary = if own { 0 } else { now };
+        let own = view.is_some_and(|view| view.primary == identity.id);
+        let role = if view.is_some() { Role::Backup } else { Role::Outside };
+        let last = recovered.tail.as_ref().map_or(recovered.state.position, |tail| tail.position);
         ControlNode {
-            witness: Witness::new(recovered.votes, timing.lease, now),
-            role: if view.is_some() { Role::Backup } else { Role::Outside },
+            witness: Witness::new(recovered.votes, identity.may_found, timing.lease, now),
+            role,
             state: recovered.state,
             tail: recovered.tail,
-            id,
-            timing,
-            view,
             tail_ticket: None,
+            backlog: Backlog::new(last),
+            identity,
+            timing,
+            leaving: false,
             attempt: None,
+            attempt_resend_at: 0,
             round: 0,
-            heard_primary,
+            heard_primary: if own { 0 } else { now },
             current_at: None,
             retry_at: 0,
             join_at: 0,
             known: BTreeSet::new(),
-            queue: VecDeque::new(),
+            calls: Calls::default(),
             made: 0,
             durable: 0,
             waiting_since: now,
@@ -190,7 +171,7 @@
 
     /// Which replica this is.
     pub fn id(&self) -> &ReplicaId {
-        &self.id
+        &self.identity.id
     }
 
     /// The committed state.
@@ -200,12 +181,12 @@
 
     /// The newest view that is known to be decided.
     pub fn view(&self) -> Option<&View> {
-        self.view.as_ref()
+        self.witness.decided()
     }
 
     /// The epoch of that view; 0 where there is none.
     pub fn epoch(&self) -> Epoch {
-        self.view.as_ref().map_or(0, |view| view.epoch)
+        self.witness.votes().epoch()
     }
 
     /// The present role.
@@ -223,15 +204,15 @@
     /// What a snapshot of this replica holds.
     pub fn snapshot(&self) -> Recovered {
         Recovered {
-            disk: self.id.disk,
+            disk: self.identity.id.disk,
             votes: self.witness.votes().clone(),
             state: self.state.clone(),
             tail: self.tail.clone(),
         }
     }
 
-    /// Whether this replica is the primary, is in step with its backups and holds the lease at `now`; then the committed
-    /// state is the newest, and singleton work may be done under the epoch as fencing token.
+    /// Whether this replica is the primary, is in step with its backups and holds the lease at `now`; then singleton work
+    /// may be done under the epoch as fencing token.
     pub fn leads(&self, now: Millis) -> Option<Epoch> {
         self.lease(now).map(|(epoch, _)| epoch)
     }
@@ -239,16 +220,20 @@
     /// The epoch under which this replica leads, and until when as far as its lease is known now.
     pub fn lease(&self, now: Millis) -> Option<(Epoch, Millis)> {
         match &self.role {
-            Role::Primary(primary)
-                if now < primary.lease_until && !matches!(primary.stage, Stage::Starting { .. }) =>
-            {
-                Some((self.epoch(), primary.lease_until))
+            Role::Primary(primary) if !matches!(primary.stage, Stage::Starting { .. }) => {
+                let until = self.lease_until(primary);
+                (now < until).then(|| (self.epoch(), until))
             }
             _ => None,
         }
     }
 
-    /// When the committed state here was last known to be the newest: the primary said so, or this replica led.
+    fn lease_until(&self, primary: &Primary) -> Millis {
+        let lasts = self.timing.lease - self.timing.lease_margin;
+        self.view().map_or(0, |view| primary.lease.until(view, lasts))
+    }
+
+    /// When the committed state here was the newest for certain: this replica led, or its primary did and knew it then.
     pub fn current_at(&self, now: Millis) -> Option<Millis> {
         if self.leads(now).is_some() { Some(now) } else { self.current_at }
     }
@@ -263,26 +248,28 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Founds a new system with this view; only where no other view was ever known.
-    pub fn found(&mut self, view: View, now: Millis) {
-        let others: Vec<ReplicaId> = view.participants().into_iter().collect();
-        for other in others {
-            self.send(other, Message::Found { view: view.clone() });
-        }
-        self.work(now);
-    }
-
     /// A change that a caller asks for; the outcome comes as an effect.
     pub fn submit(&mut self, ticket: Ticket, change: Change, now: Millis) {
         if !matches!(self.role, Role::Primary(_)) {
             self.effects.push(Effect::Reply { ticket, outcome: Outcome::Unknown });
             return;
         }
-        self.queue.push_back(Waiting { ticket, change, since: now });
+        self.calls.submit(ticket, change, now);
         self.order_next(now);
         self.work(now);
     }
 
+    /// A caller asks for the newest configuration; the answer comes as an effect.
+    pub fn read(&mut self, ticket: Ticket, now: Millis) {
+        if !matches!(self.role, Role::Primary(_)) {
+            self.effects.push(Effect::Read { ticket, reading: Reading::Unknown });
+            return;
+        }
+        self.calls.read(ticket, now);
+        self.confirm_calls(now);
+        self.work(now);
+    }
+
     /// The writes up to this one are on disk.
     pub fn stored(&mut self, sequence: u64, now: Millis) {
         self.durable = self.durable.max(sequence);
@@ -293,7 +280,8 @@
 
     /// A message from another replica.
     pub fn receive(&mut self, envelope: Envelope, now: Millis) {
-        if envelope.to == self.id {
+        let is_late = envelope.answers.is_some_and(|life| life != self.identity.life);
+        if envelope.to == self.identity.id && !is_late {
             self.inbox.push_back(envelope);
             self.work(now);
         }
@@ -301,32 +289,14 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Millis) {
-        self.expire_waiting(now);
+        self.expire_calls(now);
         match &self.role {
             Role::Primary(_) => self.tick_primary(now),
             Role::Backup => self.tick_backup(now),
             Role::Outside => {}
         }
-        self.ask_to_join(now);
-        if self.attempt.as_ref().is_some_and(|attempt| now >= attempt.begun + self.timing.silence) {
-            self.abandon_attempt(now);
-        }
-        self.work(now);
-    }
-
-    /// The process is about to end: a primary hands its role over.
-    pub fn resign(&mut self, cause: &'static str, now: Millis) {
-        if !matches!(self.role, Role::Primary(_)) {
-            return;
-        }
-        let epoch = self.epoch();
-        self.attempt = None;
-        self.enter(Role::Backup, cause);
-        self.heard_primary = now + 2 * self.timing.lease;
-        for other in self.others() {
-            self.send(other, Message::Resign { epoch });
-        }
-        self.witness.release(&self.id.clone());
+        self.tick_member(now);
+        self.tick_attempt(now);
         self.work(now);
     }
 
@@ -338,14 +308,11 @@
         let before = self.role();
         self.role = role;
         if was_primary && !matches!(self.role, Role::Primary(_)) {
-            // Whoever waits can't be told what will become of its change.
+            // Whoever waits can't be told what will become of its call.
             self.tail_ticket.take().into_iter().for_each(|ticket| {
                 self.effects.push(Effect::Reply { ticket, outcome: Outcome::Unknown });
             });
-            while let Some(waiting) = self.queue.pop_front() {
-                let outcome = Outcome::Unknown;
-                self.effects.push(Effect::Reply { ticket: waiting.ticket, outcome });
-            }
+            self.effects.extend(self.calls.give_up());
         }
         if self.role() != before {
             self.effects.push(Effect::Entered { role: self.role(), epoch: self.epoch(), cause });
@@ -362,69 +329,85 @@
         }
     }
 
-    /// A view is known to be decided.
-    fn learn(&mut self, view: View, ballot: &Ballot, now: Millis) {
-        if view.epoch <= self.epoch() {
-            return;
-        }
-        if self.witness.learn(&view, ballot) {
-            self.store(vec![Record::Votes(self.witness.votes().clone())], now);
-        }
-        if self.attempt.as_ref().is_some_and(|attempt| attempt.epoch() <= view.epoch) {
-            self.attempt = None;
-        }
-        let (leads, takes_part) = (view.primary == self.id, view.participants().contains(&self.id));
-        let kept = match &mut self.role {
-            Role::Primary(primary) => Some((primary.lease_until, std::mem::take(&mut primary.heard))),
-            _ => None,
-        };
-        self.view = Some(view);
-        self.heard_primary = now;
-        if leads {
-            let (lease_until, mut heard) = kept.unwrap_or_default();
-            // Silence counts from here on, also through later views of the same primary.
-            for replica in self.others() {
-                heard.entry(replica).or_insert(now);
+    // ---- messages ------------------------------------------------------------------------------------------
+
+    /// Handles what this replica has said to itself, and what came from others.
+    fn work(&mut self, now: Millis) {
+        while let Some(envelope) = self.inbox.pop_front() {
+            if let Role::Primary(primary) = &mut self.role {
+                primary.hear(&envelope.from, now);
             }
-            let primary = Primary {
-                stage: Stage::Starting { since: now, synced: BTreeSet::new() },
-                since: now,
-                lease_until,
-                grants: BTreeMap::new(),
-                heard,
-                joiners: BTreeMap::new(),
-                heartbeat_at: now,
-            };
-            self.enter(Role::Primary(Box::new(primary)), "a view with this primary was decided");
-            self.lead(now);
-        } else if takes_part {
-            self.enter(Role::Backup, "a view with another primary was decided");
-        } else {
-            self.enter(Role::Outside, "a view without this replica was decided");
+            self.handle(envelope, now);
         }
     }
 
-    // ---- plumbing ------------------------------------------------------------------------------------------
+    fn handle(&mut self, envelope: Envelope, now: Millis) {
+        let Envelope { from, life, message, .. } = envelope;
+        let asker = Asker { replica: from.clone(), life };
+        match message {
+            Message::Heartbeat { epoch, round, committed, echo } => {
+                self.on_heartbeat(asker, epoch, round, committed, echo, now);
+            }
+            Message::HeartbeatReply { epoch, round, granted, other_view, wants_view, sent_at } => {
+                let reply = views::HeartbeatAnswer { round, granted, other_view, wants_view, sent_at, life };
+                self.on_heartbeat_reply(from, epoch, reply, now);
+            }
+            Message::Prepare { current, ballot } => self.on_prepare(asker, current, ballot, now),
+            Message::PrepareReply { ballot, vote } => self.on_vote(&from, &ballot, vote, now),
+            Message::Accept { current, proposal } => self.on_accept(asker, current, proposal, now),
+            Message::AcceptReply { ballot, answer } => self.on_accept_reply(&from, &ballot, answer, now),
+            Message::Decided { view } => self.learn(view, now),
+            Message::Synchronize { epoch } => self.on_synchronize(asker, epoch),
+            Message::Holds { epoch, last, committed } => {
+                if epoch == self.epoch() {
+                    self.on_holds(from, last, committed, now);
+                }
+            }
+            Message::Install { epoch, state, tail } => self.on_install(asker, epoch, state, tail, now),
+            Message::Replicate { epoch, previous, updates } => {
+                self.on_replicate(asker, epoch, previous, updates, now);
+            }
+            Message::Committed { epoch, position } => {
+                if self.is_primary_of(&from, epoch) {
+                    self.commit_up_to(position);
+                }
+            }
+            Message::Join { last, committed } => self.on_join(from, last, committed, now),
+            Message::Leave { epoch } => self.on_leave(from, epoch, now),
+            Message::Resign { epoch } => self.on_resign(from, epoch, now),
+        }
+    }
 
     fn others(&self) -> Vec<ReplicaId> {
-        let participants = self.view.as_ref().map(View::participants).unwrap_or_default();
-        participants.into_iter().filter(|replica| *replica != self.id).collect()
+        let participants = self.view().map(View::participants).unwrap_or_default();
+        participants.into_iter().filter(|replica| *replica != self.identity.id).collect()
     }
 
-    /// Sends once everything that was to be stored so far is on disk.
-    fn send_stored(&mut self, to: ReplicaId, message: Message) {
-        let envelope = Envelope { from: self.id.clone(), to, message };
-        self.held.push_back((self.made, envelope));
-        self.release();
+    fn envelope(&self, to: ReplicaId, answers: Option<Life>, message: Message) -> Envelope {
+        let Identity { id, life, .. } = &self.identity;
+        Envelope { from: id.clone(), life: *life, to, answers, message }
     }
 
+    /// Sends a message that answers nothing.
     fn send(&mut self, to: ReplicaId, message: Message) {
-        let envelope = Envelope { from: self.id.clone(), to, message };
+        let envelope = self.envelope(to, None, message);
+        self.dispatch(envelope);
+    }
+
+    fn answer(&mut self, asker: Asker, message: Message) {
+        let envelope = self.envelope(asker.replica, Some(asker.life), message);
         self.dispatch(envelope);
     }
 
+    /// Answers once everything that was to be stored so far is on disk.
+    fn answer_stored(&mut self, asker: Asker, message: Message) {
+        let envelope = self.envelope(asker.replica, Some(asker.life), message);
+        self.held.push_back((self.made, envelope));
+        self.release();
+    }
+
     fn dispatch(&mut self, envelope: Envelope) {
-        if envelope.to == self.id {
+        if envelope.to == self.identity.id {
             self.inbox.push_back(envelope);
         } else {
             self.effects.push(Effect::Send(Box::new(envelope)));
@@ -447,15 +430,13 @@
         self.effects.push(Effect::Store { sequence: self.made, records });
     }
 
-    fn storage_is_stuck(&self, now: Millis) -> bool {
-        self.durable < self.made && now >= self.waiting_since + self.timing.storage_patience
+    fn store_votes(&mut self, now: Millis) {
+        let votes = self.witness.votes().clone();
+        self.store(vec![Record::Votes(votes)], now);
     }
 
-    /// Handles what this replica has said to itself, and what came from others.
-    fn work(&mut self, now: Millis) {
-        while let Some(Envelope { from, message, .. }) = self.inbox.pop_front() {
-            self.handle(from, message, now);
-        }
+    fn storage_is_stuck(&self, now: Millis) -> bool {
+        self.durable < self.made && now >= self.waiting_since + self.timing.storage_patience
     }
 
     fn last(&self) -> Position {
@@ -463,6 +444,13 @@
     }
 
     fn is_primary_of(&self, replica: &ReplicaId, epoch: Epoch) -> bool {
-        self.view.as_ref().is_some_and(|view| view.epoch == epoch && view.primary == *replica)
+        self.view().is_some_and(|view| view.epoch == epoch && view.primary == *replica)
     }
 }
+
+/// Who sent a message, in which life: its answer names that life.
+#[derive(Debug, Clone)]
+struct Asker {
+    replica: ReplicaId,
+    life: Life,
+}
--- a/control/src/node/primary.rs
+++ b/control/src/node/primary.rs
@@ -1,6 +1,8 @@
 //! What a primary keeps of its backups and witnesses.
 
+use super::lease::Lease;
 use crate::Millis;
+use crate::message::Echo;
 use crate::state::Position;
 use crate::view::{ReplicaId, View};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,28 +18,69 @@
     Replicating { since: Millis, stored: BTreeSet<ReplicaId> },
 }
 
-/// A replica that asks to be taken in.
+/// What a replica stores, and what it was sent to store more.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Joiner {
-    pub(super) installed: Option<Position>,
-    pub(super) sent_at: Option<Millis>,
-    pub(super) heard: Millis,
+pub(super) struct Transfer {
+    /// Its last stored change, as it said.
+    pub(super) holds: Option<Position>,
+    /// The last change that it was sent.
+    pub(super) sent: Option<Position>,
+    /// When it was sent something last.
+    pub(super) sent_at: Millis,
+    /// How many whole states it was sent since it was last in step.
+    pub(super) installs: u32,
+}
+
+/// When a replica was heard last.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Heard {
+    /// When.
+    pub(super) at: Millis,
+    /// The replica's own clock in its last answer to a heartbeat.
+    pub(super) echo: Option<Echo>,
 }
 
 #[derive(Debug)]
 pub(super) struct Primary {
     pub(super) stage: Stage,
     pub(super) since: Millis,
-    pub(super) lease_until: Millis,
-    pub(super) grants: BTreeMap<Millis, BTreeSet<ReplicaId>>,
-    pub(super) heard: BTreeMap<ReplicaId, Millis>,
-    pub(super) joiners: BTreeMap<ReplicaId, Joiner>,
+    pub(super) lease: Lease,
+    pub(super) heard: BTreeMap<ReplicaId, Heard>,
+    pub(super) transfers: BTreeMap<ReplicaId, Transfer>,
+    /// Replicas outside the in-sync set that ask to be taken in, with when they last did.
+    pub(super) joiners: BTreeMap<ReplicaId, Millis>,
+    /// The in-sync set of the newest view that this primary proposed in the present epoch. As the proposal may be decided
+    /// by whoever finds it, also after it was given up here, nothing is acknowledged without these.
+    pub(super) proposed: BTreeSet<ReplicaId>,
+    /// Replicas whose processes are about to end.
+    pub(super) leaving: BTreeSet<ReplicaId>,
     pub(super) heartbeat_at: Millis,
+    /// Until then no further change is ordered, so that a joiner can catch up.
+    pub(super) paused_until: Millis,
 }
 
 impl Primary {
+    pub(super) fn new(lease: Lease, heard: BTreeMap<ReplicaId, Heard>, now: Millis) -> Self {
+        Primary {
+            stage: Stage::Starting { since: now, synced: BTreeSet::new() },
+            since: now,
+            lease,
+            heard,
+            transfers: BTreeMap::new(),
+            joiners: BTreeMap::new(),
+            proposed: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+            heartbeat_at: now,
+            paused_until: 0,
+        }
+    }
+
+    pub(super) fn hear(&mut self, from: &ReplicaId, now: Millis) {
+        self.heard.entry(from.clone()).or_insert(Heard { at: now, echo: None }).at = now;
+    }
+
     pub(super) fn last_heard(&self, replica: &ReplicaId) -> Millis {
-        self.heard.get(replica).copied().unwrap_or(self.since)
+        self.heard.get(replica).map_or(self.since, |heard| heard.at)
     }
 
     /// In-sync replicas that were not heard, or have not stored what they were sent, for longer than `patience`.
@@ -57,26 +100,27 @@
         others.filter(|r| now >= self.last_heard(r) + patience || is_late(r)).cloned().collect()
     }
 
-    /// Whether replicas may be taken in without holding up anything else.
-    pub(super) fn has_time_for_joiners(&self, view: &View) -> bool {
-        match &self.stage {
-            Stage::Ready => true,
-            // Every backup is in step and yet the start has not ended: there are too few copies.
-            Stage::Starting { synced, .. } => synced.len() + 1 >= view.in_sync.len(),
-            Stage::Replicating { .. } => false,
-        }
-    }
-
-    /// Replicas outside the in-sync set that store the primary's last change.
-    pub(super) fn caught_up(&self, last: Position, patience: Millis, now: Millis) -> Vec<ReplicaId> {
-        let caught_up = self
-            .joiners
-            .iter()
-            .filter(|(_, joiner)| now < joiner.heard + patience && joiner.installed == Some(last));
-        caught_up.map(|(replica, _)| replica.clone()).collect()
+    /// A replica that asks to be taken in, was heard lately, and stores everything that may have been acknowledged. While this
+    /// primary starts, that is its last change, which an earlier primary may have acknowledged; later the last committed one,
+    /// as what is under way was sent to the joiner too.
+    pub(super) fn caught_up(
+        &self,
+        last: Position,
+        committed: Position,
+        patience: Millis,
+        now: Millis,
+    ) -> Option<ReplicaId> {
+        let is_here = |at: Millis| now < at + patience;
+        let is_starting = matches!(self.stage, Stage::Starting { .. });
+        let is_in_step = |replica: &ReplicaId| {
+            let holds = self.transfers.get(replica).and_then(|transfer| transfer.holds);
+            holds.is_some_and(|holds| holds == last || !is_starting && holds == committed)
+        };
+        let mut joiners = self.joiners.iter().filter(|(replica, at)| is_here(**at) && is_in_step(replica));
+        joiners.find(|(replica, _)| !self.leaving.contains(*replica)).map(|(replica, _)| replica.clone())
     }
 
-    /// A witness outside the in-sync set that was not heard for so long.
+    /// A witness outside the in-sync set that was not heard for so long, or is about to end.
     pub(super) fn silent_witness(
         &self,
         wanted: &View,
@@ -89,14 +133,15 @@
     }
 }
 
-/// A view with one more in-sync replica. It takes the place of a former disk of the same node; a new node takes that of a
-/// witness that has fallen silent, so that the next loss does not meet a majority that counts the dead.
+/// A view with one more in-sync replica. It takes the place of a former disk of the same machine; a new machine takes that of
+/// a witness that has fallen silent, so that the next loss does not meet a majority that counts the dead.
 pub(super) fn with_joiner(mut view: View, replica: &ReplicaId, silent: Option<ReplicaId>) -> View {
-    let former = |other: &ReplicaId| other.node == replica.node && other != replica;
-    let is_known = view.witnesses.iter().any(|witness| witness.node == replica.node);
-    view.in_sync.retain(|other| !former(other));
-    view.witnesses.retain(|other| !former(other));
-    if let Some(silent) = silent.filter(|_| !is_known) {
+    // Two processes can't have one address, so the former one has ended and its disk is gone.
+    let is_former = |other: &ReplicaId| other.address == replica.address && other != replica;
+    let has_place = view.witnesses.iter().any(|other| other == replica || is_former(other));
+    view.in_sync.retain(|other| !is_former(other));
+    view.witnesses.retain(|other| !is_former(other));
+    if let Some(silent) = silent.filter(|_| !has_place) {
         view.witnesses.remove(&silent);
     }
     view.in_sync.insert(replica.clone());
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -7,12 +7,13 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// How many accepted configurations are remembered, so that one sent again is known.
 const REMEMBERED: usize = 4096;
 
 /// The position of a change: who ordered it, and its number.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Position {
     /// The number of the change, from 1.
     pub index: u64,
@@ -21,7 +22,7 @@
 }
 
 /// A change at its position.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Update {
     /// Its position.
     pub position: Position,
@@ -30,7 +31,7 @@
 }
 
 /// Identifies a configuration together with the version that it builds on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Fingerprint([u8; 16]);
 
 impl Fingerprint {
@@ -44,16 +45,16 @@
 }
 
 /// A configuration as the operator sent it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StoredConfiguration {
     /// Its version.
     pub version: u64,
     /// The body, byte for byte.
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
 }
 
 /// The version that a model's weights are to have.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WeightsTarget {
     /// The version.
     pub version: u64,
@@ -62,7 +63,7 @@
 }
 
 /// The durable control state after some number of changes.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ControlState {
     /// The last change.
     pub position: Position,
--- a/control/src/storage.rs
+++ b/control/src/storage.rs
@@ -3,6 +3,10 @@
 //! A segment is a sequence of frames `length, checksum, record`. A frame that is cut off at the end of the last
 //! segment was never acknowledged and is dropped; any other damage is an error that names the place and the remedy.
 
+mod format1;
+
+pub use format1::{AcceptedV1, BallotV1, VotesV1};
+
 use crate::state::{ControlState, Update};
 use crate::witness::Votes;
 use serde::{Deserialize, Serialize};
@@ -13,7 +17,7 @@
 /// The longest record; a longer length can only be damage.
 const LONGEST: usize = 48 << 20;
 /// The format written by this program.
-pub const FORMAT: u32 = 1;
+pub const FORMAT: u32 = 2;
 
 /// One record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,8 +29,8 @@
         /// Drawn when the disk was first used.
         disk: u64,
     },
-    /// The witness's votes.
-    Votes(Votes),
+    /// The witness's votes as format 1 had them.
+    VotesV1(VotesV1),
     /// A change that is stored and not yet known to be committed.
     Update(Update),
     /// A state that takes the place of all before.
@@ -36,6 +40,8 @@
         /// A stored change that is not known to be committed.
         tail: Option<Update>,
     },
+    /// The witness's votes.
+    Votes(Votes),
 }
 
 /// Why stored records can't be used.
@@ -57,6 +63,14 @@
         /// The format found.
         found: u32,
     },
+    /// A file that is written and synced as a whole is not whole.
+    #[error(
+        "the file ends at byte {sound} within a record: move the data directory away and start the node again, it then rejoins with an empty disk"
+    )]
+    CutOff {
+        /// The length of its sound part.
+        sound: usize,
+    },
     /// There is no first record.
     #[error("the first record is missing: move the data directory away and start the node again")]
     NoDisk,
@@ -70,6 +84,12 @@
     bytes.extend(body);
 }
 
+/// Reads the frames of a file that was written and synced as a whole, such as a snapshot.
+pub fn decode_whole(bytes: &[u8]) -> Result<Vec<Record>, Damage> {
+    let (records, sound) = decode(bytes)?;
+    if sound == bytes.len() { Ok(records) } else { Err(Damage::CutOff { sound }) }
+}
+
 /// Reads the frames of a file; the second value is the length of its sound part.
 pub fn decode(bytes: &[u8]) -> Result<(Vec<Record>, usize), Damage> {
     let mut records = Vec::new();
@@ -144,6 +164,7 @@
         match record {
             Record::Disk { format, .. } if format > FORMAT => return Err(Damage::Format { found: format }),
             Record::Disk { disk, .. } => self.disk = disk,
+            Record::VotesV1(votes) => self.votes = votes.into(),
             Record::Votes(votes) => self.votes = votes,
             Record::Install { state, tail } => (self.state, self.tail) = (state, tail),
             Record::Update(update) => {
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -28,8 +28,14 @@
 /// The number of a view; each view has the next one.
 pub type Epoch = u64;
 
+/// The epoch of the electorate that decides the first view; no replica ever works in it.
+pub const FOUNDING_EPOCH: Epoch = 0;
+
+/// Identifies one run of a process. Drawn at its start.
+pub type Life = u64;
+
 /// One configuration of the replication group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct View {
     /// Its number.
     pub epoch: Epoch,
@@ -42,33 +48,50 @@
 }
 
 impl View {
+    /// The electorate that decides the first view of a new system; none where nobody is in it.
+    pub fn founding(electorate: BTreeSet<ReplicaId>) -> Option<Self> {
+        let primary = electorate.first()?.clone();
+        Some(View { epoch: FOUNDING_EPOCH, primary, in_sync: BTreeSet::new(), witnesses: electorate })
+    }
+
+    /// Whether this is no view to work in, but the electorate of the first one.
+    pub fn is_founding(&self) -> bool {
+        self.epoch == FOUNDING_EPOCH
+    }
+
     /// Whether `votes` holds a majority of the witnesses.
     pub fn has_majority(&self, votes: &BTreeSet<ReplicaId>) -> bool {
         2 * self.witnesses.intersection(votes).count() > self.witnesses.len()
     }
 
+    /// How many witnesses are a majority.
+    pub fn majority(&self) -> usize {
+        self.witnesses.len() / 2 + 1
+    }
+
     /// Everyone who takes part in the view.
     pub fn participants(&self) -> BTreeSet<ReplicaId> {
         self.in_sync.union(&self.witnesses).cloned().collect()
     }
 }
 
-/// The number of an attempt to decide a view; higher ones win.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// The number of an attempt to decide a view; higher ones win. No two attempts have the same one: the life tells those of a
+/// restarted proposer from those of its former process, whose late answers must not count.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
-    /// Rises with each attempt.
+    /// Rises with each attempt of a process.
     pub round: u64,
     /// Who attempts it.
     pub proposer: ReplicaId,
+    /// In which life of its process.
+    pub life: Life,
 }
 
-/// A view that a witness has accepted.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Accepted {
-    /// In which attempt.
+/// A view that is proposed in an attempt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Proposal {
+    /// The attempt.
     pub ballot: Ballot,
     /// The view.
     pub view: View,
-    /// The decided view that it follows; none where the view itself is known to be decided.
-    pub previous: Option<View>,
 }
--- a/control/src/witness.rs
+++ b/control/src/witness.rs
@@ -1,49 +1,56 @@
 //! A witness: stores epochs, votes on the next view, and grants the primary's lease.
+//!
+//! What it promised or accepted always concerns the epoch behind the newest view that it knows to be decided. Once it
+//! knows that epoch to be decided as well, both are void: whoever still attempts it is told the decided view instead.
 
 use crate::Millis;
-use crate::view::{Accepted, Ballot, Epoch, ReplicaId, View};
+use crate::view::{Ballot, Epoch, FOUNDING_EPOCH, Proposal, ReplicaId, View};
 use serde::{Deserialize, Serialize};
 
 /// What a witness keeps on its disk.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Votes {
-    /// The highest attempt to decide an epoch that was promised to.
-    pub promised: Option<(Epoch, Ballot)>,
-    /// The newest accepted view.
-    pub accepted: Option<Accepted>,
+    /// The newest view that is known to be decided.
+    pub decided: Option<View>,
+    /// The highest attempt to decide the next epoch that was promised to.
+    pub promised: Option<Ballot>,
+    /// The view for the next epoch that was accepted in the highest attempt.
+    pub accepted: Option<Proposal>,
 }
 
 impl Votes {
-    /// The epoch of the newest accepted view; 0 where there is none.
+    /// The epoch of the newest decided view; that of the founding electorate where there is none.
     pub fn epoch(&self) -> Epoch {
-        self.accepted.as_ref().map_or(0, |accepted| accepted.view.epoch)
+        self.decided.as_ref().map_or(FOUNDING_EPOCH, |view| view.epoch)
     }
 }
 
 /// A witness's answer to a request to prepare.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Vote {
     /// No lower attempt will be accepted; carries what was accepted for that epoch.
     Promised {
         /// A view already accepted for the epoch.
-        accepted: Option<Accepted>,
+        accepted: Option<Proposal>,
     },
     /// A higher attempt was promised to.
     Outbid {
         /// That attempt.
         ballot: Ballot,
     },
-    /// The epoch has been decided; later ones are under way.
+    /// The epoch has been decided.
     Passed {
-        /// The newest accepted view.
-        accepted: Accepted,
+        /// The newest view that is known to be decided.
+        decided: View,
     },
     /// Another replica holds the lease.
     Leased,
+    /// This replica did not start together with the system, so it may have forgotten an earlier vote on the first view.
+    NoFounder,
 }
 
 /// The lease as one witness sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Grant {
     /// Nobody holds it.
     Free,
@@ -54,19 +61,20 @@
 }
 
 /// The voting part of a replica.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Witness {
     votes: Votes,
     grant: Grant,
     lease: Millis,
+    may_found: bool,
 }
 
 impl Witness {
-    /// A witness that starts with what its disk holds.
-    pub fn new(votes: Votes, lease: Millis, now: Millis) -> Self {
-        let grant =
-            if votes.accepted.is_some() { Grant::Unknown { until: now + lease } } else { Grant::Free };
-        Witness { votes, grant, lease }
+    /// A witness that starts with what its disk holds. One that `may_found` started together with the system and votes on
+    /// the first view.
+    pub fn new(votes: Votes, may_found: bool, lease: Millis, now: Millis) -> Self {
+        let grant = if votes.decided.is_some() { Grant::Unknown { until: now + lease } } else { Grant::Free };
+        Witness { votes, grant, lease, may_found }
     }
 
     /// What is to be on disk.
@@ -74,9 +82,9 @@
         &self.votes
     }
 
-    /// The newest accepted view.
-    pub fn accepted(&self) -> Option<&Accepted> {
-        self.votes.accepted.as_ref()
+    /// The newest view that is known to be decided.
+    pub fn decided(&self) -> Option<&View> {
+        self.votes.decided.as_ref()
     }
 
     /// Whether `replica` may take over as far as the lease goes.
@@ -85,65 +93,54 @@
             Grant::Free => true,
             Grant::Held { holder, until } => holder == replica || *until <= now,
             Grant::Unknown { until } => {
-                let primary = self.votes.accepted.as_ref().map(|accepted| &accepted.view.primary);
+                let primary = self.decided().map(|view| &view.primary);
                 primary == Some(replica) || *until <= now
             }
         }
     }
 
-    /// Votes on an attempt to decide `epoch`. The second value says whether the votes have to be stored first.
-    pub fn prepare(&mut self, epoch: Epoch, ballot: &Ballot, now: Millis) -> (Vote, bool) {
-        if let Some(accepted) = &self.votes.accepted
-            && accepted.view.epoch > epoch
-        {
-            return (Vote::Passed { accepted: accepted.clone() }, false);
+    /// Votes on an attempt to have a view follow `current`, which the proposer knows to be decided. The second value says
+    /// whether the votes have to be stored before the answer.
+    pub fn prepare(&mut self, current: &View, ballot: &Ballot, now: Millis) -> (Vote, bool) {
+        let has_learned = self.learn(current);
+        if let Some(decided) = self.decided().filter(|decided| decided.epoch > current.epoch) {
+            return (Vote::Passed { decided: decided.clone() }, has_learned);
+        }
+        if current.is_founding() && !self.may_found {
+            return (Vote::NoFounder, has_learned);
         }
         if !self.is_free_for(&ballot.proposer, now) {
-            return (Vote::Leased, false);
+            return (Vote::Leased, has_learned);
         }
-        if let Some((promised, higher)) = &self.votes.promised
-            && *promised == epoch
-            && higher > ballot
-        {
-            return (Vote::Outbid { ballot: higher.clone() }, false);
+        if let Some(higher) = self.votes.promised.as_ref().filter(|promised| *promised > ballot) {
+            return (Vote::Outbid { ballot: higher.clone() }, has_learned);
         }
-        self.votes.promised = Some((epoch, ballot.clone()));
-        let accepted = self.votes.accepted.clone().filter(|accepted| accepted.view.epoch == epoch);
-        (Vote::Promised { accepted }, true)
+        self.votes.promised = Some(ballot.clone());
+        (Vote::Promised { accepted: self.votes.accepted.clone() }, true)
     }
 
-    /// Accepts a view unless a higher attempt was promised to or a later epoch is under way.
-    pub fn accept(&mut self, proposal: Accepted) -> bool {
-        let epoch = proposal.view.epoch;
-        if self.votes.epoch() > epoch {
-            return false;
-        }
-        if let Some((promised, higher)) = &self.votes.promised
-            && *promised == epoch
-            && *higher > proposal.ballot
-        {
-            return false;
+    /// Accepts a view that is to follow `current`, unless a higher attempt was promised to or the epoch has been decided.
+    /// A refusal names the round that was promised to.
+    pub fn accept(&mut self, current: &View, proposal: Proposal) -> Result<(), u64> {
+        self.learn(current);
+        let promised = self.votes.promised.as_ref().filter(|promised| **promised > proposal.ballot);
+        if let Some(higher) = promised {
+            return Err(higher.round);
         }
-        if self.votes.epoch() == epoch
-            && self.accepted().is_some_and(|accepted| accepted.ballot > proposal.ballot)
-        {
-            return false;
+        if proposal.view.epoch != self.votes.epoch() + 1 {
+            return Err(proposal.ballot.round);
         }
+        self.votes.promised = Some(proposal.ballot.clone());
         self.votes.accepted = Some(proposal);
-        true
+        Ok(())
     }
 
-    /// Grants the lease to the primary of the newest accepted view, unless a successor is being decided.
+    /// Grants the lease to the primary of the newest decided view, unless a successor is being decided.
     pub fn grant(&mut self, holder: &ReplicaId, epoch: Epoch, now: Millis) -> bool {
-        let view_matches = self
-            .accepted()
-            .is_some_and(|accepted| accepted.view.epoch == epoch && accepted.view.primary == *holder);
-        let challenged = self
-            .votes
-            .promised
-            .as_ref()
-            .is_some_and(|(promised, ballot)| *promised > epoch && ballot.proposer != *holder);
-        if !view_matches || challenged || !self.is_free_for(holder, now) {
+        let leads = self.decided().is_some_and(|view| view.epoch == epoch && view.primary == *holder);
+        let is_challenged = self.votes.promised.as_ref().is_some_and(|ballot| ballot.proposer != *holder)
+            || self.votes.accepted.as_ref().is_some_and(|accepted| accepted.view.primary != *holder);
+        if !leads || is_challenged || !self.is_free_for(holder, now) {
             return false;
         }
         self.grant = Grant::Held { holder: holder.clone(), until: now + self.lease };
@@ -154,22 +151,19 @@
     pub fn release(&mut self, holder: &ReplicaId) {
         match &self.grant {
             Grant::Held { holder: held, .. } if held == holder => self.grant = Grant::Free,
-            Grant::Unknown { .. } if self.accepted().is_some_and(|a| a.view.primary == *holder) => {
+            Grant::Unknown { .. } if self.decided().is_some_and(|view| view.primary == *holder) => {
                 self.grant = Grant::Free;
             }
             _ => {}
         }
     }
 
-    /// Notes a view that is known to be decided. True where that is news to be stored: after a restart only a view that is
-    /// known to be decided can be built on.
-    pub fn learn(&mut self, view: &View, ballot: &Ballot) -> bool {
-        let is_decided = |accepted: &Accepted| accepted.view == *view && accepted.previous.is_none();
-        if self.votes.epoch() > view.epoch || self.accepted().is_some_and(is_decided) {
+    /// Notes a view that is known to be decided. True where that is news to be stored.
+    pub fn learn(&mut self, view: &View) -> bool {
+        if view.epoch <= self.votes.epoch() {
             return false;
         }
-        let accepted = Accepted { ballot: ballot.clone(), view: view.clone(), previous: None };
-        self.votes.accepted = Some(accepted);
+        self.votes = Votes { decided: Some(view.clone()), promised: None, accepted: None };
         true
     }
 }
--- a/control/tests/configuration.rs
+++ b/control/tests/configuration.rs
@@ -64,7 +64,7 @@
 }
 
 fn put(state: &mut ControlState, base: u64, body: &str) -> Outcome {
-    let change = Change::Configuration { base, body: body.as_bytes().to_vec() };
+    let change = Change::Configuration { base, body: body.as_bytes().into() };
     match state.judge(&change) {
         Some(outcome) => outcome,
         None => {
--- a/control/tests/storage.rs
+++ b/control/tests/storage.rs
@@ -63,7 +63,7 @@
     let later = Recovered::replay([Record::Disk { format: FORMAT + 1, disk: 7 }]).unwrap_err();
     assert_eq!(
         later.to_string(),
-        "the records are of format 2, this program reads up to 1: start the newer program again"
+        "the records are of format 3, this program reads up to 2: start the newer program again"
     );
     assert_matches!(Recovered::replay([update(1)]), Err(Damage::NoDisk));
     assert!(Damage::Record { offset: 9 }.to_string().contains("rejoins with an empty disk"));
--- a/control/tests/views.rs
+++ b/control/tests/views.rs
@@ -1,7 +1,7 @@
 //! Two replicas that want to be primary at once: every order in which their messages can arrive, tried one by one.
 
-use control::proposer::{Attempt, Progress};
-use control::view::{Accepted, Ballot, ReplicaId, View};
+use control::proposer::{Attempt, Intent, Progress};
+use control::view::{Ballot, Proposal, ReplicaId, View};
 use control::witness::{Vote, Votes, Witness};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -16,12 +16,20 @@
     View { epoch, primary: primary.clone(), in_sync: members.clone(), witnesses: members.clone() }
 }
 
+fn ballot(round: u64, proposer: &ReplicaId) -> Ballot {
+    Ballot { round, proposer: proposer.clone(), life: 1 }
+}
+
+fn decided(view: View) -> Votes {
+    Votes { decided: Some(view), promised: None, accepted: None }
+}
+
 #[derive(Debug, Clone)]
 enum Message {
     Prepare { to: usize, by: usize },
     Vote { from: usize, by: usize, vote: Vote },
-    Accept { to: usize, by: usize, proposal: Accepted },
-    Accepted { from: usize, by: usize, yes: bool },
+    Accept { to: usize, by: usize, proposal: Proposal },
+    Accepted { from: usize, by: usize, answer: Result<(), u64> },
 }
 
 impl Message {
@@ -42,6 +50,7 @@
     attempts: Vec<Attempt>,
     wires: Vec<Message>,
     decided: Vec<View>,
+    first: View,
 }
 
 impl World {
@@ -49,19 +58,23 @@
         let members: Vec<ReplicaId> = (1..=3).map(replica).collect();
         let all: BTreeSet<ReplicaId> = members.iter().cloned().collect();
         let first = view(1, &members[2], &all);
-        let ballot = Ballot { round: 0, proposer: members[2].clone() };
-        let accepted = Accepted { ballot, view: first.clone(), previous: None };
-        let votes = Votes { promised: None, accepted: Some(accepted) };
+        let votes = decided(first.clone());
         // The lease of the first primary is over.
-        let witnesses = members.iter().map(|_| Witness::new(votes.clone(), 0, 0)).collect();
+        let witnesses = members.iter().map(|_| Witness::new(votes.clone(), false, 0, 0)).collect();
         let attempts = (0..2)
             .map(|at| {
-                let ballot = Ballot { round: 1, proposer: members[at].clone() };
-                Attempt::new(ballot, first.clone(), view(2, &members[at], &all), true, 0)
+                let wanted = view(2, &members[at], &all);
+                Attempt::new(
+                    ballot(1, &members[at]),
+                    first.clone(),
+                    wanted,
+                    Intent::TakeOver { copies: 2 },
+                    0,
+                )
             })
             .collect();
         let wires = (0..2).flat_map(|by| (0..3).map(move |to| Message::Prepare { to, by })).collect();
-        World { members, witnesses, attempts, wires, decided: Vec::new() }
+        World { members, witnesses, attempts, wires, decided: Vec::new(), first }
     }
 
     /// Delivers a message, and what a replica says to itself, which takes no time.
@@ -76,7 +89,7 @@
         match self.wires.remove(at) {
             Message::Prepare { to, by } => {
                 let ballot = self.attempts[by].ballot.clone();
-                let (vote, _) = self.witnesses[to].prepare(2, &ballot, 1);
+                let (vote, _) = self.witnesses[to].prepare(&self.first, &ballot, 1);
                 self.wires.push(Message::Vote { from: to, by, vote });
             }
             Message::Vote { from, by, vote } => {
@@ -86,11 +99,11 @@
                 }
             }
             Message::Accept { to, by, proposal } => {
-                let yes = self.witnesses[to].accept(proposal);
-                self.wires.push(Message::Accepted { from: to, by, yes });
+                let answer = self.witnesses[to].accept(&self.first, proposal);
+                self.wires.push(Message::Accepted { from: to, by, answer });
             }
-            Message::Accepted { from, by, yes } => {
-                if let Progress::Decided(view) = self.attempts[by].accepted(&self.members[from], yes) {
+            Message::Accepted { from, by, answer } => {
+                if let Progress::Decided(view) = self.attempts[by].accepted(&self.members[from], answer) {
                     self.decided.push(view);
                 }
             }
@@ -129,15 +142,14 @@
 fn a_witness_votes_for_nobody_else_while_its_grant_holds() {
     let members: BTreeSet<ReplicaId> = (1..=3).map(replica).collect();
     let primary = replica(1);
-    let ballot = Ballot { round: 0, proposer: primary.clone() };
-    let accepted = Accepted { ballot, view: view(1, &primary, &members), previous: None };
-    let mut witness = Witness::new(Votes { promised: None, accepted: Some(accepted) }, 1_000, 0);
-    let rival = Ballot { round: 1, proposer: replica(2) };
+    let first = view(1, &primary, &members);
+    let mut witness = Witness::new(decided(first.clone()), false, 1_000, 0);
+    let rival = ballot(1, &replica(2));
     // Just started: what the former process granted is unknown.
-    assert_eq!(witness.prepare(2, &rival, 999).0, Vote::Leased);
+    assert_eq!(witness.prepare(&first, &rival, 999).0, Vote::Leased);
     assert!(witness.grant(&primary, 1, 999));
-    assert_eq!(witness.prepare(2, &rival, 1_998).0, Vote::Leased);
-    assert_eq!(witness.prepare(2, &rival, 1_999).0, Vote::Promised { accepted: None });
+    assert_eq!(witness.prepare(&first, &rival, 1_998).0, Vote::Leased);
+    assert_eq!(witness.prepare(&first, &rival, 1_999).0, Vote::Promised { accepted: None });
     // Who has promised to a successor grants nothing to the former holder any more.
     assert!(!witness.grant(&primary, 1, 2_000));
 }
@@ -146,13 +158,12 @@
 fn a_lease_that_is_given_back_is_free_at_once() {
     let members: BTreeSet<ReplicaId> = (1..=3).map(replica).collect();
     let primary = replica(1);
-    let ballot = Ballot { round: 0, proposer: primary.clone() };
-    let accepted = Accepted { ballot, view: view(1, &primary, &members), previous: None };
-    let mut witness = Witness::new(Votes { promised: None, accepted: Some(accepted) }, 1_000, 0);
+    let first = view(1, &primary, &members);
+    let mut witness = Witness::new(decided(first.clone()), false, 1_000, 0);
     assert!(witness.grant(&primary, 1, 10));
     witness.release(&replica(2));
-    let rival = Ballot { round: 1, proposer: replica(2) };
-    assert_eq!(witness.prepare(2, &rival, 20).0, Vote::Leased, "only the holder gives it back");
+    let rival = ballot(1, &replica(2));
+    assert_eq!(witness.prepare(&first, &rival, 20).0, Vote::Leased, "only the holder gives it back");
     witness.release(&primary);
-    assert_eq!(witness.prepare(2, &rival, 20).0, Vote::Promised { accepted: None });
+    assert_eq!(witness.prepare(&first, &rival, 20).0, Vote::Promised { accepted: None });
 }
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -2,12 +2,14 @@
 #![allow(dead_code)] // each test program uses its share
 
 use control::Millis;
-use control::changes::{Change, Outcome};
+use control::changes::{Change, Outcome, Reading};
+use control::configuration::Configuration;
 use control::message::{Envelope, Message};
-use control::node::{ControlNode, Effect, RoleName, Timing};
+use control::node::{ControlNode, Effect, Identity, RoleName, Timing};
 use control::storage::{FORMAT, Record, Recovered, decode, encode};
-use control::view::{ReplicaId, View};
+use control::view::ReplicaId;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// A change that is told apart from others.
@@ -18,9 +20,12 @@
 /// A configuration of a version on top of another.
 pub fn configuration(base: u64, version: u64, mark: &str) -> Change {
     let body = format!(r#"{{"version":{version},"mark":"{mark}","routes":[],"services":[]}}"#);
-    Change::Configuration { base, body: body.into_bytes() }
+    Change::Configuration { base, body: body.into_bytes().into() }
 }
 
+/// The longest time by which a message is late.
+const LONGEST_DELAY: Millis = 3_000;
+
 struct Write {
     sequence: u64,
     bytes: Vec<u8>,
@@ -38,6 +43,8 @@
     pub frozen_until: Millis,
     back_at: Option<Millis>,
     address: SocketAddrV4,
+    /// Whether it has never lost its disk, so that it may vote on the first view.
+    may_found: bool,
     /// The highest change that this life has shown as committed.
     shown: u64,
 }
@@ -57,16 +64,26 @@
     pub cut: BTreeSet<(String, String)>,
     pub loss: f64,
     pub latency: Millis,
+    /// How many of the messages arrive late, up to seconds.
+    pub late: f64,
     tickets: u64,
     pub outcomes: BTreeMap<u64, Outcome>,
-    /// Every change that any replica has shown as committed, by index.
-    pub committed: BTreeMap<u64, Change>,
+    /// A digest of the state that was first shown as committed, by the index of its last change.
+    committed: BTreeMap<u64, u64>,
+    /// The newest version of the configuration that was acknowledged, and the one at the time of each question.
+    newest_version: u64,
+    asked_at_version: BTreeMap<u64, u64>,
     /// Changes that were acknowledged.
     pub acknowledged: Vec<Change>,
     pub asked: BTreeMap<u64, Change>,
     /// Holders of the lease, by epoch.
     pub holders: BTreeMap<u64, ReplicaId>,
+    /// What callers read, by ticket.
+    pub readings: BTreeMap<u64, Reading>,
+    /// Bytes of messages that were sent.
+    pub bytes_sent: u64,
     next_disk: u64,
+    next_life: u64,
     next_address: u8,
 }
 
@@ -81,13 +98,19 @@
             cut: BTreeSet::new(),
             loss: 0.0,
             latency: 1,
+            late: 0.0,
             tickets: 0,
             outcomes: BTreeMap::new(),
             committed: BTreeMap::new(),
+            newest_version: 0,
+            asked_at_version: BTreeMap::new(),
             acknowledged: Vec::new(),
             asked: BTreeMap::new(),
             holders: BTreeMap::new(),
+            readings: BTreeMap::new(),
+            bytes_sent: 0,
             next_disk: 1,
+            next_life: 1,
             next_address: 0,
         };
         for number in 0..count {
@@ -108,6 +131,7 @@
             frozen_until: 0,
             back_at: None,
             address,
+            may_found: true,
             shown: 0,
         };
         self.machines.insert(name.to_owned(), machine);
@@ -122,19 +146,29 @@
     /// A group that has been founded and has a primary.
     pub fn founded(seed: u64, count: usize, faults: usize) -> Self {
         let mut world = World::new(seed, count, faults);
-        let replicas: BTreeSet<ReplicaId> =
-            world.machines.values().map(|m| m.node.as_ref().expect("up").id().clone()).collect();
-        let primary = replicas.first().expect("a replica").clone();
-        let view = View { epoch: 1, primary, in_sync: replicas.clone(), witnesses: replicas };
-        let now = world.now;
-        for machine in world.machines.values_mut() {
-            machine.node.as_mut().expect("up").found(view.clone(), now);
-        }
+        world.found("n0");
         world.run(500);
         assert!(world.primary().is_some(), "the first view has a primary");
         world
     }
 
+    /// A machine has the first view decided, by the replicas of the first three machines.
+    pub fn found(&mut self, founder: &str) {
+        const SEEDS: usize = 3;
+        let replicas = self.replicas();
+        let electorate = replicas.iter().take(SEEDS).cloned().collect();
+        let now = self.now;
+        let machine = self.machines.get_mut(founder).expect("a machine");
+        machine.node.as_mut().expect("up").found(electorate, replicas, now);
+        self.collect(founder);
+    }
+
+    /// The replicas of all machines that run.
+    pub fn replicas(&self) -> BTreeSet<ReplicaId> {
+        let nodes = self.machines.values().filter_map(|machine| machine.node.as_ref());
+        nodes.map(|node| node.id().clone()).collect()
+    }
+
     pub fn names(&self) -> Vec<String> {
         self.machines.keys().cloned().collect()
     }
@@ -151,7 +185,9 @@
         let recovered = Recovered::replay(records).expect("sound records");
         let id = ReplicaId { disk: recovered.disk, node: name.into(), address: machine.address };
         machine.shown = recovered.state.position.index;
-        machine.node = Some(ControlNode::new(id, recovered, self.timing, self.now));
+        let identity = Identity { id, life: self.next_life, may_found: machine.may_found };
+        self.next_life += 1;
+        machine.node = Some(ControlNode::new(identity, recovered, self.timing, self.now));
         machine.back_at = None;
         machine.frozen_until = 0;
     }
@@ -175,7 +211,9 @@
 
     pub fn wipe(&mut self, name: &str, for_: Millis) {
         self.kill(name, for_, true);
-        self.machines.get_mut(name).expect("a machine").disk.clear();
+        let machine = self.machines.get_mut(name).expect("a machine");
+        machine.disk.clear();
+        machine.may_found = false;
     }
 
     pub fn freeze(&mut self, name: &str, for_: Millis) {
@@ -237,6 +275,65 @@
         ticket
     }
 
+    /// Asks a machine for the newest configuration.
+    pub fn read(&mut self, name: &str) -> u64 {
+        self.tickets += 1;
+        let (ticket, now) = (self.tickets, self.now);
+        self.asked_at_version.insert(ticket, self.newest_version);
+        match &mut self.machines.get_mut(name).expect("a machine").node {
+            Some(node) => node.read(ticket, now),
+            None => {
+                self.readings.insert(ticket, Reading::Unknown);
+            }
+        }
+        self.collect(name);
+        ticket
+    }
+
+    /// A machine's process is told to end; it goes on until it is killed.
+    pub fn leave(&mut self, name: &str) {
+        let now = self.now;
+        if let Some(node) = &mut self.machines.get_mut(name).expect("a machine").node {
+            node.leave(now);
+        }
+        self.collect(name);
+    }
+
+    /// How every machine stands, for the message of a test that fails.
+    pub fn describe(&self) -> String {
+        let mut text = format!("at {} ms", self.now);
+        for (name, machine) in &self.machines {
+            let Some(node) = &machine.node else {
+                text += &format!("\n{name} is down");
+                continue;
+            };
+            let names = |replicas: &BTreeSet<ReplicaId>| {
+                replicas.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
+            };
+            let view = node.view().map_or_else(String::new, |view| {
+                let (in_sync, witnesses) = (names(&view.in_sync), names(&view.witnesses));
+                format!("{} of {}; in sync {in_sync}; witnesses {witnesses}", view.epoch, view.primary)
+            });
+            let held = node.snapshot();
+            let (state, tail) = (held.state.position, held.tail.map(|tail| tail.position));
+            text += &format!("\n{} is {:?}, {state:?} {tail:?}, view {view}", node.id(), node.role());
+            text += &format!(
+                "; votes {:?} {:?}",
+                held.votes.promised.map(|b| (b.round, b.proposer.node)),
+                held.votes.accepted.map(|a| a.view.epoch)
+            );
+        }
+        text
+    }
+
+    /// Whether every machine runs and stores every change.
+    pub fn is_whole(&self) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let view = self.machines[&primary].node.as_ref().and_then(|node| node.view());
+        let replicas = self.replicas();
+        replicas.len() == self.machines.len() && view.is_some_and(|view| view.in_sync == replicas)
+    }
+
     pub fn run(&mut self, time: Millis) {
         for _ in 0..time {
             self.step();
@@ -256,28 +353,25 @@
 
     fn step(&mut self) {
         self.now += 1;
-        for name in self.names() {
-            if self.machines[&name].back_at.is_some_and(|at| at <= self.now) {
-                self.boot(&name);
-            }
+        let now = self.now;
+        for name in self.names_where(|machine| machine.back_at.is_some_and(|at| at <= now)) {
+            self.boot(&name);
         }
         self.finish_writes();
         self.deliver();
-        if self.now % 50 == 0 {
+        if now % 50 == 0 {
             self.tick();
         }
     }
 
-    fn is_up(&self, name: &str) -> bool {
-        let machine = &self.machines[name];
-        machine.node.is_some() && machine.frozen_until <= self.now
+    fn names_where(&self, holds: impl Fn(&Machine) -> bool) -> Vec<String> {
+        let found = self.machines.iter().filter(|(_, machine)| holds(machine));
+        found.map(|(name, _)| name.clone()).collect()
     }
 
     fn tick(&mut self) {
-        let known: BTreeSet<ReplicaId> =
-            self.machines.values().filter_map(|m| m.node.as_ref()).map(|node| node.id().clone()).collect();
-        for name in self.names().into_iter().filter(|name| self.is_up(name)).collect::<Vec<_>>() {
-            let now = self.now;
+        let (known, now) = (self.replicas(), self.now);
+        for name in self.names_where(|machine| machine.node.is_some() && machine.frozen_until <= now) {
             let node = self.machines.get_mut(&name).expect("a machine").node.as_mut().expect("up");
             node.know(known.clone());
             node.tick(now);
@@ -286,8 +380,11 @@
     }
 
     fn finish_writes(&mut self) {
-        for name in self.names() {
-            let now = self.now;
+        let now = self.now;
+        let has_due = |machine: &Machine| {
+            machine.frozen_until <= now && machine.writes.first().is_some_and(|write| write.done_at <= now)
+        };
+        for name in self.names_where(has_due) {
             let machine = self.machines.get_mut(&name).expect("a machine");
             let mut done = None;
             while machine.writes.first().is_some_and(|write| write.done_at <= now) {
@@ -303,17 +400,20 @@
     }
 
     /// The machine at an address; none where it is gone.
-    fn name_of(&self, address: SocketAddrV4) -> Option<String> {
+    fn name_of(&self, address: SocketAddrV4) -> Option<&String> {
         let found = self.machines.iter().find(|(_, machine)| machine.address == address);
-        found.map(|(name, _)| name.clone())
+        found.map(|(name, _)| name)
     }
 
     fn deliver(&mut self) {
         let now = self.now;
+        if !self.wires.iter().any(|wire| wire.at <= now) {
+            return;
+        }
         let mut due = Vec::new();
         let mut later = Vec::new();
         for wire in std::mem::take(&mut self.wires) {
-            let Some(to) = self.name_of(wire.envelope.to.address) else { continue };
+            let Some(to) = self.name_of(wire.envelope.to.address).cloned() else { continue };
             let frozen = self.machines[&to].frozen_until > now;
             if wire.at <= now && !frozen { due.push((to, wire.envelope)) } else { later.push(wire) }
         }
@@ -345,10 +445,14 @@
                 }
                 Effect::Reply { ticket, outcome } => {
                     if outcome == Outcome::Done {
-                        self.acknowledged.push(self.asked[&ticket].clone());
+                        self.acknowledge(ticket);
                     }
                     self.outcomes.insert(ticket, outcome);
                 }
+                Effect::Read { ticket, reading } => {
+                    self.check_reading(ticket, &reading);
+                    self.readings.insert(ticket, reading);
+                }
                 Effect::Committed | Effect::Entered { .. } => {}
             }
         }
@@ -356,16 +460,37 @@
     }
 
     fn send(&mut self, from: &str, envelope: Envelope) {
-        let Some(to) = self.name_of(envelope.to.address) else { return };
+        let Some(to) = self.name_of(envelope.to.address).cloned() else { return };
         if self.cut.contains(&(from.to_owned(), to)) || self.rng.f64() < self.loss {
             return;
         }
         let bytes = encode_message(&envelope.message);
+        self.bytes_sent += bytes.len() as u64;
         let message = decode_message(&bytes);
-        let at = self.now + self.latency + self.rng.u64(0..=self.latency);
+        let is_late = self.late > 0.0 && self.rng.f64() < self.late;
+        let delay = if is_late { self.rng.u64(0..=LONGEST_DELAY) } else { self.rng.u64(0..=self.latency) };
+        let at = self.now + self.latency + delay;
         self.wires.push(Wire { at, envelope: Envelope { message, ..envelope } });
     }
 
+    fn acknowledge(&mut self, ticket: u64) {
+        let change = self.asked[&ticket].clone();
+        if let Change::Configuration { body, .. } = &change {
+            let version = Configuration::parse(body).expect("an accepted configuration").version;
+            self.newest_version = self.newest_version.max(version);
+        }
+        self.acknowledged.push(change);
+    }
+
+    /// What is read is never older than what was acknowledged before the question.
+    fn check_reading(&self, ticket: u64, reading: &Reading) {
+        if let Reading::Newest(configuration) = reading {
+            let read = configuration.as_ref().map_or(0, |stored| stored.version);
+            let newest = self.asked_at_version[&ticket];
+            assert!(read >= newest, "{read} was read after {newest} had been acknowledged");
+        }
+    }
+
     /// No replica goes back, and no two of them commit different changes at one place.
     fn check(&mut self, name: &str) {
         let now = self.now;
@@ -373,6 +498,13 @@
         let Some(node) = &machine.node else { return };
         let index = node.state().position.index;
         assert!(index >= machine.shown, "{name} went back from {} to {index}", machine.shown);
+        if index != machine.shown {
+            let mut digest = DefaultHasher::new();
+            node.state().hash(&mut digest);
+            let digest = digest.finish();
+            let first = *self.committed.entry(index).or_insert(digest);
+            assert_eq!(first, digest, "{name} committed something else at {index}");
+        }
         machine.shown = index;
         if let Some(epoch) = node.leads(now) {
             let id = node.id().clone();
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -191,8 +191,7 @@
     for (model, target) in &recovered.state.weights {
         let _ = writeln!(text, "weights of {model}: version {}", target.version);
     }
-    if let Some(accepted) = &recovered.votes.accepted {
-        let view = &accepted.view;
+    if let Some(view) = &recovered.votes.decided {
         let names = |replicas: &std::collections::BTreeSet<control::view::ReplicaId>| {
             replicas.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
         };
--- a/router/src/control_api.rs
+++ b/router/src/control_api.rs
@@ -148,7 +148,7 @@
                 "X-Base-Version is missing or no whole number: name the version in force",
             );
         };
-        self.change(Change::Configuration { base, body: body.to_vec() }).await
+        self.change(Change::Configuration { base, body: body[..].into() }).await
     }
 
     async fn put_version(&self, body: Option<Bytes>) -> Response {
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod faults;
 mod members;
 mod operators;
+mod peers;
 mod pulls;
 mod registration;
 mod service;
@@ -21,6 +22,7 @@
 use control::directory::{Directory, Key, Member, MemberStatus, Origin, Value};
 use control::silence::Silence;
 use control::view::{Epoch, ReplicaId};
+use peers::Peers;
 use pulls::WHOLE_ANSWERS_KB;
 use routing::faults::FaultEvidence;
 use routing::locations::Locations;
@@ -60,9 +62,11 @@
     leader: Mutex<Option<(Epoch, ReplicaId)>>,
     /// When the control state, as pulled from others, was last known to be the newest.
     pulled_current_at: Mutex<Option<Millis>>,
+    /// When the process started.
+    begun: Millis,
     leaving: AtomicBool,
     news: watch::Sender<u64>,
-    spread: watch::Sender<u64>,
+    peers: watch::Sender<Peers>,
     whole_answers: Arc<Semaphore>,
 }
 
@@ -83,9 +87,10 @@
             heard_backends: Mutex::new(Silence::new(now)),
             leader: Mutex::new(None),
             pulled_current_at: Mutex::new(None),
+            begun: now,
             leaving: AtomicBool::new(false),
             news: watch::Sender::new(0),
-            spread: watch::Sender::new(0),
+            peers: watch::Sender::default(),
             whole_answers: Arc::new(Semaphore::new(WHOLE_ANSWERS_KB as usize)),
             settings,
         };
--- a/router/src/fleet/operators.rs
+++ b/router/src/fleet/operators.rs
@@ -11,8 +11,7 @@
 impl Fleet {
     /// Makes an operator's change, here or at the primary.
     pub async fn submit(&self, change: Change, hops: u8) -> Outcome {
-        let leads = self.replica.as_ref().is_some_and(ReplicaHandle::leads);
-        if leads && let Some(replica) = &self.replica {
+        if let Some(replica) = self.own_primary() {
             return replica.submit(change).await;
         }
         if hops == 0 {
@@ -32,8 +31,9 @@
 
     /// The newest configuration. The outer value is none where nobody can tell at present.
     pub async fn read_configuration(&self, hops: u8) -> Option<Option<Vec<u8>>> {
-        if let Some(replica) = self.replica.as_ref().filter(|replica| replica.leads()) {
-            return replica.read().await;
+        if let Some(replica) = self.own_primary() {
+            let stored = replica.read().await?;
+            return Some(stored.map(|stored| stored.body.to_vec()));
         }
         if hops == 0 {
             return None;
@@ -48,6 +48,11 @@
         None
     }
 
+    /// The replica here, if it is the primary.
+    fn own_primary(&self) -> Option<&ReplicaHandle> {
+        self.replica.as_ref().filter(|replica| replica.is_primary())
+    }
+
     /// Addresses to pass a call on to: the primary, then another node that may know a newer one.
     fn way_to_the_primary(&self) -> Vec<SocketAddrV4> {
         let own = self.settings.internal_address();
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -6,9 +6,9 @@
 use crate::protocol::{PullRequest, Pulled, Request, Response};
 use crate::replica::ReplicaHandle;
 use control::Millis;
-use control::directory::{Key, MemberStatus, Origin, Value};
+use control::directory::{Key, MemberStatus, Value};
 use std::net::SocketAddrV4;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a pull may wait for news.
 pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
@@ -70,6 +70,7 @@
     /// while longer, as asking again would only add to what is queued.
     pub async fn pull(&self, from: SocketAddrV4, wait: Duration, is_late: impl FnOnce()) -> Pull {
         let request = self.pull_request(wait);
+        let asked_at = clock::now();
         // Whoever has nothing yet gets everything, and many may ask for that at once.
         let patience = if request.base.is_none() { WHOLE_PATIENCE } else { NEWS_PATIENCE };
         let asked = self.links.ask(from, Request::Pull(request), wait + ANSWER_PATIENCE);
@@ -88,26 +89,27 @@
         if !changed.is_empty() || news {
             self.announce();
         }
-        self.note_age(pulled.age_ms);
+        self.note_age(asked_at + pulled.held_ms, pulled.age_ms);
         let is_in_touch = pulled.age_ms.is_some_and(|age| age < OUT_OF_TOUCH);
         if is_in_touch { Pull::Answered } else { Pull::OutOfTouch }
     }
 
-    /// Another node's state, which is here now, was last known to be the newest so long ago.
-    fn note_age(&self, age_ms: Option<u64>) {
-        let at = age_ms.map(|age| clock::now().saturating_sub(age));
+    /// Another node's state, which is here now, was last known to be the newest so long before it was sent, which was not
+    /// before this moment: however long the answer took on its way, it is not taken for newer than it is.
+    fn note_age(&self, sent_at: Millis, age_ms: Option<u64>) {
+        let at = age_ms.map(|age| sent_at.saturating_sub(age));
         let mut known = lock(&self.pulled_current_at);
         *known = (*known).max(at);
     }
 
     /// How long ago the control state here was last known to be the newest; none where it never was.
-    fn age(&self) -> Option<Millis> {
+    pub(super) fn age(&self) -> Option<Millis> {
         let own = self.replica.as_ref().and_then(ReplicaHandle::current_at);
         let at = own.max(*lock(&self.pulled_current_at))?;
         Some(clock::now().saturating_sub(at))
     }
 
-    fn is_in_touch(&self) -> bool {
+    pub(super) fn is_in_touch(&self) -> bool {
         self.age().is_some_and(|age| age < OUT_OF_TOUCH)
     }
 
@@ -126,11 +128,8 @@
     pub(super) async fn answer_pull(&self, request: PullRequest) -> Answer {
         self.take_member(&request);
         let mut news = self.subscribe();
-        // Whoever asks with a vector has what this node wrote up to there.
-        let knows = request.vector.get(&Origin(self.life)).copied().unwrap_or(0);
-        if request.member.replica.is_some() {
-            self.spread.send_modify(|spread| *spread = (*spread).max(knows));
-        }
+        self.hear_of_peer(&request);
+        let begun = Instant::now();
         let wait = tokio::time::sleep(Duration::from_millis(request.wait_ms));
         let loses_touch = self.loses_touch();
         tokio::pin!(wait, loses_touch);
@@ -161,6 +160,7 @@
             state: lock(&self.published).news_for(request.position, request.base),
             leader: self.leader(),
             age_ms: self.age(),
+            held_ms: begun.elapsed().as_millis() as u64,
         };
         Answer { response: Response::Pulled(Box::new(pulled)), permit }
     }
--- a/router/src/fleet/registration.rs
+++ b/router/src/fleet/registration.rs
@@ -5,22 +5,28 @@
 use crate::protocol::{Request, Response};
 use compact_str::CompactString;
 use control::Millis;
-use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Origin, Value};
+use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Value};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-/// How long an acknowledgement of a draining backend waits for another node to know of it.
-const DRAIN_SPREAD: Duration = Duration::from_millis(300);
+/// How long the end of a backend may take to reach a majority of the nodes that hold the control state.
+const DRAIN_SPREAD: Duration = Duration::from_millis(400);
+/// How long a heartbeat may take altogether; its sender goes elsewhere after a second.
+const REGISTRATION_PATIENCE: Duration = Duration::from_millis(900);
 
 impl Fleet {
     /// Takes a backend's heartbeat or end, here or at a node with a replica. The value says whether it is
     /// acknowledged, and where later heartbeats should go.
     pub async fn register(&self, id: CompactString, backend: Backend) -> Option<Option<SocketAddrV4>> {
         if self.replica.is_some() && !self.is_leaving() {
-            return Some(self.take_backend(id, backend).await);
+            return self.take_backend(id, backend).await;
         }
-        for member in self.replicas_for(&id).into_iter().take(2) {
+        tokio::time::timeout(REGISTRATION_PATIENCE, self.pass_on(id, backend)).await.ok().flatten()
+    }
+
+    async fn pass_on(&self, id: CompactString, backend: Backend) -> Option<Option<SocketAddrV4>> {
+        for member in self.replicas_for(&id) {
             let request = Request::Register { id: id.clone(), backend: backend.clone() };
             let asked = self.links.ask(member.internal, request, FORWARD_PATIENCE / 2).await;
             if let Some(Response::Registered(address)) = asked {
@@ -39,10 +45,19 @@
         members
     }
 
-    pub(super) async fn take_backend(&self, id: CompactString, mut backend: Backend) -> Option<SocketAddrV4> {
+    /// Takes a backend's heartbeat or end at a node with a replica. A heartbeat is acknowledged where it reaches the fleet; an
+    /// end only once a majority of the nodes that hold the control state know it, as the acknowledgement binds all routers.
+    pub(super) async fn take_backend(
+        &self,
+        id: CompactString,
+        mut backend: Backend,
+    ) -> Option<Option<SocketAddrV4>> {
+        let leaves = backend.phase != BackendPhase::Ready;
+        if !leaves && !self.takes_registrations() {
+            return None;
+        }
         backend.owner = self.settings.node_name.clone();
         let key = Key::Backend(id.clone());
-        let leaves = backend.phase != BackendPhase::Ready;
         if backend.phase == BackendPhase::Gone {
             lock(&self.heard_backends).forget(&id);
         } else {
@@ -50,11 +65,11 @@
         }
         let zone = backend.zone.clone();
         let address = self.address_for(&id, &zone);
-        let changed = self.put_backend(key, backend);
-        if leaves && changed {
-            self.wait_until_spread().await;
+        self.put_backend(key.clone(), backend);
+        if leaves && !self.reaches_majority(&key, DRAIN_SPREAD).await {
+            return None;
         }
-        address
+        Some(address)
     }
 
     /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on.
@@ -81,15 +96,6 @@
         changed
     }
 
-    /// Waits until another node with a replica has what this one has written, as far as there is one in reach.
-    async fn wait_until_spread(&self) {
-        let own = lock(&self.directory).vector().get(&Origin(self.life)).copied().unwrap_or(0);
-        let mut spread = self.spread.subscribe();
-        let known = spread.wait_for(|known| *known >= own);
-        // Without another node in reach the backend's own repetition has to do.
-        let _ = tokio::time::timeout(DRAIN_SPREAD, known).await;
-    }
-
     /// Where a backend should send its heartbeats: to a node with a replica in its zone. Backends are spread over these.
     fn address_for(&self, id: &str, zone: &str) -> Option<SocketAddrV4> {
         let members = self.replica_members();
--- a/router/src/fleet/service.rs
+++ b/router/src/fleet/service.rs
@@ -29,10 +29,12 @@
                     Some(Response::Configuration(self.read_configuration(hops.min(MOST_HOPS)).await))
                 }
                 Request::Register { id, backend } => {
-                    if self.replica.is_none() || self.is_leaving() {
-                        return None;
-                    }
-                    Some(Response::Registered(self.take_backend(id, backend).await))
+                    let taken = if self.replica.is_none() || self.is_leaving() {
+                        None
+                    } else {
+                        self.take_backend(id, backend).await
+                    };
+                    Some(taken.map_or(Response::NotRegistered, Response::Registered))
                 }
                 Request::Compare { range } => {
                     let digests = Digests::new(lock(&self.directory).hashes());
--- a/router/src/membership.rs
+++ b/router/src/membership.rs
@@ -7,9 +7,9 @@
 use compact_str::CompactString;
 use control::digest::{Digests, Range};
 use control::directory::{Key, Member, MemberStatus, Value, VersionVector};
-use control::message::{Envelope, Message};
+use control::node::Timing;
 use control::ring;
-use control::view::{ReplicaId, View};
+use control::view::ReplicaId;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -23,7 +23,11 @@
 /// A founder waits until no further replica has come up for so long.
 const FOUNDING_CALM: Duration = Duration::from_millis(400);
 /// The longest that a founder waits, so that replicas that never come do not hold up the system.
-const FOUNDING_PATIENCE: Duration = Duration::from_millis(2_500);
+const FOUNDING_PATIENCE: Duration = Duration::from_millis(4_000);
+/// Time between two attempts to found the system.
+const FOUNDING_AGAIN: Duration = Duration::from_millis(400);
+/// Each seed waits so much longer than the one before it.
+const FOUNDER_TURN: Duration = Duration::from_millis(1_500);
 /// What has ended is forgotten after one to two times this.
 const PRUNE: Duration = Duration::from_secs(120);
 /// Time between two comparisons with another holder.
@@ -122,13 +126,15 @@
     }
 }
 
-/// The first seed of a system that starts for the first time names the replicas.
+/// A seed of a system that starts for the first time has the seeds decide the first view. The first seed does so at once, the
+/// others where it does not.
 pub async fn found(fleet: Arc<Fleet>) {
     let settings = &fleet.settings;
-    let is_founder = settings.listen.control_plane.is_some_and(|own| settings.seeds.first() == Some(&own));
-    if !settings.bootstrap || !is_founder {
-        return;
-    }
+    let own = settings.listen.control_plane;
+    let place = settings.seeds.iter().position(|seed| Some(*seed) == own);
+    let (Some(place), Some(replica), true) = (place, &fleet.replica, settings.bootstrap) else { return };
+    let fewest = Timing::tolerating(settings.fault_tolerance.machines).fewest_witnesses();
+    tokio::time::sleep(FOUNDER_TURN * place as u32).await;
     let begun = Instant::now();
     let mut known = BTreeSet::new();
     let mut since = Instant::now();
@@ -142,29 +148,31 @@
         if replicas != known {
             (known, since) = (replicas, Instant::now());
         }
-        let calm = since.elapsed() > FOUNDING_CALM && begun.elapsed() > 2 * FOUNDING_CALM;
-        if known.is_empty() || !(calm || begun.elapsed() > FOUNDING_PATIENCE) {
+        let is_calm = since.elapsed() > FOUNDING_CALM && begun.elapsed() > 2 * FOUNDING_CALM;
+        let are_all_here = is_calm && known.len() >= fewest;
+        if !are_all_here && begun.elapsed() < FOUNDING_PATIENCE {
             continue;
         }
-        propose_first_view(&fleet, &known);
-        since = Instant::now();
+        log::info!("founding the control state with {} replicas", known.len());
+        replica.found(electorate(&fleet), known.clone());
+        tokio::time::sleep(FOUNDING_AGAIN).await;
     }
 }
 
-fn propose_first_view(fleet: &Fleet, replicas: &BTreeSet<ReplicaId>) {
-    let Some(primary) = replicas.iter().min_by_key(|replica| &replica.node).cloned() else { return };
-    let view =
-        View { epoch: 1, primary: primary.clone(), in_sync: replicas.clone(), witnesses: replicas.clone() };
-    log::info!("founding the control state with {} replicas", replicas.len());
-    for replica in replicas {
-        let message = Message::Found { view: view.clone() };
-        let envelope = Envelope { from: primary.clone(), to: replica.clone(), message };
-        if let Some(own) = fleet.replica.as_ref().filter(|own| own.id == *replica) {
-            own.receive(Box::new(envelope));
-        } else {
-            fleet.links.tell(replica.address, Request::Replica(Box::new(envelope)));
+/// The replicas at the addresses of the seeds. One that was not heard yet counts as well, under a name that nobody has, so
+/// that no two founders take different nodes for all.
+fn electorate(fleet: &Fleet) -> BTreeSet<ReplicaId> {
+    const UNHEARD: u64 = 0;
+    let directory = lock(&fleet.directory);
+    let seeds = fleet.settings.seeds.iter().map(|seed| fleet.settings.internal_address_of(*seed));
+    let replica_at = |address: SocketAddrV4| {
+        let member = directory.members().map(|(_, member)| member).find(|member| member.internal == address);
+        match member {
+            Some(member) => member.replica.clone(),
+            None => Some(ReplicaId { disk: UNHEARD, node: CompactString::default(), address }),
         }
-    }
+    };
+    seeds.filter_map(replica_at).collect()
 }
 
 /// Now and then compares records with another holder, and fetches what differs.
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -105,7 +105,7 @@
     Outcome(Outcome),
     /// To a question for the configuration: whether it could be told, and its body.
     Configuration(Option<Option<Vec<u8>>>),
-    /// To a heartbeat: where later ones are to go. None where it was not taken.
+    /// To a heartbeat that is acknowledged: where later ones are to go.
     Registered(Option<SocketAddrV4>),
     /// To a question whether a store answers; none where the router does not know.
     StoreStatus(Option<StoreStatus>),
@@ -115,6 +115,8 @@
     Summary(Summary),
     /// To a fetch.
     Records(Vec<Record>),
+    /// To a heartbeat that is not acknowledged here.
+    NotRegistered,
 }
 
 /// How a store stands.
@@ -158,6 +160,8 @@
     pub leader: Option<(Epoch, ReplicaId)>,
     /// So many milliseconds ago the answerer's control state was last known to be the newest; none where it never was.
     pub age_ms: Option<u64>,
+    /// So many milliseconds the answer was held back for news.
+    pub held_ms: u64,
 }
 
 /// The committed control state as routers use it.
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -58,7 +58,7 @@
         let configuration = state.configuration.as_ref();
         if let Some(stored) = configuration.filter(|stored| Some(stored.version) != self.version()) {
             let mut history = self.history.clone();
-            history.advance(stored.version, stored.body.clone());
+            history.advance(stored.version, stored.body.to_vec());
             self.load(history);
         }
         self.position = state.position;
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -5,10 +5,12 @@
 use crate::fleet::Fleet;
 use crate::links::lock;
 use crate::protocol::Request;
+use compact_str::CompactString;
 use control::Millis;
-use control::changes::{Change, Outcome};
+use control::changes::{Change, Outcome, Reading};
 use control::message::Envelope;
-use control::node::{ControlNode, Effect};
+use control::node::{ControlNode, Effect, RoleName};
+use control::state::StoredConfiguration;
 use control::view::{Epoch, ReplicaId, View};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
@@ -27,18 +29,26 @@
 enum Input {
     Message(Box<Envelope>),
     Submit(Change, oneshot::Sender<Outcome>),
-    Read(oneshot::Sender<Option<Option<Vec<u8>>>>),
-    Found(View),
-    Resign,
+    Read(oneshot::Sender<Reading>),
+    Found { electorate: BTreeSet<ReplicaId>, replicas: BTreeSet<ReplicaId> },
+    Leave,
 }
 
 /// What others may see of the replica.
-#[derive(Debug, Default)]
-struct Shown {
-    lease: Option<(Epoch, Millis)>,
-    current_at: Option<Millis>,
-    has_view: bool,
-    status: String,
+#[derive(Debug, Clone, Default)]
+pub struct Shown {
+    /// The fencing token of the lease, and until when it is held.
+    pub lease: Option<(Epoch, Millis)>,
+    /// When the committed state was last known to be the newest.
+    pub current_at: Option<Millis>,
+    /// The newest view that is known to be decided.
+    pub view: Option<Arc<View>>,
+    /// The present role.
+    pub role: Option<RoleName>,
+    /// Whether the process may end without a change waiting for this replica, or its copy being one of too few.
+    pub may_end: bool,
+    /// A line for operators.
+    pub status: String,
 }
 
 /// The way to the task.
@@ -60,6 +70,11 @@
         (ReplicaHandle { id, inputs, shown: Arc::default() }, Inputs(queue))
     }
 
+    /// Sets what others may see.
+    pub fn show(&self, shown: Shown) {
+        *lock(&self.shown) = shown;
+    }
+
     /// Passes on a message of another replica; dropped where too many wait.
     pub fn receive(&self, envelope: Box<Envelope>) {
         // A lost message is sent again by its sender.
@@ -81,9 +96,21 @@
         lock(&self.shown).current_at
     }
 
-    /// Whether it knows any view.
-    pub fn has_view(&self) -> bool {
-        lock(&self.shown).has_view
+    /// Whether this replica is the primary, also while it is not in step with its backups yet: calls may wait here.
+    pub fn is_primary(&self) -> bool {
+        matches!(lock(&self.shown).role, Some(RoleName::Primary | RoleName::StartingPrimary))
+    }
+
+    /// The nodes whose replicas are witnesses of the newest view that is known here.
+    pub fn witness_nodes(&self) -> BTreeSet<CompactString> {
+        let view = lock(&self.shown).view.clone();
+        view.map(|view| view.witnesses.iter().map(|witness| witness.node.clone()).collect())
+            .unwrap_or_default()
+    }
+
+    /// Whether the process may end without a change waiting for this replica, or its copy being one of too few.
+    pub fn may_end(&self) -> bool {
+        lock(&self.shown).may_end
     }
 
     /// A line for operators.
@@ -100,23 +127,27 @@
         outcome.await.unwrap_or(Outcome::Unknown)
     }
 
-    /// The newest configuration; none where this replica can't tell.
-    pub async fn read(&self) -> Option<Option<Vec<u8>>> {
+    /// The newest configuration; the outer value is none where this replica can't tell. A majority has confirmed after the
+    /// call that this replica is the primary.
+    pub async fn read(&self) -> Option<Option<StoredConfiguration>> {
         let (reply, answer) = oneshot::channel();
         self.inputs.send(Input::Read(reply)).await.ok()?;
-        let answer = answer.await.ok()?;
-        // The lease has to hold when the answer goes out, not only when it was made.
-        answer.filter(|_| self.leads())
+        match answer.await.ok()? {
+            Reading::Newest(configuration) => Some(configuration),
+            Reading::Unknown => None,
+        }
     }
 
-    /// Founds a new system.
-    pub fn found(&self, view: View) {
-        let _ = self.inputs.try_send(Input::Found(view));
+    /// Has the first view of a new system decided.
+    pub fn found(&self, electorate: BTreeSet<ReplicaId>, replicas: BTreeSet<ReplicaId>) {
+        // Tried again by whoever founds, as long as there is no view.
+        let _ = self.inputs.try_send(Input::Found { electorate, replicas });
     }
 
-    /// Hands the role over, as the process is about to end.
-    pub fn resign(&self) {
-        let _ = self.inputs.try_send(Input::Resign);
+    /// The process is about to end: hands the role over, and asks to be taken out of the view.
+    pub async fn leave(&self) {
+        // Nobody is there to be told where the task has ended.
+        let _ = self.inputs.send(Input::Leave).await;
     }
 }
 
@@ -127,6 +158,7 @@
     handle: ReplicaHandle,
     tickets: u64,
     callers: HashMap<u64, oneshot::Sender<Outcome>>,
+    readers: HashMap<u64, oneshot::Sender<Reading>>,
     saved: u64,
     save_at: Millis,
 }
@@ -140,8 +172,8 @@
     handle: ReplicaHandle,
     mut inputs: Inputs,
 ) {
-    let (callers, save_at) = (HashMap::new(), clock::now() + SAVE);
-    let mut task = Task { node, disk, fleet, handle, tickets: 0, callers, saved: 0, save_at };
+    let (callers, readers, save_at) = (HashMap::new(), HashMap::new(), clock::now() + SAVE);
+    let mut task = Task { node, disk, fleet, handle, tickets: 0, callers, readers, saved: 0, save_at };
     task.fleet.publish_own(task.node.state());
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -169,13 +201,12 @@
                 self.node.submit(self.tickets, change, now);
             }
             Input::Read(reply) => {
-                let body = self.node.state().configuration.as_ref().map(|stored| stored.body.clone());
-                let answer = self.node.leads(now).map(|_| body);
-                // The caller may have given up.
-                let _ = reply.send(answer);
+                self.tickets += 1;
+                self.readers.insert(self.tickets, reply);
+                self.node.read(self.tickets, now);
             }
-            Input::Found(view) => self.node.found(view, now),
-            Input::Resign => self.node.resign("the process is about to end", now),
+            Input::Found { electorate, replicas } => self.node.found(electorate, replicas, now),
+            Input::Leave => self.node.leave(now),
         }
     }
 
@@ -217,6 +248,12 @@
                         let _ = caller.send(outcome);
                     }
                 }
+                Effect::Read { ticket, reading } => {
+                    if let Some(reader) = self.readers.remove(&ticket) {
+                        // The caller may have given up.
+                        let _ = reader.send(reading);
+                    }
+                }
                 Effect::Committed => committed = true,
                 Effect::Entered { role, epoch, cause } => {
                     log::info!("control state: {role:?} in epoch {epoch}: {cause}");
@@ -235,16 +272,21 @@
     }
 
     fn show(&self) {
-        let now = clock::now();
-        let mut shown = lock(&self.handle.shown);
-        shown.lease = self.node.lease(now);
-        shown.current_at = self.node.current_at(now);
-        shown.has_view = self.node.view().is_some();
-        shown.status = format!(
-            "{:?} in epoch {}, change {}",
-            self.node.role(),
-            self.node.epoch(),
-            self.node.state().position.index
-        );
+        let (now, node) = (clock::now(), &self.node);
+        let former = lock(&self.handle.shown).view.clone();
+        let is_same = former.as_ref().map(|view| view.epoch) == node.view().map(|view| view.epoch);
+        self.handle.show(Shown {
+            lease: node.lease(now),
+            current_at: node.current_at(now),
+            view: if is_same { former } else { node.view().cloned().map(Arc::new) },
+            role: Some(node.role()),
+            may_end: node.may_end(),
+            status: format!(
+                "{:?} in epoch {}, change {}",
+                node.role(),
+                node.epoch(),
+                node.state().position.index
+            ),
+        });
     }
 }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -17,9 +17,9 @@
 use crate::settings::{Settings, SettingsError};
 use crate::upstreams;
 use crate::weights::Orders;
-use control::node::{ControlNode, Timing};
+use control::node::{ControlNode, Identity, Timing};
 use control::storage::Recovered;
-use control::view::ReplicaId;
+use control::view::{Life, ReplicaId};
 use poem::http::StatusCode;
 use poem::listener::TcpListener;
 use poem::{Endpoint, Request, Response, Result, Server};
@@ -85,7 +85,7 @@
     inputs: replica::Inputs,
 }
 
-fn open_replica(settings: &Settings) -> std::result::Result<Option<Replica>, ServeError> {
+fn open_replica(settings: &Settings, life: Life) -> std::result::Result<Option<Replica>, ServeError> {
     let Some(folder) = settings.data_directory.as_ref().filter(|_| settings.has_replica()) else {
         return Ok(None);
     };
@@ -99,16 +99,18 @@
         address: settings.internal_address(),
     };
     let timing = Timing::tolerating(settings.fault_tolerance.machines);
-    let node = ControlNode::new(id.clone(), recovered, timing, crate::clock::now());
+    let identity = Identity { id: id.clone(), life, may_found: settings.bootstrap };
+    let node = ControlNode::new(identity, recovered, timing, crate::clock::now());
     let (handle, inputs) = ReplicaHandle::new(id);
     Ok(Some(Replica { node, disk, stored, handle, inputs }))
 }
 
 async fn serve(settings: Settings, path: PathBuf) -> std::result::Result<(), ServeError> {
     let settings = Arc::new(settings);
-    let replica = open_replica(&settings)?;
+    let life = fastrand::u64(1..);
+    let replica = open_replica(&settings, life)?;
     let handle = replica.as_ref().map(|replica| replica.handle.clone());
-    let fleet = Fleet::new(settings.clone(), handle.clone(), fastrand::u64(1..));
+    let fleet = Fleet::new(settings.clone(), handle.clone(), life);
     if let Some(folder) = settings.data_directory.as_ref().filter(|_| settings.has_replica()) {
         fleet.restore(disk::read_fleet(folder));
     }
@@ -204,7 +206,7 @@
     let begun = Instant::now();
     fleet.leave();
     if let Some(replica) = &fleet.replica {
-        replica.resign();
+        replica.leave().await;
     }
     tokio::time::sleep(STILL_TAKING.min(grace / 2)).await;
     // Nobody waits any more where the interface has ended by itself.
@@ -215,9 +217,28 @@
             log::warn!("the grace period is over and requests are still open");
         }
     }
+    if let Some(replica) = &fleet.replica {
+        wait_for_other_copies(replica, grace.saturating_sub(begun.elapsed())).await;
+    }
     Ok(())
 }
 
+/// Stays until the control state stands elsewhere as often as it has to, as far as there is time.
+async fn wait_for_other_copies(replica: &ReplicaHandle, patience: Duration) {
+    const LOOK: Duration = Duration::from_millis(50);
+    let begun = Instant::now();
+    if !replica.may_end() {
+        log::info!("this node's copy of the control state is still needed: waiting for another one");
+    }
+    while !replica.may_end() {
+        if begun.elapsed() >= patience {
+            log::warn!("the grace period is over and this node's copy is still needed: start it again soon");
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Whether clients may come.
 struct Ready {
     fleet: Arc<Fleet>,
--- a/router/src/traffic.rs
+++ b/router/src/traffic.rs
@@ -62,7 +62,7 @@
         match response {
             Response::Pulled(_) => MessageKind::Pull,
             Response::Outcome(_) | Response::Configuration(_) => MessageKind::Operator,
-            Response::Registered(_) => MessageKind::Register,
+            Response::Registered(_) | Response::NotRegistered => MessageKind::Register,
             Response::StoreStatus(_) | Response::Located(_) => MessageKind::Locate,
             Response::Summary(_) | Response::Records(_) => MessageKind::Repair,
         }
--- a/router/tests/published.rs
+++ b/router/tests/published.rs
@@ -19,7 +19,7 @@
 
 fn change(state: &mut ControlState, version: u64) {
     let position = Position { index: state.position.index + 1, epoch: 1 };
-    let change = Change::Configuration { base: state.version(), body: body(version) };
+    let change = Change::Configuration { base: state.version(), body: body(version).into() };
     state.apply(&Update { position, change });
 }
 
@@ -59,7 +59,7 @@
     // This holder's version 1 is not what its source has under that number.
     let mut state = ControlState::default();
     let other = String::from_utf8(body(1)).expect("text").replace("a.example", "b.example");
-    let change = Change::Configuration { base: 0, body: other.into_bytes() };
+    let change = Change::Configuration { base: 0, body: other.into_bytes().into() };
     state.apply(&Update { position: Position { index: 1, epoch: 1 }, change });
     let mut holder = Published::default();
     holder.take_own(&state);
--- a/router/tests/registration.rs
+++ b/router/tests/registration.rs
@@ -1,11 +1,11 @@
 //! Heartbeats of backends: where they are sent, and what they change.
 
 use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Value};
-use control::view::ReplicaId;
+use control::view::{ReplicaId, View};
 use router::fleet::Fleet;
-use router::replica::ReplicaHandle;
+use router::replica::{ReplicaHandle, Shown};
 use router::settings::Settings;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::Arc;
@@ -36,6 +36,11 @@
         "internalPortRange":[7560,7575],"seeds":["10.0.0.1:8381"]}"#;
     let settings = Settings::parse(Path::new("settings.json"), text.as_bytes()).expect("settings");
     let (handle, _) = ReplicaHandle::new(replica(1));
+    let witnesses: BTreeSet<ReplicaId> = (1..=5).map(replica).collect();
+    let view = View { epoch: 1, primary: replica(1), in_sync: witnesses.clone(), witnesses };
+    // In touch for as long as the test takes.
+    let current_at = Some(router::clock::now() + 60_000);
+    handle.show(Shown { view: Some(Arc::new(view)), current_at, ..Shown::default() });
     let fleet = Fleet::new(Arc::new(settings), Some(handle), 1);
     for (number, zone) in [(2, "a"), (3, "a"), (4, "b"), (5, "b")] {
         put(&fleet, number, zone, MemberStatus::Up);
