--- a/control/src/node/primary.rs
+++ b/control/src/node/primary.rs
@@ -25,8 +25,8 @@
     pub(super) holds: Option<Position>,
     /// The last change that it was sent.
     pub(super) sent: Option<Position>,
-    /// When it was sent something last.
-    pub(super) sent_at: Millis,
+    /// When it last stored something more, or was sent what it lacked.
+    pub(super) went_on_at: Millis,
     /// How many whole states it was sent since it was last in step.
     pub(super) installs: u32,
 }
--- a/control/src/node/replication.rs
+++ b/control/src/node/replication.rs
@@ -66,7 +66,7 @@
         if self.commit_up_to(committed) {
             self.tell_committed();
         }
-        self.note_holds(&from, last);
+        self.note_holds(&from, last, now);
         let own_last = self.last();
         let is_in_sync = self.view().is_some_and(|view| view.in_sync.contains(&from));
         let Role::Primary(primary) = &mut self.role else { return };
@@ -88,11 +88,14 @@
         }
     }
 
-    fn note_holds(&mut self, replica: &ReplicaId, holds: Position) {
+    fn note_holds(&mut self, replica: &ReplicaId, holds: Position, now: Millis) {
         let own_last = self.last();
         let Role::Primary(primary) = &mut self.role else { return };
         let transfer = primary.transfers.entry(replica.clone()).or_default();
-        transfer.holds = Some(holds);
+        if transfer.holds != Some(holds) {
+            transfer.holds = Some(holds);
+            transfer.went_on_at = now;
+        }
         if holds == own_last {
             transfer.installs = 0;
         }
@@ -106,7 +109,8 @@
         }
         let Role::Primary(primary) = &self.role else { return };
         let transfer = primary.transfers.get(replica).cloned().unwrap_or_default();
-        let is_under_way = transfer.sent.is_some_and(|sent| sent != holds) && now < transfer.sent_at + resend;
+        let is_under_way =
+            transfer.sent.is_some_and(|sent| sent != holds) && now < transfer.went_on_at + resend;
         if is_under_way {
             return;
         }
@@ -129,7 +133,7 @@
         let is_whole = self.backlog.after(holds).is_none();
         let Role::Primary(primary) = &mut self.role else { return };
         let transfer = primary.transfers.entry(replica.clone()).or_default();
-        (transfer.sent, transfer.sent_at) = (sent, now);
+        (transfer.sent, transfer.went_on_at) = (sent, now);
         transfer.installs += u32::from(is_whole);
     }
 
@@ -235,14 +239,13 @@
         let Role::Primary(primary) = &self.role else { return };
         receivers.extend(primary.joiners.keys().cloned());
         for replica in receivers {
-            // Who lacks earlier changes is sent these first.
-            self.bring_up_or_stream(&replica, previous, now);
+            self.stream(&replica, previous);
         }
         self.synchronize_own();
     }
 
     /// Sends the newest change to a replica that has, or has been sent, all before it.
-    fn bring_up_or_stream(&mut self, replica: &ReplicaId, previous: Position, now: Millis) {
+    fn stream(&mut self, replica: &ReplicaId, previous: Position) {
         let (last, own) = (self.last(), self.id().clone());
         let is_in_sync = self.view().is_some_and(|view| view.in_sync.contains(replica));
         let Role::Primary(primary) = &mut self.role else { return };
@@ -251,7 +254,7 @@
         if !has_all || *replica == own {
             return;
         }
-        (transfer.sent, transfer.sent_at) = (Some(last), now);
+        transfer.sent = Some(last);
         let epoch = self.epoch();
         if let Some(update) = self.tail.clone() {
             let updates = vec![update];
--- a/control/src/node/timing.rs
+++ b/control/src/node/timing.rs
@@ -46,7 +46,7 @@
             resend: 400,
             catch_up_pause: 1_000,
             call_patience: 3_500,
-            witness_silence: 1_000,
+            witness_silence: 750,
             copies: faults.max(1) + 1,
         }
     }
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -9,8 +9,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How many accepted configurations are remembered, so that one sent again is known.
-const REMEMBERED: usize = 4096;
+/// How many accepted configurations are remembered, so that one sent again is known. At a thousand a day these are four days;
+/// what is sent again later gets no clear answer.
+pub const REMEMBERED: usize = 4096;
 
 /// The position of a change: who ordered it, and its number.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -85,6 +86,12 @@
         self.accepted.iter().rev().any(|(_, known)| *known == fingerprint)
     }
 
+    /// Whether a configuration that builds on this version may have been taken so long ago that it is not remembered.
+    fn may_have_been_forgotten(&self, base: u64) -> bool {
+        let oldest = self.accepted.first().map_or(0, |(version, _)| *version);
+        self.accepted.len() >= REMEMBERED && base < oldest
+    }
+
     /// What a change would come to now: nothing to do, a refusal, or that it is to be made.
     pub fn judge(&self, change: &Change) -> Option<Outcome> {
         match change {
@@ -100,6 +107,9 @@
         if self.was_taken(Fingerprint::of(base, body)) {
             return Some(Outcome::Done);
         }
+        if self.may_have_been_forgotten(base) {
+            return Some(Outcome::Unknown);
+        }
         if base != self.version() {
             return Some(Outcome::Refused(Refusal::OtherVersion { current: self.version() }));
         }
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -7,7 +7,7 @@
 use control::message::{Envelope, Message};
 use control::node::{ControlNode, Effect, Identity, RoleName, Timing};
 use control::storage::{FORMAT, Record, Recovered, decode, encode};
-use control::view::ReplicaId;
+use control::view::{ReplicaId, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -23,6 +23,8 @@
     Change::Configuration { base, body: body.into_bytes().into() }
 }
 
+/// So many machines are named to all others at the first start.
+const SEEDS: usize = 3;
 /// The longest time by which a message is late.
 const LONGEST_DELAY: Millis = 3_000;
 
@@ -78,10 +80,14 @@
     pub asked: BTreeMap<u64, Change>,
     /// Holders of the lease, by epoch.
     pub holders: BTreeMap<u64, ReplicaId>,
+    /// The views that replicas took for decided, by epoch.
+    views: BTreeMap<u64, View>,
     /// What callers read, by ticket.
     pub readings: BTreeMap<u64, Reading>,
-    /// Bytes of messages that were sent.
-    pub bytes_sent: u64,
+    /// Bytes of messages that were sent to each machine.
+    bytes_sent: BTreeMap<String, u64>,
+    /// How fast links and disks are; at once where that does not matter.
+    pub bytes_per_ms: Option<u64>,
     next_disk: u64,
     next_life: u64,
     next_address: u8,
@@ -107,8 +113,10 @@
             acknowledged: Vec::new(),
             asked: BTreeMap::new(),
             holders: BTreeMap::new(),
+            views: BTreeMap::new(),
             readings: BTreeMap::new(),
-            bytes_sent: 0,
+            bytes_sent: BTreeMap::new(),
+            bytes_per_ms: None,
             next_disk: 1,
             next_life: 1,
             next_address: 0,
@@ -138,6 +146,12 @@
         self.boot(name);
     }
 
+    /// A new machine that comes after the system began.
+    pub fn add_without_founding(&mut self, name: &str) {
+        self.add(name);
+        self.machines.get_mut(name).expect("a machine").may_found = false;
+    }
+
     /// A machine is gone for good.
     pub fn remove(&mut self, name: &str) {
         self.machines.remove(name);
@@ -154,12 +168,21 @@
 
     /// A machine has the first view decided, by the replicas of the first three machines.
     pub fn found(&mut self, founder: &str) {
-        const SEEDS: usize = 3;
-        let replicas = self.replicas();
-        let electorate = replicas.iter().take(SEEDS).cloned().collect();
+        self.found_with(founder, self.machines.len());
+    }
+
+    /// A machine has the first view decided, by the replicas of the first three machines, and as far as it knows the others.
+    pub fn found_with(&mut self, founder: &str, known: usize) {
+        let seeds = self.machines.values().take(SEEDS);
+        let unheard = |address| ReplicaId { disk: 0, node: "".into(), address };
+        let replica = |machine: &Machine| machine.node.as_ref().map(|node| node.id().clone());
+        let electorate =
+            seeds.map(|machine| replica(machine).unwrap_or_else(|| unheard(machine.address))).collect();
+        let replicas = self.machines.values().take(known).filter_map(replica).collect();
         let now = self.now;
-        let machine = self.machines.get_mut(founder).expect("a machine");
-        machine.node.as_mut().expect("up").found(electorate, replicas, now);
+        if let Some(node) = &mut self.machines.get_mut(founder).expect("a machine").node {
+            node.found(electorate, replicas, now);
+        }
         self.collect(founder);
     }
 
@@ -299,6 +322,47 @@
         self.collect(name);
     }
 
+    /// Whether a machine's replica is in the primary's in-sync set, and the primary leads.
+    pub fn is_in_sync(&self, name: &str) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let view = self.machines[&primary].node.as_ref().and_then(|node| node.view());
+        let id = self.machines[name].node.as_ref().map(|node| node.id());
+        view.zip(id).is_some_and(|(view, id)| view.in_sync.contains(id))
+    }
+
+    /// How many bytes were sent to a machine.
+    pub fn bytes_sent_to(&self, name: &str) -> u64 {
+        self.bytes_sent.get(name).copied().unwrap_or(0)
+    }
+
+    /// The index of the primary's last committed change; 0 without a primary.
+    pub fn state_index(&self) -> u64 {
+        let node = self.primary().and_then(|name| self.machines[&name].node.as_ref());
+        node.map_or(0, |node| node.state().position.index)
+    }
+
+    /// The version that the primary answers a question with.
+    pub fn newest_reading(&mut self) -> Option<u64> {
+        let primary = self.primary()?;
+        let ticket = self.read(&primary);
+        assert!(self.until(1_000, |world| world.readings.contains_key(&ticket)), "it is answered");
+        match &self.readings[&ticket] {
+            Reading::Newest(Some(stored)) => Some(stored.version),
+            _ => None,
+        }
+    }
+
+    /// Puts a snapshot in place of what a disk holds, where that is longer than so many bytes.
+    pub fn compact_disks(&mut self, longest: usize) {
+        for machine in self.machines.values_mut() {
+            let Some(node) = &machine.node else { continue };
+            if machine.disk.len() > longest && machine.writes.is_empty() {
+                machine.disk.clear();
+                node.snapshot().records().iter().for_each(|record| encode(record, &mut machine.disk));
+            }
+        }
+    }
+
     /// How every machine stands, for the message of a test that fails.
     pub fn describe(&self) -> String {
         let mut text = format!("at {} ms", self.now);
@@ -326,6 +390,19 @@
         text
     }
 
+    /// Whether a machine's process may end.
+    pub fn may_end(&self, name: &str) -> bool {
+        self.machines[name].node.as_ref().is_none_or(ControlNode::may_end)
+    }
+
+    /// Whether the present view has so many witnesses, all of them replicas that run.
+    pub fn counts_only_living(&self, count: usize) -> bool {
+        let Some(primary) = self.primary() else { return false };
+        let view = self.machines[&primary].node.as_ref().and_then(|node| node.view());
+        let replicas = self.replicas();
+        view.is_some_and(|view| view.witnesses.len() == count && view.witnesses.is_subset(&replicas))
+    }
+
     /// Whether every machine runs and stores every change.
     pub fn is_whole(&self) -> bool {
         let Some(primary) = self.primary() else { return false };
@@ -440,7 +517,8 @@
                     let mut bytes = Vec::new();
                     records.iter().for_each(|record| encode(record, &mut bytes));
                     let machine = self.machines.get_mut(name).expect("a machine");
-                    let done_at = machine.sync.map_or(Millis::MAX, |sync| now + sync);
+                    let writing = self.bytes_per_ms.map_or(0, |rate| bytes.len() as u64 / rate);
+                    let done_at = machine.sync.map_or(Millis::MAX, |sync| now + sync + writing);
                     machine.writes.push(Write { sequence, bytes, done_at });
                 }
                 Effect::Reply { ticket, outcome } => {
@@ -461,15 +539,16 @@
 
     fn send(&mut self, from: &str, envelope: Envelope) {
         let Some(to) = self.name_of(envelope.to.address).cloned() else { return };
-        if self.cut.contains(&(from.to_owned(), to)) || self.rng.f64() < self.loss {
+        if self.cut.contains(&(from.to_owned(), to.clone())) || self.rng.f64() < self.loss {
             return;
         }
         let bytes = encode_message(&envelope.message);
-        self.bytes_sent += bytes.len() as u64;
+        *self.bytes_sent.entry(to).or_default() += bytes.len() as u64;
+        let transmission = self.bytes_per_ms.map_or(0, |rate| bytes.len() as u64 / rate);
         let message = decode_message(&bytes);
         let is_late = self.late > 0.0 && self.rng.f64() < self.late;
         let delay = if is_late { self.rng.u64(0..=LONGEST_DELAY) } else { self.rng.u64(0..=self.latency) };
-        let at = self.now + self.latency + delay;
+        let at = self.now + self.latency + delay + transmission;
         self.wires.push(Wire { at, envelope: Envelope { message, ..envelope } });
     }
 
@@ -506,6 +585,10 @@
             assert_eq!(first, digest, "{name} committed something else at {index}");
         }
         machine.shown = index;
+        if let Some(view) = node.view() {
+            let first = self.views.entry(view.epoch).or_insert_with(|| view.clone());
+            assert_eq!(first, view, "two views were decided for epoch {}", view.epoch);
+        }
         if let Some(epoch) = node.leads(now) {
             let id = node.id().clone();
             let holder = self.holders.entry(epoch).or_insert_with(|| id.clone());
