--- a/control/src/rollout.rs
+++ b/control/src/rollout.rs
@@ -73,6 +73,28 @@
     })
 }
 
+/// Fencing tokens that backends have refused as they had seen a higher one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RefusedFences(BTreeMap<CompactString, Epoch>);
+
+impl RefusedFences {
+    /// A backend has refused an order under this token.
+    pub fn refused(&mut self, backend: &CompactString, fence: Epoch) {
+        let highest = self.0.entry(backend.clone()).or_default();
+        *highest = fence.max(*highest);
+    }
+
+    /// Whether a backend may be given an order under this token: none that it has refused, nor a lower one.
+    pub fn allow(&self, backend: &str, fence: Epoch) -> bool {
+        self.0.get(backend).is_none_or(|refused| fence > *refused)
+    }
+
+    /// Forgets backends that are not there any more.
+    pub fn retain(&mut self, is_there: impl Fn(&str) -> bool) {
+        self.0.retain(|backend, _| is_there(backend));
+    }
+}
+
 /// Since when this node holds the lease, as far as orders are concerned.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Turn {
--- a/control/src/storage.rs
+++ b/control/src/storage.rs
@@ -63,9 +63,9 @@
         /// The format found.
         found: u32,
     },
-    /// A file that is written and synced as a whole is not whole.
+    /// A file that was written and synced as a whole is not whole.
     #[error(
-        "the file ends at byte {sound} within a record: move the data directory away and start the node again, it then rejoins with an empty disk"
+        "the file ends after byte {sound} though more was stored: move the data directory away and start the node again, it then rejoins with an empty disk"
     )]
     CutOff {
         /// The length of its sound part.
@@ -84,10 +84,11 @@
     bytes.extend(body);
 }
 
-/// Reads the frames of a file that was written and synced as a whole, such as a snapshot.
-pub fn decode_whole(bytes: &[u8]) -> Result<Vec<Record>, Damage> {
+/// Reads a snapshot, which was written and synced as a whole; its last record is the state.
+pub fn decode_snapshot(bytes: &[u8]) -> Result<Vec<Record>, Damage> {
     let (records, sound) = decode(bytes)?;
-    if sound == bytes.len() { Ok(records) } else { Err(Damage::CutOff { sound }) }
+    let is_whole = sound == bytes.len() && matches!(records.last(), Some(Record::Install { .. }));
+    if is_whole { Ok(records) } else { Err(Damage::CutOff { sound }) }
 }
 
 /// Reads the frames of a file; the second value is the length of its sound part.
--- a/control/tests/rollout.rs
+++ b/control/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
-use control::rollout::{Rollout, Turn};
+use control::rollout::{RefusedFences, Rollout, Turn};
 use control::state::WeightsTarget;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -78,6 +78,18 @@
     }
 }
 
+#[test]
+fn a_backend_that_refused_a_fencing_token_gets_only_higher_ones() {
+    let mut refused = RefusedFences::default();
+    assert!(refused.allow("b", 4));
+    refused.refused(&"b".into(), 4);
+    refused.refused(&"b".into(), 3);
+    assert_eq!([3, 4, 5].map(|fence| refused.allow("b", fence)), [false, false, true]);
+    assert!(refused.allow("another", 4));
+    refused.retain(|backend| backend != "b");
+    assert!(refused.allow("b", 4), "it is forgotten with its backend");
+}
+
 #[test]
 fn a_new_holder_waits_for_longer_than_a_lease() {
     let mut turn = Turn::default();
--- a/router/src/disk.rs
+++ b/router/src/disk/writer.rs
@@ -1,61 +1,19 @@
-//! The thread that writes the control state's records: a log in segments with a snapshot beside it.
+//! The thread that writes a data directory.
 
-use control::directory::{Key, Value};
-use control::storage::{Damage, FORMAT, Record, Recovered, decode, encode};
+use super::{DAMAGED_FOLDER, DiskError, FLEET_FILE, Known, io_error, list, segment_path, snapshot_path};
+use control::storage::{Record, Recovered, encode};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
-use thiserror::Error;
 
 /// A segment that has grown to so many bytes is replaced by a snapshot and a new segment.
 const SEGMENT_BYTES: u64 = 4 << 20;
-/// Holds what was known of the fleet.
-const FLEET_FILE: &str = "fleet";
 /// Time between two tries to write to a disk that refuses.
 const RETRY: Duration = Duration::from_millis(150);
 
-/// What is known of the fleet, for the next start: backends and members.
-pub type Known = Vec<(Key, Value)>;
-
-/// What was known of the fleet when the process ended; nothing where that was not kept or is not sound.
-pub fn read_fleet(folder: &Path) -> Known {
-    let bytes = fs::read(folder.join(FLEET_FILE)).unwrap_or_default();
-    let Some((checksum, body)) = bytes.split_first_chunk::<4>() else { return Known::new() };
-    if crc32fast::hash(body) != u32::from_be_bytes(*checksum) {
-        return Known::new();
-    }
-    postcard::from_bytes(body).unwrap_or_default()
-}
-
-/// Why a data directory can't be used.
-#[derive(Debug, Error)]
-pub enum DiskError {
-    /// The system refuses.
-    #[error("{path}: {problem}; check that the folder exists, can be written and has room")]
-    Io {
-        /// The file or folder.
-        path: PathBuf,
-        /// What the system said.
-        problem: io::Error,
-    },
-    /// What is stored makes no sense.
-    #[error("{path}: {damage}")]
-    Damaged {
-        /// The file.
-        path: PathBuf,
-        /// What is wrong.
-        damage: Damage,
-    },
-}
-
-fn io_error(path: &Path) -> impl FnOnce(io::Error) -> DiskError {
-    let path = path.to_owned();
-    move |problem| DiskError::Io { path, problem }
-}
-
 /// What the thread is asked to do.
 #[derive(Debug)]
 enum Job {
@@ -67,85 +25,6 @@
     Save { bytes: Vec<u8> },
 }
 
-/// The files of a data directory.
-#[derive(Debug, Default)]
-struct Files {
-    snapshots: Vec<u64>,
-    segments: Vec<u64>,
-}
-
-fn snapshot_path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("snapshot-{number:08}"))
-}
-
-fn segment_path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("segment-{number:08}"))
-}
-
-fn list(folder: &Path) -> io::Result<Files> {
-    let mut files = Files::default();
-    for entry in fs::read_dir(folder)? {
-        let name = entry?.file_name().to_string_lossy().into_owned();
-        let number = |prefix: &str| name.strip_prefix(prefix)?.parse::<u64>().ok();
-        files.snapshots.extend(number("snapshot-"));
-        files.segments.extend(number("segment-"));
-    }
-    files.snapshots.sort_unstable();
-    files.segments.sort_unstable();
-    Ok(files)
-}
-
-/// What a data directory holds; none where it has never been used.
-pub fn read(folder: &Path) -> Result<Option<Recovered>, DiskError> {
-    let files = list(folder).map_err(io_error(folder))?;
-    let mut records = Vec::new();
-    let first = files.snapshots.last().copied().unwrap_or(0);
-    let snapshot = (first > 0).then(|| snapshot_path(folder, first));
-    let segments = files.segments.iter().filter(|number| **number >= first);
-    let paths = snapshot.into_iter().chain(segments.map(|number| segment_path(folder, *number)));
-    for path in paths {
-        let bytes = fs::read(&path).map_err(io_error(&path))?;
-        let damaged = |damage| DiskError::Damaged { path: path.clone(), damage };
-        records.extend(decode(&bytes).map_err(damaged)?.0);
-    }
-    if records.is_empty() {
-        return Ok(None);
-    }
-    Recovered::replay(records)
-        .map(Some)
-        .map_err(|damage| DiskError::Damaged { path: folder.to_owned(), damage })
-}
-
-/// What a data directory holds. One whose records are damaged is set aside, and the node rejoins as one that lost its disk.
-pub fn read_or_set_aside(folder: &Path) -> Result<Option<Recovered>, DiskError> {
-    match read(folder) {
-        Err(DiskError::Damaged { path, damage }) => {
-            log::error!("{}: {damage}; the records are set aside", path.display());
-            set_aside(folder).map_err(io_error(folder))?;
-            Ok(None)
-        }
-        other => other,
-    }
-}
-
-/// Keeps damaged records under other names, in place of those of an earlier time.
-fn set_aside(folder: &Path) -> io::Result<()> {
-    let files = list(folder)?;
-    let aside = folder.join("damaged");
-    if aside.exists() {
-        fs::remove_dir_all(&aside)?;
-    }
-    fs::create_dir(&aside)?;
-    let snapshots = files.snapshots.iter().map(|number| snapshot_path(folder, *number));
-    let segments = files.segments.iter().map(|number| segment_path(folder, *number));
-    for path in snapshots.chain(segments) {
-        if let Some(name) = path.file_name() {
-            fs::rename(&path, aside.join(name))?;
-        }
-    }
-    File::open(folder)?.sync_all()
-}
-
 /// Writes that are done are told with their number.
 pub type Done = tokio::sync::mpsc::UnboundedSender<u64>;
 
@@ -240,6 +119,7 @@
                     "{}: {problem}; writing is tried again until there is room",
                     self.folder.display()
                 );
+                self.make_room();
             }
             thread::sleep(RETRY);
         }
@@ -248,6 +128,16 @@
         }
     }
 
+    /// Records that could not be used are kept for whoever looks into it, as long as there is room.
+    fn make_room(&self) {
+        let aside = self.folder.join(DAMAGED_FOLDER);
+        if aside.exists()
+            && let Err(problem) = fs::remove_dir_all(&aside)
+        {
+            log::debug!("{}: {problem}", aside.display());
+        }
+    }
+
     fn save(&self, bytes: &[u8]) -> io::Result<()> {
         let beside = self.folder.join("fleet.new");
         let mut file = File::create(&beside)?;
@@ -309,9 +199,3 @@
         }
     }
 }
-
-/// What a new disk begins with.
-pub fn empty(disk: u64) -> Recovered {
-    let record = Record::Disk { format: FORMAT, disk };
-    Recovered::replay([record]).unwrap_or_default()
-}
--- a/router/src/fleet/faults.rs
+++ b/router/src/fleet/faults.rs
@@ -31,10 +31,11 @@
 
     /// The node that judges a backend: every router that knows the same members finds the same one.
     fn judge_of(&self, backend: &str) -> Option<SocketAddrV4> {
-        let members = self.replica_members();
-        let up = members.into_iter().filter(|(_, member)| member.status == MemberStatus::Up);
-        let judge = up.max_by_key(|(name, _)| place(backend, name));
-        judge.map(|(_, member)| member.internal)
+        let directory = lock(&self.directory);
+        let judges = directory
+            .members()
+            .filter(|(_, member)| member.replica.is_some() && member.status == MemberStatus::Up);
+        judges.max_by_key(|(name, _)| place(backend, name)).map(|(_, member)| member.internal)
     }
 
     /// Takes faults that a router saw, and publishes which backends are suspected from now on.
--- a/router/src/listener.rs
+++ b/router/src/listener.rs
@@ -40,6 +40,14 @@
     pub fn of(&self, remote: Option<&SocketAddr>) -> Breaker {
         remote.and_then(|remote| lock(&self.0).get(remote).cloned()).unwrap_or_default()
     }
+
+    /// Forgets a connection that has ended, unless another one has come from the same address since.
+    fn forget(&self, remote: &SocketAddr, breaker: &Breaker) {
+        let mut breakers = lock(&self.0);
+        if breakers.get(remote).is_some_and(|held| Arc::ptr_eq(&held.0, &breaker.0)) {
+            breakers.remove(remote);
+        }
+    }
 }
 
 /// Takes connections that can be broken.
@@ -83,7 +91,7 @@
 
 impl Drop for Breakable {
     fn drop(&mut self) {
-        lock(&self.breakers.0).remove(&self.remote);
+        self.breakers.forget(&self.remote, &self.breaker);
     }
 }
 
--- a/router/src/proxy/answer.rs
+++ b/router/src/proxy/answer.rs
@@ -128,9 +128,12 @@
     async fn whole(self, status: StatusCode, head: HeaderMap, body: Incoming) -> Result {
         let collected = Limited::new(body, LONGEST_BUFFERED).collect().await.map(Collected::to_bytes);
         let told = headers::number(&head, &CONTENT_LENGTH);
-        let Some(bytes) = collected.ok().filter(|bytes| {
-            !self.connection.is_broken() && told.is_none_or(|length| length == bytes.len() as u64)
-        }) else {
+        // Bytes behind a whole answer break the connection, and take nothing from an answer whose length was told.
+        let is_whole = |bytes: &Bytes| match told {
+            Some(length) => length == bytes.len() as u64,
+            None => !self.connection.is_broken(),
+        };
+        let Some(bytes) = collected.ok().filter(is_whole) else {
             self.backend.failed();
             return Err(Ended::Broken);
         };
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -197,22 +197,42 @@
         let Some((prompt, version)) = job.call.prompt.as_ref().zip(choice.version) else {
             return Transfer::default();
         };
+        // Parts that are made while a backend changes its weights can't be told by their text from older ones.
+        if self.is_being_replaced(&prompt.model, version) {
+            return Transfer::default();
+        }
         let Some(key) = PrefixKey::of(&job.call.wall, prompt) else { return Transfer::default() };
         let store = self.locator.store_of(key).map(|store| store.address);
         let Some(located) = located else { return Transfer { fetch: store, save: None } };
         let is_there = located.is_held_by(&choice.backend.id, version);
-        let other = if is_there { None } else { self.other_holder(&choice.backend, version, located) };
+        let other =
+            if is_there { None } else { self.other_holder(&choice.backend, &prompt.model, version, located) };
         // What a store has gives way less often than what a backend keeps.
         let fetch = if located.stored == Some(version) { store.or(other) } else { other.or(store) };
         Transfer { fetch, save: store.filter(|_| located.save) }
     }
 
+    /// Whether a newer version of a model's weights has been named than this one.
+    fn is_being_replaced(&self, model: &str, version: u64) -> bool {
+        let published = lock(&self.fleet.published);
+        published.weights().get(model).is_some_and(|target| target.version > version)
+    }
+
     /// Another backend that keeps the prefix under this version and may be asked for it, one of the same zone first.
-    fn other_holder(&self, chosen: &Backend, version: u64, located: &Located) -> Option<SocketAddrV4> {
+    fn other_holder(
+        &self,
+        chosen: &Backend,
+        model: &str,
+        version: u64,
+        located: &Located,
+    ) -> Option<SocketAddrV4> {
         let holders = located.holders.iter();
         let others = holders.filter(|holder| holder.version == version && holder.backend != chosen.id);
         let known = others.filter_map(|holder| self.table.backend(&holder.backend));
-        let sound = known.filter(|backend| backend.fitness(None) == Fitness::Fit);
+        let sound = known.filter(|backend| {
+            backend.fitness(Some((model, Some(version)))) == Fitness::Fit
+                && backend.version(model) == Some(version)
+        });
         let nearest = sound.min_by_key(|backend| backend.zone != chosen.zone);
         nearest.map(|backend| backend.address)
     }
--- a/router/src/proxy/pending.rs
+++ b/router/src/proxy/pending.rs
@@ -72,7 +72,7 @@
         let hedge_after = self.exchanges.with_learned(self.job, |learned| learned.pace.p95);
         let hedge = tokio::time::sleep(Duration::from_nanos(hedge_after as u64));
         tokio::pin!(hedge);
-        let mut may_copy = self.job.route.is_idempotent() && self.job.route.attempts > 1;
+        let mut may_copy = self.job.call.is_repeatable;
         let late = tokio::time::sleep_until(self.job.until);
         tokio::pin!(late);
         loop {
@@ -80,9 +80,9 @@
                 biased;
                 Some(result) = self.running.next() => {
                     let may_go_on = match result {
-                        Ok(begun) if self.is_to_be_repeated(&begun) => {
+                        Ok(begun) if self.may_do_better(&begun) => {
                             self.failure = Some(begun);
-                            true
+                            self.tries.runs < self.job.route.attempts
                         }
                         Ok(begun) => return Ok(self.finish(begun)),
                         Err(ended) => self.goes_on(ended),
@@ -176,10 +176,11 @@
         }
     }
 
-    /// Whether a backend failed by its own fault, and another one may do better.
-    fn is_to_be_repeated(&self, begun: &Begun) -> bool {
-        let call = &self.job.call;
-        is_own_failure(begun.status) && call.is_repeatable && self.tries.runs < self.job.route.attempts
+    /// Whether a backend failed by its own fault, and another one may do better: one that has a copy, or that is still to get
+    /// one.
+    fn may_do_better(&self, begun: &Begun) -> bool {
+        let is_left = !self.running.is_empty() || self.tries.runs < self.job.route.attempts;
+        is_own_failure(begun.status) && self.job.call.is_repeatable && is_left
     }
 
     /// Sends the request once more. False where that is not permitted, or there is nowhere to send it.
--- a/router/src/proxy/pick.rs
+++ b/router/src/proxy/pick.rs
@@ -49,19 +49,23 @@
 pub fn pick(backends: &[Arc<Backend>], need: Need<'_>, tried: &[CompactString]) -> Option<Choice> {
     let model = need.prompt.map(|prompt| (prompt.model.as_str(), need.least_version));
     let home = need.prompt.and_then(|prompt| home(backends, need.wall, prompt));
-    let suspected = backends.iter().filter(|backend| backend.is_suspected()).count();
-    let heeds_suspicions = are_few_suspected(suspected, backends.len());
+    let suspected: Vec<bool> = backends.iter().map(|backend| backend.is_suspected()).collect();
+    let suspected_count = suspected.iter().filter(|is_suspected| **is_suspected).count();
+    let heeds_suspicions = are_few_suspected(suspected_count, backends.len());
     let mut eligible = Vec::new();
     let mut candidates = Vec::new();
-    for backend in backends.iter().filter(|backend| !tried.contains(&backend.id)) {
+    for (backend, is_suspected) in backends.iter().zip(suspected) {
+        if tried.contains(&backend.id) {
+            continue;
+        }
         let fitness = backend.fitness(model);
         if fitness == Fitness::Unfit {
             continue;
         }
         let is_home = home.as_ref() == Some(&backend.id);
         let (load, choice) = weigh(backend, need, is_home);
-        let is_suspected = heeds_suspicions && backend.is_suspected();
-        candidates.push(Candidate { load, avoided: is_suspected || fitness == Fitness::Doubtful });
+        let avoided = heeds_suspicions && is_suspected || fitness == Fitness::Doubtful;
+        candidates.push(Candidate { load, avoided });
         eligible.push(choice);
     }
     let at = least_loaded(&candidates, &mut fastrand::Rng::new())?;
--- a/router/src/proxy/relay.rs
+++ b/router/src/proxy/relay.rs
@@ -61,8 +61,10 @@
             if let Some(whole) = self.take_whole_events() {
                 return Ok(Some(whole));
             }
+            let until = self.job.until;
             let Some(events) = &mut self.events else { return Ok(None) };
-            match events.rest.frame().await {
+            let late = |_| io::Error::new(io::ErrorKind::TimedOut, "the time of the route is over");
+            match tokio::time::timeout_at(until, events.rest.frame()).await.map_err(late)? {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.buffer.extend_from_slice(&data);
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -3,15 +3,16 @@
 use crate::clock;
 use crate::fleet::Fleet;
 use crate::links::lock;
+use crate::proxy::headers::EXPECT_INSTANCE;
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
 use control::directory::{Key, Order, OrderPhase, Value};
-use control::rollout::{Lacking, Rollout, Turn};
+use control::rollout::{Lacking, RefusedFences, Rollout, Turn};
 use control::view::Epoch;
 use serde::Deserialize;
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what has to be done.
@@ -40,18 +41,32 @@
     version: u64,
 }
 
+/// How a backend answered an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderAnswer {
+    /// It has the version already.
+    Holds,
+    /// It is being done, or another order is.
+    UnderWay,
+    /// Another holder has used a higher fencing token.
+    Fenced,
+    /// It is not known to be taken.
+    Unknown,
+}
+
 /// Gives orders while this node holds the lease.
 pub struct Orders {
     fleet: Arc<Fleet>,
     replica: ReplicaHandle,
     client: reqwest::Client,
     number: AtomicU64,
+    refused: Mutex<RefusedFences>,
 }
 
 impl Orders {
     /// The orders of a node with a replica.
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
-        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1) })
+        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused: Mutex::default() })
     }
 
     /// Keeps looking for backends that lack weights.
@@ -66,9 +81,9 @@
             if !turn.may_order(self.fleet.settings.bounds.lease_ms, now) {
                 continue;
             }
-            let Rollout { lacking, most_at_once: most } = self.rollout();
+            let Rollout { lacking, most_at_once } = self.rollout();
             for backend in lacking {
-                if under_way.len() >= most {
+                if under_way.len() >= most_at_once {
                     break;
                 }
                 under_way
@@ -78,10 +93,16 @@
         }
     }
 
-    /// What is to be done.
+    /// What is to be done, but for backends that have refused the present fencing token.
     fn rollout(&self) -> Rollout {
         let published = lock(&self.fleet.published);
-        Rollout::of(&lock(&self.fleet.directory), published.weights())
+        let directory = lock(&self.fleet.directory);
+        let mut rollout = Rollout::of(&directory, published.weights());
+        let mut refused = lock(&self.refused);
+        refused.retain(|backend| directory.get(&Key::Backend(backend.into())).is_some());
+        let fence = self.replica.fence();
+        rollout.lacking.retain(|backend| fence.is_some_and(|fence| refused.allow(&backend.id, fence)));
+        rollout
     }
 
     fn note(&self, backend: &Lacking, fence: Epoch, phase: OrderPhase) {
@@ -101,40 +122,47 @@
         self.note(&backend, fence, OrderPhase::UnderWay);
         tokio::time::sleep(NOTICE + self.fleet.gather_time()).await;
         let begun = Instant::now();
-        let taken = self.order(&backend).await;
-        if taken == Some(true) {
-            self.note(&backend, fence, OrderPhase::Done);
-            return;
+        let answer = self.order(&backend).await;
+        match answer {
+            OrderAnswer::Holds => return self.note(&backend, fence, OrderPhase::Done),
+            OrderAnswer::Fenced => return,
+            OrderAnswer::UnderWay | OrderAnswer::Unknown => {}
         }
         while begun.elapsed() < ORDER_PATIENCE && self.replica.leads() {
             tokio::time::sleep(REPORT).await;
             if self.has_version(&backend).await == Some(true) {
-                self.note(&backend, fence, OrderPhase::Done);
-                return;
+                return self.note(&backend, fence, OrderPhase::Done);
             }
-            if taken.is_none() && begun.elapsed() > 4 * REPORT {
+            if answer == OrderAnswer::Unknown && begun.elapsed() > 4 * REPORT {
                 return;
             }
         }
     }
 
-    /// Gives the order: whether the version holds already, or none where it is not known to be taken.
-    async fn order(&self, backend: &Lacking) -> Option<bool> {
+    /// Gives the order.
+    async fn order(&self, backend: &Lacking) -> OrderAnswer {
         // The fence is read right before the effect: it is none once the lease has ended.
-        let fence = self.replica.fence()?;
+        let Some(fence) = self.replica.fence() else { return OrderAnswer::Unknown };
         let body = serde_json::json!({
             "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
             "holder": self.fleet.settings.node_name.as_str(), "fenceToken": fence,
         });
         let url = format!("http://{}/v1/order", backend.address);
-        let call = self.client.post(url).header("content-type", "application/json").body(body.to_string());
-        let answer = call.timeout(CALL_PATIENCE).send().await.ok()?;
+        let call = self.client.post(url).header("content-type", "application/json");
+        // Another incarnation at this address, or after a restart, does not take it.
+        let call = call.header(EXPECT_INSTANCE.as_str(), backend.id.as_str()).body(body.to_string());
+        let Ok(answer) = call.timeout(CALL_PATIENCE).send().await else { return OrderAnswer::Unknown };
         match answer.status().as_u16() {
-            200 => Some(true),
-            202 | 409 => Some(false),
+            200 => OrderAnswer::Holds,
+            202 | 409 => OrderAnswer::UnderWay,
+            412 => {
+                log::warn!("backend {} has seen a higher fencing token than {fence}", backend.id);
+                lock(&self.refused).refused(&backend.id, fence);
+                OrderAnswer::Fenced
+            }
             status => {
                 log::warn!("backend {} answered an order with {status}", backend.id);
-                None
+                OrderAnswer::Unknown
             }
         }
     }
--- /dev/null
+++ b/router/tests/crossing.rs
@@ -0,0 +1,220 @@
+//! What crosses on a connection to a backend: an answer before the body was read, bytes that belong to no request, a backend's
+//! failure while a copy is pending, and a stream that outlasts its route's time.
+
+mod common;
+
+use common::*;
+use poem::listener::Acceptor;
+use router::listener::{BreakableAcceptor, Breakers};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A body that no socket buffer takes whole.
+const LONG_BODY: usize = 3 << 20;
+/// What a backend reads before it answers a request early.
+const READ_EARLY: usize = 1_000;
+
+/// Reads the head of a request; the value is the head and how long the body is.
+async fn read_head(stream: &mut TcpStream) -> Option<(String, usize)> {
+    let mut text = Vec::new();
+    let mut byte = [0; 1];
+    while !text.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        text.push(byte[0]);
+    }
+    let head = String::from_utf8(text).expect("a head in plain text");
+    let length = header(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    Some((head, length))
+}
+
+/// A backend that answers the first request of each connection before it has read the body, and goes on reading later.
+async fn answers_early(first: String, next: String) -> (StandIn, Arc<tokio::sync::Semaphore>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    // Only its address and its count of requests are used.
+    let mut stand_in = StandIn::start(vec![Act::Hang]).await;
+    stand_in.address = address;
+    let (requests, sound) = (stand_in.requests.clone(), Arc::new(tokio::sync::Semaphore::new(0)));
+    let whole = sound.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (requests, whole) = (requests.clone(), whole.clone());
+            let answers = [first.clone(), next.clone()];
+            tokio::spawn(async move {
+                for answer in answers.iter().chain(std::iter::repeat(&answers[1])) {
+                    let Some((head, length)) = read_head(&mut stream).await else { return };
+                    let id = header(&head, "x-request-id").expect("an id");
+                    assert!(head.starts_with("POST /"), "no request begins here: {head}");
+                    requests.lock().unwrap().push(head);
+                    let early = length.min(READ_EARLY);
+                    let mut body = vec![0; length];
+                    stream.read_exact(&mut body[..early]).await.unwrap();
+                    stream.write_all(answer.replace("{id}", &id).as_bytes()).await.unwrap();
+                    // The rest of the body is read while the next request may be on its way.
+                    tokio::task::yield_now().await;
+                    if stream.read_exact(&mut body[early..]).await.is_err() {
+                        return;
+                    }
+                    assert!(
+                        body.iter().all(|byte| *byte == b'b'),
+                        "other bytes stand where the body's rest is due"
+                    );
+                    whole.add_permits(1);
+                }
+            });
+        }
+    });
+    (stand_in, sound)
+}
+
+/// Sends a request with a body of some length on a connection that is kept.
+async fn post(stream: &mut TcpStream, path: &str, id: u32, length: usize) {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-{id}\r\nX-Deadline-Ms: 5000\r\n\
+         Content-Length: {length}\r\n{KEY}\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&vec![b'b'; length]).await.unwrap();
+}
+
+async fn read_answer(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let read = async {
+        let (head, length) = read_head(stream).await.expect("an answer");
+        let mut body = vec![0; length];
+        stream.read_exact(&mut body).await.unwrap();
+        (head, body)
+    };
+    tokio::time::timeout(PATIENCE, read).await.expect("an answer in time")
+}
+
+#[tokio::test]
+async fn a_backend_that_answers_before_it_has_read_the_body_gets_the_rest_of_it_and_nothing_else() {
+    let early_success = success("early");
+    let early_refusal = answer("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+    for (first, expected) in [(early_success, "200"), (early_refusal, "503")] {
+        for length in [READ_EARLY - 1, 20_000, LONG_BODY] {
+            let (backend, whole) = answers_early(first.clone(), success("next")).await;
+            let router = Router::start(&[&backend]).await;
+            let mut client = TcpStream::connect(router.address).await.unwrap();
+            post(&mut client, "/unsafe/", 1, length).await;
+            let (head, _) = read_answer(&mut client).await;
+            assert_eq!(status(&head), expected, "{head}");
+            for id in 2..6 {
+                post(&mut client, "/unsafe/", id, 100).await;
+                let (head, body) = read_answer(&mut client).await;
+                // A connection on which the backend still reads is not used; a new one begins with an early answer.
+                let expected_id = format!("id-{id}");
+                assert_eq!(
+                    header(&head, "x-request-id").as_deref(),
+                    Some(expected_id.as_str()).filter(|_| status(&head) == "200"),
+                    "{head}"
+                );
+                assert!(status(&head) == "503" || body == b"next" || body == b"early", "{head}");
+            }
+            // The bodies that were read, each to its end, are those that were sent.
+            let permit = tokio::time::timeout(PATIENCE, whole.acquire_many(2)).await;
+            permit.expect("bodies are read whole").unwrap().forget();
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_late_second_answer_in_the_place_of_the_next_one_reaches_no_client() {
+    let twice = success("first") + &success("first").replace("{id}", "id-of-another");
+    let backend = StandIn::start(vec![Act::Say(twice.clone()), Act::Say(success("second"))]).await;
+    let router = Router::start(&[&backend]).await;
+    let mut client = TcpStream::connect(router.address).await.unwrap();
+    post(&mut client, "/unsafe/", 1, 4).await;
+    let (_, body) = read_answer(&mut client).await;
+    assert_eq!(body, b"first");
+    post(&mut client, "/unsafe/", 2, 4).await;
+    let (head, body) = read_answer(&mut client).await;
+    assert!(status(&head) == "502" && body.is_empty() || body == b"second", "{head}");
+    assert!(backend.count() <= 2, "what may have run is not sent again");
+}
+
+/// Two backends at one address: the first request fails once the second one, its copy, is there, and the copy succeeds
+/// once the failure has been sent for a while.
+async fn fails_and_then_succeeds() -> std::net::SocketAddrV4 {
+    const TURNS: usize = 2_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    tokio::spawn(async move {
+        let mut streams = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (head, length) = read_head(&mut stream).await.expect("a request");
+            stream.read_exact(&mut vec![0; length]).await.unwrap();
+            streams.push((stream, header(&head, "x-request-id").expect("an id")));
+        }
+        let failure = answer("500 Internal Server Error", "X-Response-Seal: s\r\n", "why");
+        for ((stream, id), answer) in streams.iter_mut().zip([failure, success("from the copy")]) {
+            stream.write_all(answer.replace("{id}", id).as_bytes()).await.unwrap();
+            for _ in 0..TURNS {
+                tokio::task::yield_now().await;
+            }
+        }
+        // Kept open until the caller closes.
+        let _ = streams[1].0.read(&mut [0; 1]).await;
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_failure_of_one_backend_waits_for_the_copy_at_another() {
+    let address = fails_and_then_succeeds().await;
+    let mut backends = [StandIn::start(vec![Act::Hang]).await, StandIn::start(vec![Act::Hang]).await];
+    backends.iter_mut().for_each(|backend| backend.address = address);
+    let router = Router::start(&[&backends[0], &backends[1]]).await;
+    let answer = router.ask("/safe/", KEY).await;
+    assert_eq!((status(&answer), body(&answer)), ("200", "from the copy"), "{answer}");
+}
+
+#[tokio::test]
+async fn a_stream_that_outlasts_the_time_of_its_route_ends_without_looking_complete() {
+    let begun = format!("{STREAM_HEAD}{}", event(1));
+    let backend = StandIn::start(vec![Act::Say(begun), Act::Hang]).await;
+    let router = Router::start(&[&backend]).await;
+    let brief = CONFIGURATION.replace("\"version\":1", "\"version\":2").replace(
+        "\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":3000",
+        "\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\",\"timeoutMs\":300",
+    );
+    assert!(brief.contains("\"timeoutMs\":300,"));
+    publish(&router.fleet, 2, &brief);
+    let begun = tokio::time::Instant::now();
+    let answer = router.ask("/stream/", KEY).await;
+    assert!(begun.elapsed() < Duration::from_secs(2), "the client's own deadline is later");
+    assert!(answer.contains("data: piece 1\n\n") && !answer.ends_with(END), "{answer}");
+}
+
+/// A client that resets its connection and comes back from the same port: the end of the former connection must not take
+/// away what breaks the new one.
+#[tokio::test]
+async fn a_connection_from_the_address_of_a_former_one_can_be_broken() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let server = listener.local_addr().unwrap();
+    let breakers = Breakers::default();
+    let mut acceptor = BreakableAcceptor::new(listener, breakers.clone());
+    let connect = |port: u16| async move {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], port))).unwrap();
+        let stream = socket.connect(server).await.unwrap();
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        stream
+    };
+    let first = connect(0).await;
+    let remote = first.local_addr().unwrap();
+    let (former, ..) = acceptor.accept().await.unwrap();
+    drop(first);
+    let _second = connect(remote.port()).await;
+    let (mut present, ..) = acceptor.accept().await.unwrap();
+    drop(former);
+    breakers.of(Some(&remote)).break_off();
+    assert!(present.write_all(b"the end of an answer").await.is_err(), "nothing is written any more");
+}
--- a/router/tests/files.rs
+++ b/router/tests/files.rs
@@ -2,11 +2,14 @@
 
 use control::changes::Change;
 use control::state::{Position, Update};
-use control::storage::{Record, Recovered};
+use control::storage::{AcceptedV1, BallotV1, Record, Recovered, VotesV1};
+use control::view::{ReplicaId, View};
 use router::cli::{self, SystemCall};
 use router::disk::{self, Disk, DiskError};
 use router::settings::{Settings, SettingsError};
+use std::collections::BTreeSet;
 use std::fs;
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use tokio::sync::mpsc;
 
@@ -130,6 +133,88 @@
     assert!(cli::ask(&asked).unwrap_err().to_string().contains("holds no records"));
 }
 
+/// Everything that a folder holds, for putting it back.
+fn contents(folder: &Folder) -> Vec<(PathBuf, Vec<u8>)> {
+    let paths = folder.files().into_iter().map(|name| folder.0.join(name));
+    paths.map(|path| (path.clone(), fs::read(path).unwrap())).collect()
+}
+
+/// A loss of power cuts the last write of a segment off; whatever is cut off a snapshot, or off a segment that others follow,
+/// was synced and is damage. Nothing that is read is older than what a cut leaves.
+#[test]
+fn files_that_are_cut_at_any_byte_give_what_was_synced_or_nothing_at_all() {
+    let folder = Folder::new("cut");
+    write(&folder.0, &disk::empty(7), 1..6, 1);
+    let before = disk::read(&folder.0).unwrap().unwrap();
+    write(&folder.0, &before, 6..9, 1);
+    let whole = disk::read(&folder.0).unwrap().unwrap();
+    for (path, bytes) in contents(&folder) {
+        let is_snapshot = path.file_name().unwrap().to_string_lossy().starts_with("snapshot");
+        let mut last = 0;
+        for length in 0..bytes.len() {
+            fs::write(&path, &bytes[..length]).unwrap();
+            match disk::read(&folder.0) {
+                Ok(Some(found)) => {
+                    assert!(!is_snapshot, "a snapshot of {length} bytes was read");
+                    let index = found.tail.as_ref().map_or(0, |tail| tail.position.index);
+                    assert!(index >= 5 && index >= last, "change {index} after {last} at byte {length}");
+                    last = index;
+                }
+                Ok(None) => panic!("{} of {length} bytes passes for an empty folder", path.display()),
+                Err(problem) => {
+                    assert!(is_snapshot, "{problem}");
+                    assert!(matches!(problem, DiskError::Damaged { .. }), "{problem}");
+                }
+            }
+        }
+        fs::write(&path, &bytes).unwrap();
+    }
+    assert_eq!(disk::read(&folder.0).unwrap().unwrap(), whole);
+}
+
+#[test]
+fn a_segment_that_is_cut_off_before_another_one_is_damage() {
+    let folder = Folder::new("followed");
+    write(&folder.0, &disk::empty(7), 1..4, 1);
+    let segment = folder.0.join("segment-00000001");
+    let bytes = fs::read(&segment).unwrap();
+    fs::write(&segment, &bytes[..bytes.len() - 1]).unwrap();
+    // One that was made for a snapshot which did not come about is empty.
+    fs::write(folder.0.join("segment-00000002"), b"").unwrap();
+    assert_eq!(disk::read(&folder.0).unwrap().unwrap().tail.unwrap().position.index, 2);
+    let mut later = Vec::new();
+    control::storage::encode(&update(4, 1), &mut later);
+    fs::write(folder.0.join("segment-00000002"), later).unwrap();
+    assert!(matches!(disk::read(&folder.0), Err(DiskError::Damaged { .. })));
+}
+
+#[test]
+fn records_of_the_former_format_are_read() {
+    let replica = |number: u8| ReplicaId {
+        disk: u64::from(number),
+        node: format!("n{number}").into(),
+        address: SocketAddrV4::new([10, 0, 0, number].into(), 7560),
+    };
+    let members: BTreeSet<ReplicaId> = [1, 2, 3].map(replica).into();
+    let view =
+        |epoch| View { epoch, primary: replica(1), in_sync: members.clone(), witnesses: members.clone() };
+    let ballot = |round| BallotV1 { round, proposer: replica(2) };
+    let votes = |promised, previous, epoch| {
+        let accepted = Some(AcceptedV1 { ballot: ballot(3), view: view(epoch), previous });
+        let kept = [Record::Disk { format: 1, disk: 7 }, Record::VotesV1(VotesV1 { promised, accepted })];
+        Recovered::replay(kept).unwrap().votes
+    };
+    let decided = votes(Some((5, ballot(1))), None, 5);
+    assert_eq!((decided.decided, decided.promised, decided.accepted), (Some(view(5)), None, None));
+    let under_way = votes(Some((6, ballot(4))), Some(view(5)), 6);
+    assert_eq!(under_way.decided, Some(view(5)));
+    assert_eq!(under_way.accepted.map(|proposal| proposal.view), Some(view(6)));
+    assert_eq!(under_way.promised.map(|ballot| ballot.round), Some(4), "the higher one holds");
+    // The numbers of the records on disk stay what they were.
+    assert_eq!(postcard::to_stdvec(&Record::VotesV1(VotesV1::default())).unwrap()[0], 1);
+    assert_eq!(postcard::to_stdvec(&update(1, 1)).unwrap()[0], 2);
+}
+
 const SETTINGS: &str = r#"{"nodeName":"n1","ipAddress":"10.0.0.1","zone":"a","listen":{"frontend":"10.0.0.1:80"},
  "internalPortRange":[7560,7575],"seeds":["10.0.0.1:8381"],"newField":{"x":1},"bounds":{"leaseMs":3000}}"#;
 
--- a/router/tests/registration.rs
+++ b/router/tests/registration.rs
@@ -1,8 +1,15 @@
 //! Heartbeats of backends: where they are sent, and what they change.
 
-use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Value};
+use control::Millis;
+use control::directory::{
+    Backend, BackendPhase, Key, Member, MemberStatus, Origin, Record, Stamp, Value, VersionVector,
+};
+use control::state::Position;
 use control::view::{ReplicaId, View};
+use futures_util::FutureExt;
 use router::fleet::Fleet;
+use router::links::Service;
+use router::protocol::{PullRequest, Request};
 use router::replica::{ReplicaHandle, Shown};
 use router::settings::Settings;
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,16 +37,19 @@
     }
 }
 
-/// Node 1, in zone a; nodes 2 and 3 are in zone a as well, 4 and 5 in zone b.
+/// Node 1, in zone a; nodes 2 and 3 are in zone a as well, 4 and 5 in zone b. All hold the control state.
 fn fleet() -> Arc<Fleet> {
+    // In touch with the primary for as long as the test takes.
+    fleet_in_touch_at(Some(router::clock::now() + 60_000))
+}
+
+fn fleet_in_touch_at(current_at: Option<Millis>) -> Arc<Fleet> {
     let text = r#"{"nodeName":"n1","ipAddress":"10.0.0.1","zone":"a","listen":{"controlPlane":"10.0.0.1:8381"},
         "internalPortRange":[7560,7575],"seeds":["10.0.0.1:8381"]}"#;
     let settings = Settings::parse(Path::new("settings.json"), text.as_bytes()).expect("settings");
     let (handle, _) = ReplicaHandle::new(replica(1));
     let witnesses: BTreeSet<ReplicaId> = (1..=5).map(replica).collect();
     let view = View { epoch: 1, primary: replica(1), in_sync: witnesses.clone(), witnesses };
-    // In touch for as long as the test takes.
-    let current_at = Some(router::clock::now() + 60_000);
     handle.show(Shown { view: Some(Arc::new(view)), current_at, ..Shown::default() });
     let fleet = Fleet::new(Arc::new(settings), Some(handle), 1);
     for (number, zone) in [(2, "a"), (3, "a"), (4, "b"), (5, "b")] {
@@ -127,3 +137,82 @@
     beat(&fleet, "i", "a", 9).await;
     assert_eq!(phase(&fleet), BackendPhase::Gone, "who has left does not come back under its id");
 }
+
+/// A node with a replica pulls, which tells what it knows.
+async fn pulls(fleet: &Arc<Fleet>, number: u8, vector: &VersionVector) {
+    let request = Request::Pull(PullRequest {
+        name: format!("n{number}").into(),
+        member: member(number, "a", MemberStatus::Up),
+        vector: vector.clone(),
+        position: Position::default(),
+        base: None,
+        epoch: 0,
+        wait_ms: 0,
+        missing: Vec::new(),
+    });
+    fleet.clone().answer(request).await.expect("an answer");
+}
+
+fn vector_of(fleet: &Fleet) -> VersionVector {
+    fleet.directory.lock().expect("sound").vector().clone()
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_end_of_a_backend_is_acknowledged_once_a_majority_of_the_replicas_know_it() {
+    for phase in [BackendPhase::Draining, BackendPhase::Gone] {
+        let fleet = fleet();
+        beat(&fleet, "i", "a", 1).await;
+        let before = vector_of(&fleet);
+        let mut ended = Box::pin(fleet.register("i".into(), backend("a", 2, phase)));
+        assert!((&mut ended).now_or_never().is_none(), "this node alone knows");
+        let after = vector_of(&fleet);
+        pulls(&fleet, 2, &after).await;
+        pulls(&fleet, 3, &before).await;
+        assert!((&mut ended).now_or_never().is_none(), "two of five know");
+        pulls(&fleet, 3, &after).await;
+        let acknowledged = ended.now_or_never().expect("three of five know");
+        assert!(acknowledged.is_some());
+        // It is sent again: what a majority knows is acknowledged at once.
+        let again = fleet.register("i".into(), backend("a", 3, phase));
+        assert!(again.now_or_never().is_some_and(|again| again.is_some()));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_end_of_a_backend_that_reaches_no_majority_is_not_acknowledged() {
+    let fleet = fleet();
+    beat(&fleet, "i", "a", 1).await;
+    pulls(&fleet, 2, &vector_of(&fleet)).await;
+    let draining = backend("a", 2, BackendPhase::Draining);
+    assert_eq!(fleet.register("i".into(), draining.clone()).await, None);
+    assert_eq!(fleet.register("i".into(), draining).await, None, "neither is the same said again");
+}
+
+/// Another node took the heartbeat first, and this one learned of it by a pull: it is no proof that a majority knows.
+#[tokio::test(start_paused = true)]
+async fn an_end_that_another_node_wrote_waits_for_a_majority_as_well() {
+    let fleet = fleet();
+    let stamp = Stamp { origin: Origin(77), counter: 1 };
+    let draining = backend("a", 2, BackendPhase::Draining);
+    let record = Record { key: Key::Backend("i".into()), stamp, value: Value::Backend(draining.clone()) };
+    let vector = VersionVector::from([(Origin(77), 1)]);
+    fleet.directory.lock().expect("sound").merge(vec![record], &vector);
+    let said_here = Backend { owner: "n1".into(), ..draining };
+    let mut ended = Box::pin(fleet.register("i".into(), said_here));
+    assert!((&mut ended).now_or_never().is_none());
+    let after = vector_of(&fleet);
+    pulls(&fleet, 4, &after).await;
+    pulls(&fleet, 5, &after).await;
+    assert!(ended.await.is_some());
+}
+
+#[tokio::test]
+async fn a_node_that_is_cut_off_takes_no_heartbeats_unless_half_of_the_others_are_with_it() {
+    let fleet = fleet_in_touch_at(None);
+    let ready = || backend("a", 1, BackendPhase::Ready);
+    assert_eq!(fleet.register("i".into(), ready()).await, None, "its sender goes to another node");
+    pulls(&fleet, 2, &VersionVector::new()).await;
+    assert_eq!(fleet.register("i".into(), ready()).await, None, "two of five");
+    pulls(&fleet, 4, &VersionVector::new()).await;
+    assert!(fleet.register("i".into(), ready()).await.is_some(), "three of five are parted from two");
+}
