--- a/lab/examples/days.rs
+++ b/lab/examples/days.rs
@@ -1,28 +1,32 @@
 //! Draws days of one's own for a deployment, and sums up what came of those that were played.
 //!
-//! `days draw LISTING FOLDER SEED COUNT` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
+//! `days draw LISTING FOLDER SEED COUNT [control]` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
+//! With `control` they are drawn from what concerns the control state.
 //! `days table ENTRY...` prints rules by kinds from the journal entries of plays.
 
-use lab::days::{self, Played};
+use lab::days::{self, Focus, Played};
 use serde_json::Value;
 use std::error::Error;
 use std::path::Path;
 use std::{env, fs};
 
-const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT | days table ENTRY...";
+const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT [control] | days table ENTRY...";
 
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments: Vec<String> = env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["draw", listing, folder, seed, count] => {
-            draw(listing, Path::new(folder), seed.parse()?, count.parse()?)
+            draw(listing, Focus::All, Path::new(folder), seed.parse()?, count.parse()?)
+        }
+        ["draw", listing, folder, seed, count, "control"] => {
+            draw(listing, Focus::Control, Path::new(folder), seed.parse()?, count.parse()?)
         }
         ["table", ref entries @ ..] if !entries.is_empty() => table(entries),
         _ => Err(USAGE.into()),
     }
 }
 
-fn draw(listing: &str, folder: &Path, seed: u64, count: u64) -> Result<(), Box<dyn Error>> {
+fn draw(listing: &str, focus: Focus, folder: &Path, seed: u64, count: u64) -> Result<(), Box<dyn Error>> {
     let kinds = days::listed(&fs::read_to_string(listing)?);
     if kinds.is_empty() {
         return Err(format!("{listing} names no known kind: is it the listing of a deployment?").into());
@@ -30,7 +34,7 @@
     fs::create_dir_all(folder)?;
     for number in 0..count {
         let name = format!("own-{seed}-{number}");
-        let day = days::draw(&kinds, &name, seed.wrapping_mul(1_000_003).wrapping_add(number));
+        let day = days::draw(&kinds, focus, &name, seed.wrapping_mul(1_000_003).wrapping_add(number));
         fs::write(folder.join(format!("{name}.toml")), day)?;
     }
     Ok(())
--- a/lab/src/days.rs
+++ b/lab/src/days.rs
@@ -1,7 +1,12 @@
 //! Days of a fleet drawn at random: planned work and troubles of every kind that a deployment knows, alone and in pairs that
 //! meet; and what came of them, as a table of rules by kinds.
 
+mod kinds;
+
+pub use kinds::{KINDS, Kind, Target};
+
 use fastrand::Rng;
+use kinds::{CHOSEN, MEANWHILE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
@@ -14,74 +19,19 @@
 /// Faults of a pair begin within this time of each other.
 const MEETING_S: f64 = 1.5;
 
-/// A kind of planned work or trouble, with its variants.
-#[derive(Debug, Clone, Copy)]
-pub struct Kind {
-    /// Its name.
-    pub name: &'static str,
-    /// Whether it is planned work.
-    pub planned: bool,
-    /// The variants beside the usual one.
-    pub variants: &'static [&'static str],
-}
-
-const fn planned(name: &'static str, variants: &'static [&'static str]) -> Kind {
-    Kind { name, planned: true, variants }
-}
-
-const fn trouble(name: &'static str, variants: &'static [&'static str]) -> Kind {
-    Kind { name, planned: false, variants }
-}
-
-/// Every kind that is known here.
-pub const KINDS: &[Kind] = &[
-    planned("big_config", &[]),
-    planned("config_change", &["route", "weights", "timeout", "tenant", "quota", "topup", "idle"]),
-    planned("config_storm", &[]),
-    planned("hup", &[]),
-    planned("release", &[]),
-    planned("replace_core", &["oldest", "planned"]),
-    planned("revoke", &["last"]),
-    planned("roll_term", &["remove"]),
-    planned("scale_in", &["spot"]),
-    planned("scale_out", &[]),
-    planned("seed_turnover", &[]),
-    planned("version_bump", &["adapter"]),
-    trouble("ack_lost", &[]),
-    trouble("after_ack_kill", &["kill", "timed"]),
-    trouble("after_ack_wipe", &["oldest"]),
-    trouble("answer_lost", &[]),
-    trouble("bad_config", &[]),
-    trouble("burst", &[]),
-    trouble("clock_step", &["back", "ahead"]),
-    trouble("config_race", &[]),
-    trouble("core_cut", &["behind", "split"]),
-    trouble("disk_full", &[]),
-    trouble("disk_slow", &[]),
-    trouble("disk_stall", &[]),
-    trouble("events_gap", &[]),
-    trouble("garble", &["extra", "unframed", "early", "rot"]),
-    trouble("give_up", &[]),
-    trouble("herd_kill", &["power", "off", "taken"]),
-    trouble("hot_key", &[]),
-    trouble("idle_race", &[]),
-    trouble("node_cut", &["all", "servers"]),
-    trouble("node_freeze", &[]),
-    trouble("node_kill", &["power"]),
-    trouble("node_slow", &[]),
-    trouble("replace_with_reuse", &["drain", "dark"]),
-    trouble("reset_conns", &[]),
-    trouble("retry_abuse", &[]),
-    trouble("srv_crash", &["dark", "gone", "domain"]),
-    trouble("srv_cut", &["fronts", "some"]),
-    trouble("srv_flap", &[]),
-    trouble("srv_grey", &["errors", "shed", "busy", "hang", "reset", "mute", "slow"]),
-    trouble("srv_lying_health", &["errors", "hang", "reset", "bad"]),
-    trouble("srv_slow", &[]),
-];
-
 /// What a day may end with.
 const CLOSINGS: &[Option<&str>] = &[Some("power_off_all"), Some("wipe_after_ack"), Some("kill_all"), None];
+/// Variants of that.
+const CLOSING_VARIANTS: &[&str] = &["timed", "taken", "oldest"];
+
+/// What days are drawn from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Focus {
+    /// Every kind.
+    All,
+    /// What concerns the control state: two more of these, and most of them close together.
+    Control,
+}
 
 /// The kinds known here that a listing of a deployment's kinds names, each on a line of its own before a colon.
 pub fn listed(listing: &str) -> Vec<Kind> {
@@ -91,16 +41,19 @@
 }
 
 /// A day as a file: mostly drawn at random, with two troubles that meet.
-pub fn draw(kinds: &[Kind], name: &str, seed: u64) -> String {
+pub fn draw(kinds: &[Kind], focus: Focus, name: &str, seed: u64) -> String {
     let mut rng = Rng::with_seed(seed);
-    let of = |planned: bool| kinds.iter().filter(|kind| kind.planned == planned).collect::<Vec<_>>();
+    let is_in_focus = |kind: &Kind| focus == Focus::All || kind.is_about_control();
+    let of = |planned: bool| {
+        kinds.iter().filter(|kind| kind.planned == planned && is_in_focus(kind)).collect::<Vec<_>>()
+    };
     let plan = entries(&of(true), 2..5, &mut rng);
     let mut faults = entries(&of(false), 2..5, &mut rng);
     faults.extend(pair(&of(false), &mut rng));
-    let closing = match CLOSINGS[rng.usize(..CLOSINGS.len())] {
-        Some(kind) => format!("closing = {{ kind = \"{kind}\", down_s = {:.1} }}\n", 1.0 + 3.0 * rng.f64()),
-        None => String::new(),
-    };
+    if focus == Focus::Control {
+        faults.extend(pair(&of(false), &mut rng));
+    }
+    let closing = closing(&mut rng);
     format!(
         "[[day]]\nname = \"{name}\"\nslot = 1\nseed = {}\nlength_s = {LENGTH_S}\none = 0.9\nzero = 0.2\n\
          goal = {{ floor = 0.5 }}\n{closing}plan = [{}]\nfaults = [{}]\n",
@@ -110,6 +63,15 @@
     )
 }
 
+/// What the day ends with, as a line of the file.
+fn closing(rng: &mut Rng) -> String {
+    let Some(kind) = CLOSINGS[rng.usize(..CLOSINGS.len())] else { return String::new() };
+    let down = 1.0 + 3.0 * rng.f64();
+    let how = CLOSING_VARIANTS.get(rng.usize(..2 * CLOSING_VARIANTS.len()));
+    let how = how.map_or(String::new(), |how| format!(", how = \"{how}\""));
+    format!("closing = {{ kind = \"{kind}\", down_s = {down:.1}{how} }}\n")
+}
+
 fn entries(kinds: &[&Kind], count: std::ops::Range<usize>, rng: &mut Rng) -> Vec<String> {
     if kinds.is_empty() {
         return Vec::new();
@@ -132,9 +94,12 @@
     let kind = kinds[rng.usize(..kinds.len())];
     let lasts = 3.0 + 6.0 * rng.f64();
     let mut text = format!("{{ at = {at:.1}, kind = \"{}\", for_s = {lasts:.1}", kind.name);
-    // The usual variant is as likely as each of the others.
-    if let Some(variant) = kind.variants.get(rng.usize(..=kind.variants.len())) {
-        let _ = write!(text, ", how = \"{variant}\"");
+    let how = how(kind, rng);
+    if !how.is_empty() {
+        let _ = write!(text, ", how = \"{how}\"");
+    }
+    if kind.target == Target::Machines && rng.bool() {
+        text.push_str(", on = \"core\"");
     }
     match kind.name {
         "burst" => text.push_str(", x = 1.8"),
@@ -144,6 +109,18 @@
     text + " }"
 }
 
+/// A variant, and with machines perhaps which of them are meant and what is done meanwhile.
+fn how(kind: &Kind, rng: &mut Rng) -> String {
+    // The usual variant is as likely as each of the others.
+    let mut how: Vec<&str> =
+        kind.variants.get(rng.usize(..=kind.variants.len())).copied().into_iter().collect();
+    if kind.target != Target::Other {
+        how.extend(CHOSEN.get(rng.usize(..2 * CHOSEN.len())));
+        how.extend(MEANWHILE.get(rng.usize(..2 * MEANWHILE.len())));
+    }
+    how.join(" ")
+}
+
 /// A day that was played.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Played {
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -1,6 +1,6 @@
 //! Days drawn at random, and the table of what came of them.
 
-use lab::days::{KINDS, Played, draw, listed, table};
+use lab::days::{Focus, KINDS, Played, draw, listed, table};
 use std::collections::BTreeSet;
 
 const LISTING: &str =
@@ -16,7 +16,7 @@
     let names: Vec<&str> = kinds.iter().map(|kind| kind.name).collect();
     assert_eq!(names, ["hup", "burst", "hot_key"]);
     for seed in 0..200 {
-        let day = draw(&kinds, "d", seed);
+        let day = draw(&kinds, Focus::All, "d", seed);
         for kind in KINDS.iter().filter(|kind| !names.contains(&kind.name)) {
             assert!(!names_kind(&day, kind.name), "{day}");
         }
@@ -27,8 +27,8 @@
 fn a_seed_always_draws_the_same_day_and_all_kinds_come_up() {
     let mut drawn = BTreeSet::new();
     for seed in 0..400 {
-        let day = draw(KINDS, "d", seed);
-        assert_eq!(day, draw(KINDS, "d", seed));
+        let day = draw(KINDS, Focus::All, "d", seed);
+        assert_eq!(day, draw(KINDS, Focus::All, "d", seed));
         drawn.extend(KINDS.iter().map(|kind| kind.name).filter(|name| names_kind(&day, name)));
     }
     assert_eq!(drawn.len(), KINDS.len());
@@ -37,7 +37,7 @@
 #[test]
 fn planned_work_stands_in_the_plan_and_troubles_among_the_faults() {
     for seed in 0..100 {
-        let day = draw(KINDS, "d", seed);
+        let day = draw(KINDS, Focus::All, "d", seed);
         let (before, faults) = day.split_once("faults = ").unwrap();
         let plan = before.split_once("plan = ").unwrap().1;
         for kind in KINDS {
@@ -48,6 +48,22 @@
     }
 }
 
+#[test]
+fn days_about_the_control_state_hold_nothing_else_and_every_way_to_cut_it() {
+    let mut ways = BTreeSet::new();
+    for seed in 0..400 {
+        let day = draw(KINDS, Focus::Control, "d", seed);
+        for kind in KINDS.iter().filter(|kind| !kind.is_about_control()) {
+            assert!(!names_kind(&day, kind.name), "{} in {day}", kind.name);
+        }
+        let cuts = day.split("kind = \"core_cut\"").skip(1).filter_map(|entry| entry.split('}').next());
+        ways.extend(cuts.flat_map(|entry| entry.split(['"', ' ']).map(str::to_owned).collect::<Vec<_>>()));
+    }
+    for way in ["behind", "split", "one_way", "relieve", "lure", "leader", "hard", "race", "drain"] {
+        assert!(ways.contains(way), "{way} among {ways:?}");
+    }
+}
+
 #[test]
 fn the_table_counts_days_by_kind_and_rule() {
     let day = |kinds: &[&str], broken: &[&str]| Played {
