--- /dev/null
+++ b/control/tests/view_model/scenarios.rs
@@ -0,0 +1,273 @@
+//! Where a check begins and how far it goes: each scenario leads up, one way only, to a moment at which much may go wrong.
+
+use crate::bounds::{Act, Bounds, Step};
+use crate::state::{Message, id, ids};
+use crate::turn::Fault;
+use control::view::View;
+use std::collections::BTreeSet;
+
+/// Two replicas that try to take over from a primary that is silent.
+pub fn takeovers(fault: Fault) -> Bounds {
+    Bounds {
+        fault,
+        epochs: 2,
+        rounds: 1,
+        changes: 0,
+        ticks: 0,
+        restarts: 0,
+        losses: 0,
+        candidates: BTreeSet::from([1, 2]),
+        changes_members: false,
+        replicas: 3,
+        in_sync: 3,
+        tells_decided: false,
+        is_own_disk_slow: false,
+        prefix: Vec::new(),
+    }
+}
+
+/// The same; one of them may restart in the middle.
+pub fn restarts(fault: Fault) -> Bounds {
+    Bounds { restarts: 1, ..takeovers(fault) }
+}
+
+/// A candidate restarts before its own acceptance is on its disk, and tries again with another majority.
+pub fn second_life(fault: Fault) -> Bounds {
+    let (first, second) = if fault == Fault::BallotsRepeat { ((1, 0), (1, 0)) } else { ((1, 1), (2, 2)) };
+    let mut prefix = vec![
+        Step::Do(Act::TakeOver(1)),
+        deliver(Kind::Prepare, 1).of(first),
+        deliver(Kind::Prepare, 2).of(first),
+        deliver(Kind::Vote, 1).from(2).of(first),
+        deliver(Kind::Accept, 2).of(first),
+        Step::Do(Act::Restart(1)),
+        Step::Do(Act::TakeOver(1)),
+        deliver(Kind::Prepare, 0).of(second),
+        deliver(Kind::Prepare, 1).of(second),
+        deliver(Kind::Vote, 1).from(0).of(second),
+    ];
+    if fault == Fault::BallotsRepeat {
+        // The answer to the first life counts in the second one.
+        prefix.extend([
+            deliver(Kind::Accept, 0).of(second).with([0, 1]),
+            deliver(Kind::Accepted, 1).from(0).of(second),
+            deliver(Kind::Accepted, 1).from(2).of(first),
+        ]);
+    }
+    Bounds {
+        rounds: 2,
+        restarts: 1,
+        is_own_disk_slow: true,
+        candidates: BTreeSet::from([2]),
+        prefix,
+        ..takeovers(fault)
+    }
+}
+
+/// A replica that lacks a change tries to take over.
+pub fn lagging(fault: Fault) -> Bounds {
+    let prefix = vec![
+        Step::Do(Act::Order(0)),
+        deliver(Kind::Replicate, 1),
+        deliver(Kind::Stored, 0).from(1),
+        Step::Do(Act::Lose(0)),
+    ];
+    Bounds { changes: 1, losses: 1, in_sync: 2, prefix, ..takeovers(fault) }
+}
+
+fn next_view(in_sync: impl IntoIterator<Item = usize>) -> View {
+    View { epoch: 2, primary: id(0), in_sync: ids(in_sync), witnesses: ids(0..3) }
+}
+
+/// A primary proposed to take a replica in, one witness accepted that, and the primary gave it up; it orders a change, which one
+/// backup stores, and loses its disk.
+pub fn joiners(fault: Fault) -> Bounds {
+    let prefix = vec![
+        Step::Do(Act::BringUp(0, 2)),
+        deliver(Kind::Install, 2),
+        deliver(Kind::Stored, 0).from(2),
+        Step::Do(Act::Change(0, next_view(0..3))),
+        deliver(Kind::Prepare, 1),
+        deliver(Kind::Vote, 0).from(1),
+        deliver(Kind::Accept, 1),
+        Step::Do(Act::GiveUp(0)),
+        Step::Do(Act::Order(0)),
+        deliver(Kind::Replicate, 1),
+        deliver(Kind::Stored, 0).from(1),
+        Step::Do(Act::Lose(0)),
+    ];
+    Bounds { epochs: 3, changes: 1, losses: 1, in_sync: 2, tells_decided: true, prefix, ..takeovers(fault) }
+}
+
+/// The same with a slow disk: the primary has not accepted its own proposal yet, and has another view decided for the same
+/// epoch, without that replica.
+pub fn replaced_proposal(fault: Fault) -> Bounds {
+    let (first, second) = ((1, 1), (2, 1));
+    let mut prefix = vec![
+        Step::Do(Act::BringUp(0, 2)),
+        deliver(Kind::Install, 2),
+        deliver(Kind::Stored, 0).from(2),
+        Step::Do(Act::Change(0, next_view(0..3))),
+        deliver(Kind::Prepare, 0),
+        deliver(Kind::Prepare, 1),
+        deliver(Kind::Vote, 0).from(1),
+        deliver(Kind::Accept, 2).of(first),
+        Step::Do(Act::GiveUp(0)),
+        Step::Do(Act::Change(0, next_view(0..2))),
+        deliver(Kind::Prepare, 0).of(second),
+        deliver(Kind::Prepare, 1).of(second),
+        deliver(Kind::Vote, 0).from(1).of(second),
+        deliver(Kind::Accept, 0).of(second),
+        deliver(Kind::Accept, 1).of(second),
+        deliver(Kind::Accepted, 0).from(1).of(second),
+        deliver(Kind::Decided, 1),
+        deliver(Kind::Install, 1),
+        deliver(Kind::Stored, 0).from(1),
+        Step::Do(Act::Order(0)),
+        deliver(Kind::Replicate, 1),
+        deliver(Kind::Stored, 0).from(1).storing(1),
+        Step::Do(Act::Order(0)),
+    ];
+    if fault == Fault::ViewFromHeartbeat {
+        prefix.push(deliver(Kind::Replicate, 2).storing(2));
+    }
+    Bounds {
+        epochs: 3,
+        rounds: 3,
+        changes: 2,
+        in_sync: 2,
+        candidates: BTreeSet::from([2]),
+        tells_decided: true,
+        is_own_disk_slow: true,
+        prefix,
+        ..takeovers(fault)
+    }
+}
+
+/// A primary renews its lease while another replica tries to take over.
+pub fn leases(fault: Fault) -> Bounds {
+    Bounds { ticks: 2, candidates: BTreeSet::from([1]), tells_decided: true, ..takeovers(fault) }
+}
+
+/// A new machine takes the place of a witness while the lease is held by the word of that witness.
+pub fn leases_of_new_witnesses(fault: Fault) -> Bounds {
+    let swapped = View { epoch: 2, primary: id(0), in_sync: ids([0, 1, 3]), witnesses: ids([0, 1, 3]) };
+    let prefix = vec![
+        Step::Do(Act::BringUp(0, 3)),
+        deliver(Kind::Install, 3),
+        deliver(Kind::Stored, 0).from(3),
+        Step::Do(Act::SendHeartbeat(0)),
+        deliver(Kind::Heartbeat, 2),
+        deliver(Kind::Granted, 0).from(2),
+        Step::Do(Act::Change(0, swapped)),
+        deliver(Kind::Prepare, 2),
+        deliver(Kind::Vote, 0).from(2),
+        deliver(Kind::Accept, 2),
+        deliver(Kind::Accept, 3),
+        deliver(Kind::Accepted, 0).from(2),
+        deliver(Kind::Accepted, 0).from(3),
+        deliver(Kind::Decided, 1),
+        Step::Do(Act::TakeOver(1)),
+        deliver(Kind::Prepare, 3).from(1),
+        deliver(Kind::Vote, 1).from(3),
+        deliver(Kind::Accept, 3).from(1),
+    ];
+    Bounds {
+        epochs: 3,
+        ticks: 1,
+        candidates: BTreeSet::from([1]),
+        replicas: 4,
+        tells_decided: true,
+        prefix,
+        ..takeovers(fault)
+    }
+}
+
+/// The kind of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Prepare,
+    Vote,
+    Accept,
+    Accepted,
+    Decided,
+    Install,
+    Replicate,
+    Stored,
+    Heartbeat,
+    Granted,
+}
+
+/// Which message is meant.
+#[derive(Debug, Clone, Copy)]
+pub struct Pattern {
+    kind: Kind,
+    from: Option<usize>,
+    /// Round and life of the attempt.
+    attempt: Option<(u64, u64)>,
+    /// The changes that are stored.
+    log: Option<u8>,
+    /// Who is in sync in the view.
+    in_sync: Option<[usize; 2]>,
+}
+
+impl Pattern {
+    /// Whether a message is of this kind, and from whom and of which attempt is meant.
+    pub fn fits(&self, message: &Message) -> bool {
+        let (kind, ballot) = match message {
+            Message::Prepare { ballot, .. } => (Kind::Prepare, Some(ballot)),
+            Message::Vote { ballot, .. } => (Kind::Vote, Some(ballot)),
+            Message::Accept { proposal, .. } => (Kind::Accept, Some(&proposal.ballot)),
+            Message::Accepted { ballot, .. } => (Kind::Accepted, Some(ballot)),
+            Message::Decided { .. } => (Kind::Decided, None),
+            Message::Install { .. } => (Kind::Install, None),
+            Message::Replicate { .. } => (Kind::Replicate, None),
+            Message::Stored { .. } => (Kind::Stored, None),
+            Message::Heartbeat { .. } => (Kind::Heartbeat, None),
+            Message::Granted { .. } => (Kind::Granted, None),
+        };
+        let is_from = self.from.is_none_or(|from| message.sender() == Some(from));
+        let is_of =
+            self.attempt.is_none_or(|of| ballot.is_some_and(|ballot| (ballot.round, ballot.life) == of));
+        let log = match message {
+            Message::Stored { log, .. } | Message::Replicate { log, .. } => Some(*log),
+            _ => None,
+        };
+        let in_sync = match message {
+            Message::Accept { proposal, .. } => Some(&proposal.view.in_sync),
+            _ => None,
+        };
+        let is_with = self.in_sync.is_none_or(|members| in_sync == Some(&ids(members)));
+        let is_storing = self.log.is_none_or(|stored| log == Some(stored));
+        kind == self.kind && is_from && is_of && is_with && is_storing
+    }
+}
+
+fn deliver(kind: Kind, to: usize) -> Step {
+    Step::Deliver(Pattern { kind, from: None, attempt: None, log: None, in_sync: None }, to)
+}
+
+impl Step {
+    fn with_pattern(self, change: impl FnOnce(Pattern) -> Pattern) -> Self {
+        match self {
+            Step::Deliver(pattern, to) => Step::Deliver(change(pattern), to),
+            other => other,
+        }
+    }
+
+    fn from(self, from: usize) -> Self {
+        self.with_pattern(|pattern| Pattern { from: Some(from), ..pattern })
+    }
+
+    fn of(self, attempt: (u64, u64)) -> Self {
+        self.with_pattern(|pattern| Pattern { attempt: Some(attempt), ..pattern })
+    }
+
+    fn storing(self, log: u8) -> Self {
+        self.with_pattern(|pattern| Pattern { log: Some(log), ..pattern })
+    }
+
+    fn with(self, in_sync: [usize; 2]) -> Self {
+        self.with_pattern(|pattern| Pattern { in_sync: Some(in_sync), ..pattern })
+    }
+}
