Routers tell which weights they hear of, how orders end, and when clients leave

Cause: nothing in the logs could tell the hypotheses of the incident apart. Change: log lines for named versions and answers to orders, a state of each client's connection, counters and a metrics page on a port of its own. No decision changes.

--- a/bitternsill/src/cli.rs
+++ b/bitternsill/src/cli.rs
@@ -42,6 +42,9 @@
         /// The settings of the process [default: $BITTERNSILL_SETTINGS].
         #[arg(long, value_name = "FILE")]
         settings: Option<PathBuf>,
+        /// Tell the process's own figures as text on this port: GET /metrics.
+        #[arg(long, value_name = "PORT")]
+        metrics_port: Option<u16>,
         /// Only say whether the settings can be used.
         #[arg(long)]
         check: bool,
@@ -176,14 +179,16 @@
                 serve::platform(config, beside)
             }))
         }
-        Command::Router { settings, check: true } => match router::cli::check(settings) {
+        Command::Router { settings, check: true, .. } => match router::cli::check(settings) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => failed(&problem),
         },
-        Command::Router { settings, check: false } => match router::cli::run(settings) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(problem) => failed(&problem),
-        },
+        Command::Router { settings, metrics_port, check: false } => {
+            match router::cli::run(settings, metrics_port) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(problem) => failed(&problem),
+            }
+        }
         Command::System(call) => match router::cli::ask(&call) {
             Ok(words) => print(format_args!("{words}")),
             Err(problem) => failed(&problem),
--- a/router/src/cli.rs
+++ b/router/src/cli.rs
@@ -207,8 +207,8 @@
     named.or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from)).ok_or(SettingsError::NoPath)
 }
 
-/// Runs a router until it is told to end.
-pub fn run(settings: Option<PathBuf>) -> Result<(), ServeError> {
+/// Runs a router until it is told to end; its figures are told on the metrics port, where one is named.
+pub fn run(settings: Option<PathBuf>, metrics_port: Option<u16>) -> Result<(), ServeError> {
     let level = match std::env::var("BITTERNSILL_LOG").as_deref() {
         Ok("debug") => Level::Debug,
         Ok("warn") => Level::Warn,
@@ -219,7 +219,7 @@
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter).append(append::Stderr::default()))
         .apply();
-    serve::run(&settings_path(settings)?)
+    serve::run(&settings_path(settings)?, metrics_port)
 }
 
 /// Checks a settings file.
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::disk::Known;
 use crate::links::{Links, lock};
+use crate::metrics::Counters;
 use crate::proxy::stores::Stores;
 use crate::published::Published;
 use crate::replica::ReplicaHandle;
@@ -42,6 +43,8 @@
     pub settings: Arc<Settings>,
     /// Connections to other routers.
     pub links: Links,
+    /// What this router did.
+    pub counters: Counters,
     /// Soft state.
     pub directory: Mutex<Directory>,
     /// Durable state, as committed.
@@ -76,6 +79,7 @@
         let now = clock::now();
         let fleet = Fleet {
             links: Links::default(),
+            counters: Counters::default(),
             directory: Mutex::new(Directory::new(Origin(life))),
             published: Mutex::new(Published::default()),
             stores: Stores::default(),
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -103,7 +103,7 @@
     }
 
     /// How long ago the control state here was last known to be the newest; none where it never was.
-    pub(super) fn age(&self) -> Option<Millis> {
+    pub fn age(&self) -> Option<Millis> {
         let own = self.replica.as_ref().and_then(ReplicaHandle::current_at);
         let at = own.max(*lock(&self.pulled_current_at))?;
         Some(clock::now().saturating_sub(at))
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod listener;
 pub mod membership;
+pub mod metrics;
 pub mod protocol;
 pub mod proxy;
 pub mod published;
--- a/router/src/listener.rs
+++ b/router/src/listener.rs
@@ -1,7 +1,8 @@
-//! Taking connections of clients, which can be broken off in the middle of an answer.
+//! Taking connections of clients: whether the client is still there, and breaking a connection off in the middle of an answer.
 //!
-//! The server library polls a connection again after the body of an answer has failed, and then may end the body as if
-//! it were whole. So whoever breaks an answer off first breaks its connection: nothing is written on it any more.
+//! The server library polls a connection again after it has failed. A request of a client that has closed its connection would
+//! then go on, and a body that has failed would end as if it were whole. So a connection's own state says how it stands, and whoever
+//! works for a request asks that state.
 
 use crate::links::lock;
 use poem::listener::Acceptor;
@@ -10,61 +11,97 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// How a client's connection stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// The client is there.
+    Open,
+    /// The client has closed or reset it.
+    ClientLeft,
+    /// This router broke it off: nothing is read or written any more.
+    BrokenOff,
+}
 
-/// Breaks one connection of a client.
-#[derive(Debug, Clone, Default)]
-pub struct Breaker(Arc<AtomicBool>);
+/// One connection of a client, as those who answer its requests see it.
+#[derive(Debug, Clone)]
+pub struct ClientConnection(Arc<watch::Sender<ConnectionState>>);
+
+impl Default for ClientConnection {
+    fn default() -> Self {
+        ClientConnection(Arc::new(watch::Sender::new(ConnectionState::Open)))
+    }
+}
+
+impl ClientConnection {
+    /// How it stands.
+    pub fn state(&self) -> ConnectionState {
+        *self.0.borrow()
+    }
 
-impl Breaker {
-    /// From now on nothing is read or written on the connection.
+    /// From now on nothing is read or written on it.
     pub fn break_off(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.enter(ConnectionState::BrokenOff);
+    }
+
+    /// The one place where the state changes: an open connection ends once, by the client or by this router.
+    fn enter(&self, state: ConnectionState) {
+        self.0.send_if_modified(|held| {
+            let is_open = *held == ConnectionState::Open;
+            if is_open {
+                *held = state;
+            }
+            is_open
+        });
     }
 
     fn check(&self) -> io::Result<()> {
-        if self.0.load(Ordering::Relaxed) { Err(io::ErrorKind::ConnectionAborted.into()) } else { Ok(()) }
+        match self.state() {
+            ConnectionState::BrokenOff => Err(io::ErrorKind::ConnectionAborted.into()),
+            ConnectionState::Open | ConnectionState::ClientLeft => Ok(()),
+        }
     }
 }
 
-/// The breakers of open connections, by the client's address.
+/// The open connections, by the client's address.
 #[derive(Debug, Clone, Default)]
-pub struct Breakers(Arc<Mutex<HashMap<SocketAddr, Breaker>>>);
+pub struct ClientConnections(Arc<Mutex<HashMap<SocketAddr, ClientConnection>>>);
 
-impl Breakers {
-    /// The breaker of the connection from an address.
-    pub fn of(&self, remote: Option<&SocketAddr>) -> Breaker {
+impl ClientConnections {
+    /// The connection from an address.
+    pub fn of(&self, remote: Option<&SocketAddr>) -> ClientConnection {
         remote.and_then(|remote| lock(&self.0).get(remote).cloned()).unwrap_or_default()
     }
 
     /// Forgets a connection that has ended, unless another one has come from the same address since.
-    fn forget(&self, remote: &SocketAddr, breaker: &Breaker) {
-        let mut breakers = lock(&self.0);
-        if breakers.get(remote).is_some_and(|held| Arc::ptr_eq(&held.0, &breaker.0)) {
-            breakers.remove(remote);
+    fn forget(&self, remote: &SocketAddr, connection: &ClientConnection) {
+        let mut connections = lock(&self.0);
+        if connections.get(remote).is_some_and(|held| Arc::ptr_eq(&held.0, &connection.0)) {
+            connections.remove(remote);
         }
     }
 }
 
-/// Takes connections that can be broken.
-pub struct BreakableAcceptor {
+/// Takes connections of clients.
+pub struct ClientAcceptor {
     listener: TcpListener,
-    breakers: Breakers,
+    connections: ClientConnections,
 }
 
-impl BreakableAcceptor {
+impl ClientAcceptor {
     /// Takes connections from a listener.
-    pub fn new(listener: TcpListener, breakers: Breakers) -> Self {
-        BreakableAcceptor { listener, breakers }
+    pub fn new(listener: TcpListener, connections: ClientConnections) -> Self {
+        ClientAcceptor { listener, connections }
     }
 }
 
-impl Acceptor for BreakableAcceptor {
-    type Io = Breakable;
+impl Acceptor for ClientAcceptor {
+    type Io = ClientStream;
 
     fn local_addr(&self) -> Vec<LocalAddr> {
         self.listener.local_addr().map(|address| LocalAddr(address.into())).into_iter().collect()
@@ -74,46 +111,64 @@
         let local = self.listener.local_addr()?;
         let (stream, remote) = self.listener.accept().await?;
         stream.set_nodelay(true)?;
-        let breaker = Breaker::default();
-        lock(&self.breakers.0).insert(remote, breaker.clone());
-        let io = Breakable { stream, breaker, remote, breakers: self.breakers.clone() };
+        let connection = ClientConnection::default();
+        lock(&self.connections.0).insert(remote, connection.clone());
+        let io = ClientStream { stream, connection, remote, connections: self.connections.clone() };
         Ok((io, LocalAddr(local.into()), RemoteAddr(remote.into()), poem::http::uri::Scheme::HTTP))
     }
 }
 
-/// A connection of a client.
-pub struct Breakable {
+/// The bytes of a client's connection.
+pub struct ClientStream {
     stream: TcpStream,
-    breaker: Breaker,
+    connection: ClientConnection,
     remote: SocketAddr,
-    breakers: Breakers,
+    connections: ClientConnections,
 }
 
-impl Drop for Breakable {
+impl ClientStream {
+    /// A read or write of the socket has failed: the client is gone.
+    fn note_failure<T>(&self, result: &Poll<io::Result<T>>) {
+        if let Poll::Ready(Err(_)) = result {
+            self.connection.enter(ConnectionState::ClientLeft);
+        }
+    }
+}
+
+impl Drop for ClientStream {
     fn drop(&mut self) {
-        self.breakers.forget(&self.remote, &self.breaker);
+        self.connections.forget(&self.remote, &self.connection);
     }
 }
 
-impl AsyncRead for Breakable {
+impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.breaker.check()?;
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        self.connection.check()?;
+        let (before, room) = (buffer.filled().len(), buffer.remaining());
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.note_failure(&read);
+        let is_end = room > 0 && matches!(read, Poll::Ready(Ok(()))) && buffer.filled().len() == before;
+        if is_end {
+            self.connection.enter(ConnectionState::ClientLeft);
+        }
+        read
     }
 }
 
-impl AsyncWrite for Breakable {
+impl AsyncWrite for ClientStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.breaker.check()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.connection.check()?;
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.note_failure(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -121,8 +176,10 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.breaker.check()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        self.connection.check()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.note_failure(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -130,11 +187,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.breaker.check()?;
+        self.connection.check()?;
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.check()?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -206,6 +206,11 @@
         lock(&self.live).versions.get(model).copied()
     }
 
+    /// The versions of weights that it has, as far as is known, by model.
+    pub fn versions(&self) -> HashMap<CompactString, u64> {
+        lock(&self.live).versions.clone()
+    }
+
     /// An answer told the version of a model's weights.
     pub fn learn_version(&self, model: &str, version: u64) {
         lock(&self.live).learn_version(&CompactString::from(model), version);
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -10,6 +10,7 @@
 use crate::clock;
 use crate::fleet::Fleet;
 use crate::links::lock;
+use crate::metrics::Event;
 use compact_str::CompactString;
 use control::Millis;
 use control::configuration::{Kind, Route};
@@ -121,6 +122,10 @@
         (job.service.clone(), job.route.kind == Kind::Streaming, job.route.target_latency_ms)
     }
 
+    pub(super) fn count(&self, event: Event) {
+        self.fleet.counters.count(event);
+    }
+
     pub(super) fn with_learned<T>(&self, job: &Job, look: impl FnOnce(&mut Learned) -> T) -> T {
         let mut learned = lock(&self.learned);
         let entry = learned.entry(Self::kind(job)).or_insert_with(|| Learned {
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -5,7 +5,8 @@
 use super::headers;
 use super::relay::Relay;
 use crate::links::lock;
-use crate::listener::{Breaker, Breakers};
+use crate::listener::{ClientConnection, ClientConnections, ConnectionState};
+use crate::metrics::Event;
 use bytes::Bytes;
 use compact_str::CompactString;
 use control::configuration::{Access, Configuration, Kind, Route, Tenant};
@@ -34,7 +35,7 @@
 /// The interface for clients.
 pub struct Ingress {
     exchanges: Arc<Exchanges>,
-    breakers: Breakers,
+    connections: ClientConnections,
 }
 
 /// Why a request is not sent on.
@@ -55,12 +56,18 @@
 
 impl Ingress {
     /// The interface for clients.
-    pub fn new(exchanges: Arc<Exchanges>, breakers: Breakers) -> Self {
-        Ingress { exchanges, breakers }
+    pub fn new(exchanges: Arc<Exchanges>, connections: ClientConnections) -> Self {
+        Ingress { exchanges, connections }
     }
 
     async fn handle(&self, request: Request) -> Response {
-        let mut response = match self.serve(request).await {
+        self.exchanges.count(Event::RequestBegun);
+        let connection = self.connections.of(request.remote_addr().as_socket_addr());
+        let served = self.serve(request, &connection).await;
+        if connection.state() == ConnectionState::ClientLeft {
+            self.exchanges.count(Event::ClientLeftWaiting);
+        }
+        let mut response = match served {
             Ok(response) => response,
             Err(refused) => word(&refused),
         };
@@ -70,9 +77,12 @@
         response
     }
 
-    async fn serve(&self, mut request: Request) -> std::result::Result<Response, Refused> {
+    async fn serve(
+        &self,
+        mut request: Request,
+        connection: &ClientConnection,
+    ) -> std::result::Result<Response, Refused> {
         let arrived = Instant::now();
-        let breaker = self.breakers.of(request.remote_addr().as_socket_addr());
         let configuration = self.configuration().ok_or_else(|| Refused::for_now(NOT_READY_RETRY_AFTER))?;
         let host = host_of(&request);
         let route = configuration.route(&host, request.uri().path());
@@ -87,10 +97,8 @@
         let body = read_body(&mut request, longest).await?;
         let job = self.job(&configuration, route, tenant, request, body, arrived)?;
         match self.exchanges.run(&job).await {
-            Ok((begun, tries)) => Ok(self.answer(job, begun, tries, breaker)),
-            Err(GivenUp::NotRun { retry_after }) => Err(Refused::for_now(&format!("{retry_after:.2}"))),
-            Err(GivenUp::MayHaveRun { late: true }) => Err(Refused::with(StatusCode::GATEWAY_TIMEOUT)),
-            Err(GivenUp::MayHaveRun { late: false }) => Err(Refused::with(StatusCode::BAD_GATEWAY)),
+            Ok((begun, tries)) => Ok(self.answer(job, begun, tries, connection.clone())),
+            Err(given_up) => Err(self.refuse(given_up)),
         }
     }
 
@@ -120,7 +128,21 @@
         Ok(Job { call: Arc::new(call), route: Arc::new(route.clone()), service: service.clone(), until })
     }
 
-    fn answer(&self, job: Job, begun: Begun, tries: Tries, breaker: Breaker) -> Response {
+    fn refuse(&self, given_up: GivenUp) -> Refused {
+        match given_up {
+            GivenUp::NotRun { retry_after } => {
+                self.exchanges.count(Event::RefusedUnrun);
+                Refused::for_now(&format!("{retry_after:.2}"))
+            }
+            GivenUp::MayHaveRun { late } => {
+                self.exchanges.count(Event::GivenUp);
+                Refused::with(if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY })
+            }
+        }
+    }
+
+    fn answer(&self, job: Job, begun: Begun, tries: Tries, connection: ClientConnection) -> Response {
+        self.exchanges.count(Event::AnswerBegun);
         let Begun { mut head, status, content, backend, .. } = begun;
         headers::remove_hop_by_hop(&mut head);
         let body = match content {
@@ -129,7 +151,7 @@
                 Body::from_bytes(bytes)
             }
             Content::Events(events) => {
-                let relay = Relay::new(self.exchanges.clone(), job, tries, backend, events, breaker);
+                let relay = Relay::new(self.exchanges.clone(), job, tries, backend, events, connection);
                 Body::from_bytes_stream(relay.into_stream())
             }
         };
--- a/router/src/proxy/pending.rs
+++ b/router/src/proxy/pending.rs
@@ -6,6 +6,7 @@
 use super::locator::Question;
 use super::pick::Choice;
 use crate::clock;
+use crate::metrics::Event;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use routing::admission::PendingId;
@@ -128,6 +129,7 @@
     }
 
     fn send(&mut self, choice: Choice) {
+        self.exchanges.count(Event::Sent);
         self.tries.tried.push(choice.backend.id.clone());
         self.tries.runs += 1;
         let transfer = self.exchanges.transfer(self.job, &choice, self.located.as_ref());
@@ -153,6 +155,7 @@
         if self.exchanges.take_repeat(&self.job.service, KEPT_FOR_FAILURES) {
             self.exchanges.with_learned(self.job, |learned| learned.copies.take());
             self.copied = true;
+            self.exchanges.count(Event::Copied);
             self.send(choice);
         }
     }
@@ -166,7 +169,8 @@
                 self.tries.rejections += 1;
                 self.tries.rejections <= MOST_REJECTIONS
             }
-            Ended::Rejected { retry_after, .. } => {
+            Ended::Rejected { retry_after, misdirected } => {
+                self.exchanges.count(if misdirected { Event::Misdirected } else { Event::Rejected });
                 self.tries.runs -= 1;
                 self.tries.rejections += 1;
                 self.advice = retry_after.or(self.advice);
@@ -192,6 +196,7 @@
         let choice = self.exchanges.choose_soon(self.job, &tried, self.located.as_ref()).await;
         let found = choice.is_some();
         if let Some(choice) = choice {
+            self.exchanges.count(Event::Repeated);
             self.send(choice);
         }
         found
--- a/router/src/proxy/relay.rs
+++ b/router/src/proxy/relay.rs
@@ -3,7 +3,8 @@
 use super::attempt::{Begun, Content, Events, recycle};
 use super::backend::Backend;
 use super::exchange::{Exchanges, Job, Tries};
-use crate::listener::Breaker;
+use crate::listener::{ClientConnection, ConnectionState};
+use crate::metrics::Event;
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use futures_util::stream;
@@ -23,7 +24,7 @@
     events: Option<Box<Events>>,
     buffer: BytesMut,
     last_event_id: Option<String>,
-    breaker: Breaker,
+    connection: ClientConnection,
 }
 
 impl Relay {
@@ -34,10 +35,19 @@
         tries: Tries,
         backend: Arc<Backend>,
         mut events: Box<Events>,
-        breaker: Breaker,
+        connection: ClientConnection,
     ) -> Self {
         let buffer = BytesMut::from(&std::mem::take(&mut events.first)[..]);
-        Relay { exchanges, job, tries, backend, events: Some(events), buffer, last_event_id: None, breaker }
+        Relay {
+            exchanges,
+            job,
+            tries,
+            backend,
+            events: Some(events),
+            buffer,
+            last_event_id: None,
+            connection,
+        }
     }
 
     /// The bytes for the client. An error breaks the answer off, so that it does not look complete.
@@ -48,7 +58,7 @@
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
                 Err(problem) => {
-                    relay.breaker.break_off();
+                    relay.connection.break_off();
                     Some((Err(problem), None))
                 }
             }
@@ -113,6 +123,15 @@
     }
 }
 
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let is_unfinished = self.events.is_some();
+        if is_unfinished && self.connection.state() == ConnectionState::ClientLeft {
+            self.exchanges.count(Event::ClientLeftStreaming);
+        }
+    }
+}
+
 fn find_last(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
     bytes.windows(wanted.len()).rposition(|window| window == wanted)
 }
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -62,7 +62,7 @@
             self.load(history);
         }
         self.position = state.position;
-        self.weights.clone_from(&state.weights);
+        self.name_weights(state.weights.clone());
         true
     }
 
@@ -84,10 +84,20 @@
             }
         }
         self.position = state.position;
-        self.weights = state.weights;
+        self.name_weights(state.weights);
         true
     }
 
+    /// The one place where the versions of weights change.
+    fn name_weights(&mut self, weights: BTreeMap<CompactString, WeightsTarget>) {
+        for (model, target) in &weights {
+            if self.weights.get(model) != Some(target) {
+                log::info!("version {} of the weights of {model} is named", target.version);
+            }
+        }
+        self.weights = weights;
+    }
+
     /// The one place where the configuration changes.
     fn load(&mut self, history: History) -> bool {
         match Configuration::parse(history.text()) {
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -4,8 +4,9 @@
 use crate::disk::{self, Disk, DiskError};
 use crate::fleet::Fleet;
 use crate::links::{self, lock};
-use crate::listener::{BreakableAcceptor, Breakers};
+use crate::listener::{ClientAcceptor, ClientConnections};
 use crate::membership;
+use crate::metrics::MetricsPage;
 use crate::proxy::exchange::Exchanges;
 use crate::proxy::fault_log;
 use crate::proxy::ingress::Ingress;
@@ -70,10 +71,10 @@
 }
 
 /// Runs a router until it is told to end.
-pub fn run(path: &Path) -> std::result::Result<(), ServeError> {
+pub fn run(path: &Path, metrics_port: Option<u16>) -> std::result::Result<(), ServeError> {
     let settings = Settings::read(path)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings, path.to_owned()))
+    runtime.block_on(serve(settings, path.to_owned(), metrics_port))
 }
 
 /// The replica of a node with a disk.
@@ -105,7 +106,11 @@
     Ok(Some(Replica { node, disk, stored, handle, inputs }))
 }
 
-async fn serve(settings: Settings, path: PathBuf) -> std::result::Result<(), ServeError> {
+async fn serve(
+    settings: Settings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> std::result::Result<(), ServeError> {
     let settings = Arc::new(settings);
     let life = fastrand::u64(1..);
     let replica = open_replica(&settings, life)?;
@@ -140,6 +145,7 @@
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
     tokio::spawn(fault_log::keep_telling(table.faults(), fleet.clone()));
 
+    let metrics = MetricsPage::new(fleet.clone(), table.clone());
     let ready = Ready::new(fleet.clone(), table);
     listen(settings.listen.readiness, ready);
     listen(settings.listen.control_plane, ControlApi::new(fleet.clone()));
@@ -151,6 +157,8 @@
         }
         None => None,
     };
+    // Last, so that no interface that somebody needs finds its port taken by this one.
+    listen(metrics_port.map(|port| SocketAddrV4::new(settings.ip_address, port)), metrics);
     log::info!("{} serves, with settings from {}", settings.node_name, path.display());
 
     end_in_order(&fleet, &settings, stop, clients).await
@@ -173,14 +181,14 @@
     exchanges: Arc<Exchanges>,
     mut stopped: tokio::sync::watch::Receiver<bool>,
 ) {
-    let breakers = Breakers::default();
-    let acceptor = BreakableAcceptor::new(listener, breakers.clone());
+    let connections = ClientConnections::default();
+    let acceptor = ClientAcceptor::new(listener, connections.clone());
     let stop = async move {
         // The sender lives until the process ends.
         let _ = stopped.wait_for(|stopped| *stopped).await;
     };
     let server = Server::new_with_acceptor(acceptor).idle_timeout(CLIENT_IDLE);
-    let ended = server.run_with_graceful_shutdown(Ingress::new(exchanges, breakers), stop, None).await;
+    let ended = server.run_with_graceful_shutdown(Ingress::new(exchanges, connections), stop, None).await;
     if let Err(problem) = ended {
         log::error!("clients are taken no more: {problem}");
     }
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::fleet::Fleet;
 use crate::links::lock;
+use crate::metrics::Event;
 use crate::proxy::headers::EXPECT_INSTANCE;
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
@@ -123,6 +124,7 @@
         tokio::time::sleep(NOTICE + self.fleet.gather_time()).await;
         let begun = Instant::now();
         let answer = self.order(&backend).await;
+        self.report(&backend, answer);
         match answer {
             OrderAnswer::Holds => return self.note(&backend, fence, OrderPhase::Done),
             OrderAnswer::Fenced => return,
@@ -139,6 +141,16 @@
         }
     }
 
+    fn report(&self, backend: &Lacking, answer: OrderAnswer) {
+        let Lacking { id, model, version, .. } = backend;
+        log::info!("order to backend {id} for version {version} of {model}: {answer:?}");
+        self.fleet.counters.count(match answer {
+            OrderAnswer::Holds | OrderAnswer::UnderWay => Event::OrderTaken,
+            OrderAnswer::Fenced => Event::OrderFenced,
+            OrderAnswer::Unknown => Event::OrderUnanswered,
+        });
+    }
+
     /// Gives the order.
     async fn order(&self, backend: &Lacking) -> OrderAnswer {
         // The fence is read right before the effect: it is none once the lease has ended.
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use control::history::News;
 use control::state::Position;
 use router::fleet::Fleet;
-use router::listener::{BreakableAcceptor, Breakers};
+use router::listener::{ClientAcceptor, ClientConnections};
 use router::protocol::PublishedState;
 use router::proxy::exchange::Exchanges;
 use router::proxy::ingress::Ingress;
@@ -195,9 +195,9 @@
         let exchanges = Exchanges::new(fleet.clone(), table.clone(), Locator::new(fleet.clone()));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let breakers = Breakers::default();
-        let acceptor = BreakableAcceptor::new(listener, breakers.clone());
-        let ingress = Ingress::new(exchanges, breakers);
+        let connections = ClientConnections::default();
+        let acceptor = ClientAcceptor::new(listener, connections.clone());
+        let ingress = Ingress::new(exchanges, connections);
         tokio::spawn(async move { poem::Server::new_with_acceptor(acceptor).run(ingress).await });
         Router { address, fleet, table }
     }
--- a/router/tests/crossing.rs
+++ b/router/tests/crossing.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use poem::listener::Acceptor;
-use router::listener::{BreakableAcceptor, Breakers};
+use router::listener::{ClientAcceptor, ClientConnections};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -198,8 +198,8 @@
 async fn a_connection_from_the_address_of_a_former_one_can_be_broken() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let server = listener.local_addr().unwrap();
-    let breakers = Breakers::default();
-    let mut acceptor = BreakableAcceptor::new(listener, breakers.clone());
+    let connections = ClientConnections::default();
+    let mut acceptor = ClientAcceptor::new(listener, connections.clone());
     let connect = |port: u16| async move {
         let socket = tokio::net::TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
@@ -215,6 +215,6 @@
     let _second = connect(remote.port()).await;
     let (mut present, ..) = acceptor.accept().await.unwrap();
     drop(former);
-    breakers.of(Some(&remote)).break_off();
+    connections.of(Some(&remote)).break_off();
     assert!(present.write_all(b"the end of an answer").await.is_err(), "nothing is written any more");
 }
