--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -187,8 +187,12 @@
 impl Router {
     /// The shared state of a router that knows nothing yet.
     pub fn without_configuration() -> Arc<Fleet> {
-        let settings = Settings::parse(Path::new("settings.json"), SETTINGS.as_bytes()).unwrap();
-        Fleet::new(Arc::new(settings), None, 1)
+        Fleet::new(Arc::new(Self::settings()), None, 1)
+    }
+
+    /// The settings of all routers here.
+    pub fn settings() -> Settings {
+        Settings::parse(Path::new("settings.json"), SETTINGS.as_bytes()).unwrap()
     }
 
     pub async fn start(backends: &[&StandIn]) -> Self {
@@ -197,7 +201,11 @@
 
     /// A router with a configuration of its own.
     pub async fn start_with(configuration: &str, backends: &[&StandIn]) -> Self {
-        let fleet = Self::without_configuration();
+        Self::start_on(Self::without_configuration(), configuration, backends).await
+    }
+
+    /// A router on a shared state that is there already.
+    pub async fn start_on(fleet: Arc<Fleet>, configuration: &str, backends: &[&StandIn]) -> Self {
         publish(&fleet, 1, configuration);
         for (at, backend) in backends.iter().enumerate() {
             register(&fleet, at, backend, 1, BackendPhase::Ready);
--- /dev/null
+++ b/router/tests/orders.rs
@@ -0,0 +1,75 @@
+//! Bringing new weights to backends of which some do not answer.
+//!
+//! Story: a version was named, and one sound backend got its first order 6.6 s later, after requests must not begin on older weights any
+//! more. Three others had crashed or did not answer.
+//!
+//! Evidence: the log of orders. Two or three orders are given at a time. Those that did not answer were asked again before
+//! others had been asked once, as backends were taken by their ids; and a backend that crashed after it had taken its order
+//! kept its place for 4 s, so that for two seconds nobody got an order.
+
+mod common;
+
+use common::*;
+use control::directory::BackendPhase;
+use control::state::{Position, WeightsTarget};
+use control::view::ReplicaId;
+use router::fleet::Fleet;
+use router::protocol::PublishedState;
+use router::replica::{ReplicaHandle, Shown};
+use router::weights::Orders;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Less than a backend that says nothing could keep a place for, and more than it may.
+const SOON: Duration = Duration::from_millis(3_200);
+
+/// A node that holds the lease, with these backends, as version 2 is named.
+fn leader(backends: &[StandIn]) -> (Arc<Fleet>, ReplicaHandle) {
+    let id = ReplicaId { disk: 1, node: "n1".into(), address: "127.0.0.1:7560".parse().unwrap() };
+    let (handle, _) = ReplicaHandle::new(id);
+    handle.show(Shown { lease: Some((1, u64::MAX)), ..Shown::default() });
+    let fleet = Fleet::new(Arc::new(Router::settings()), Some(handle.clone()), 1);
+    for (at, backend) in backends.iter().enumerate() {
+        register(&fleet, at, backend, 1, BackendPhase::Ready);
+    }
+    let weights = BTreeMap::from([("m".into(), WeightsTarget { version: 2, index: 1 })]);
+    let named = PublishedState { position: Position { index: 1, epoch: 1 }, configuration: None, weights };
+    assert!(fleet.published.lock().unwrap().take(named));
+    (fleet, handle)
+}
+
+/// Whether all sound backends get their orders soon, where the first ones behave like this.
+async fn others_are_reached(unsound: &[Act]) -> bool {
+    let mut backends = Vec::new();
+    for _ in 0..2 {
+        backends.push(StandIn::start(unsound.to_vec()).await);
+    }
+    let holds = Act::Say(answer("200 OK", "", "{}"));
+    for _ in 0..3 {
+        backends.push(StandIn::start(vec![holds.clone()]).await);
+    }
+    let (fleet, handle) = leader(&backends);
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let orders = tokio::spawn(Orders::new(fleet, handle, client).run());
+    let reached = async {
+        while backends[2..].iter().any(|backend| backend.count() == 0) {
+            tokio::task::yield_now().await;
+        }
+    };
+    let in_time = tokio::time::timeout(SOON, reached).await.is_ok();
+    orders.abort();
+    in_time
+}
+
+#[tokio::test]
+async fn backends_that_do_not_answer_leave_their_places_to_others() {
+    let silent = others_are_reached(&[Act::Hang]).await;
+    let taken = Act::SayAndClose(answer("202 Accepted", "", "{}"));
+    let crashed = others_are_reached(&[taken, Act::Hang]).await;
+    assert_eq!(
+        (silent, crashed),
+        (true, true),
+        "with backends that are silent, and that crash after an order"
+    );
+}
--- /dev/null
+++ b/router/tests/weights_deadline.rs
@@ -0,0 +1,75 @@
+//! Until when requests may begin on older weights, as several routers see it.
+//!
+//! Story: a version of some weights is acknowledged, and requests must not begin on an older one some seconds later. A router that heard of
+//! it late, as it had been cut off or had just started, still sent requests to a backend with the old weights after that time.
+//!
+//! Evidence: the time was counted from the first request after the router had heard of the version. Cause: news told what was
+//! named, and not how long ago.
+
+mod common;
+
+use common::*;
+use control::state::{Position, WeightsTarget};
+use router::fleet::{Fleet, Pull};
+use router::links;
+use router::protocol::PublishedState;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Long enough that a router which counts it anew is seen to do so.
+const VERSION_MS: u64 = 1_800;
+const PROMPT: &str = "X-Model-Name: m\r\nX-Token-Counts: 100,10\r\nX-Prompt-Prefix: aa:50,bb:50\r\n";
+
+fn fleet(life: u64) -> Arc<Fleet> {
+    let mut settings = Router::settings();
+    settings.node_name = format!("n{life}").into();
+    settings.bounds.version_ms = VERSION_MS;
+    Fleet::new(Arc::new(settings), None, life)
+}
+
+/// Answers other routers.
+async fn serve(fleet: &Arc<Fleet>) -> SocketAddrV4 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    tokio::spawn(links::serve(listener, fleet.clone(), Arc::default()));
+    address
+}
+
+/// A node that has heard that version 2 is named.
+async fn source() -> SocketAddrV4 {
+    let fleet = fleet(9);
+    publish(&fleet, 1, CONFIGURATION);
+    let weights = BTreeMap::from([("m".into(), WeightsTarget { version: 2, index: 2 })]);
+    let named = PublishedState { position: Position { index: 2, epoch: 1 }, configuration: None, weights };
+    assert!(fleet.published.lock().unwrap().take(named));
+    serve(&fleet).await
+}
+
+async fn hears_from(router: &Router, address: SocketAddrV4) {
+    assert_ne!(router.fleet.pull(address, Duration::ZERO, || {}).await, Pull::Failed);
+    assert_eq!(router.fleet.published.lock().unwrap().weights()["m"].version, 2);
+}
+
+async fn ask(router: &Router) -> String {
+    let answer = router.ask("/safe/", &format!("{KEY}{PROMPT}")).await;
+    status(&answer).to_owned()
+}
+
+#[tokio::test]
+async fn a_router_that_hears_late_counts_from_when_a_version_was_named() {
+    let old = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let first = Router::start_on(fleet(1), CONFIGURATION, &[&old]).await;
+    hears_from(&first, source().await).await;
+    assert_eq!(ask(&first).await, "200", "older weights may be used for a while");
+    while ask(&first).await == "200" {}
+
+    let late = Router::start_on(fleet(2), CONFIGURATION, &[&old]).await;
+    assert_eq!(ask(&late).await, "200", "it has not heard yet");
+    hears_from(&late, serve(&first.fleet).await).await;
+    let sent = old.count();
+    assert_eq!(ask(&late).await, "503", "the time of the old weights is over");
+    assert_eq!(old.count(), sent, "and nothing is sent there");
+}
