Versions of weights count from when they were named; orders go to backends by turns

Cause: a router counted a version's time from its own first request after the news, so one that heard late or had restarted began the whole time anew; orders went to backends by id, those without an answer again at once, and one that crashed after its order kept its place for 4 s. Change: answers to pulls carry each named version with its age, the earliest account holds, and nodes with a disk keep ages there; OrderQueue gives the next order to who failed least and waited longest, and a place is free after two reports in a row that do not come. Messages between routers have a field more: stop the fleet before the first router of this version.

--- a/control/tests/rollout.rs
+++ b/control/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
-use control::rollout::{RefusedFences, Rollout, Turn};
+use control::rollout::{OrderQueue, RefusedFences, Rollout, Turn};
 use control::state::WeightsTarget;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -125,3 +125,44 @@
         }
     }
 }
+
+fn next(queue: &OrderQueue, directory: &Directory, version: u64) -> Vec<String> {
+    let mut lacking = Rollout::of(directory, &targets(version)).lacking;
+    queue.sort(&mut lacking);
+    lacking.into_iter().map(|lacking| lacking.id.to_string()).collect()
+}
+
+#[test]
+fn who_does_not_answer_comes_after_everybody_else() {
+    let directory = directory([("a", backend(1)), ("b", backend(1)), ("c", backend(1))]);
+    let mut queue = OrderQueue::default();
+    assert_eq!(next(&queue, &directory, 2), ["a", "b", "c"]);
+    queue.ordered(&"a".into());
+    queue.ended(&"a".into(), false);
+    assert_eq!(next(&queue, &directory, 2), ["b", "c", "a"]);
+    for backend in ["b", "c", "b"] {
+        queue.ordered(&backend.into());
+        queue.ended(&backend.into(), false);
+    }
+    assert_eq!(next(&queue, &directory, 2), ["a", "c", "b"], "b has failed twice");
+    queue.ended(&"b".into(), true);
+    assert_eq!(next(&queue, &directory, 2), ["b", "a", "c"], "one answer makes up for it");
+    queue.retain(|backend| backend != "a");
+    assert_eq!(next(&queue, &directory, 2), ["a", "b", "c"], "a is forgotten: it is as good as new");
+}
+
+/// Where versions come faster than all backends can be brought to one, each still has its turn.
+#[test]
+fn versions_in_quick_succession_reach_every_backend_by_turns() {
+    let directory = directory([("a", backend(1)), ("b", backend(1)), ("c", backend(1)), ("d", backend(1))]);
+    let mut queue = OrderQueue::default();
+    let mut orders: BTreeMap<String, u32> = BTreeMap::new();
+    for version in 2..14 {
+        // There is time for one order under each version.
+        let first = next(&queue, &directory, version).remove(0);
+        queue.ordered(&first.as_str().into());
+        queue.ended(&first.as_str().into(), true);
+        *orders.entry(first).or_default() += 1;
+    }
+    assert!(orders.len() == 4 && orders.values().all(|count| *count == 3), "{orders:?}");
+}
--- a/router/src/disk/mod.rs
+++ b/router/src/disk/mod.rs
@@ -11,6 +11,8 @@
 
 use control::directory::{Key, Value};
 use control::storage::{Damage, FORMAT, Record, Recovered};
+use routing::version_floor::NamedVersion;
+use serde::{Deserialize, Serialize};
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -21,8 +23,14 @@
 /// Holds records that could not be used.
 const DAMAGED_FOLDER: &str = "damaged";
 
-/// What is known of the fleet, for the next start: backends and members.
-pub type Known = Vec<(Key, Value)>;
+/// What is known of the fleet, for the next start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Backends and members.
+    pub records: Vec<(Key, Value)>,
+    /// Versions of weights, and for how long they were named at that time.
+    pub named_weights: Vec<NamedVersion>,
+}
 
 /// Why a data directory can't be used.
 #[derive(Debug, Error)]
--- a/router/src/disk/reader.rs
+++ b/router/src/disk/reader.rs
@@ -9,9 +9,9 @@
 /// What was known of the fleet when the process ended; nothing where that was not kept or is not sound.
 pub fn read_fleet(folder: &Path) -> Known {
     let bytes = fs::read(folder.join(FLEET_FILE)).unwrap_or_default();
-    let Some((checksum, body)) = bytes.split_first_chunk::<4>() else { return Known::new() };
+    let Some((checksum, body)) = bytes.split_first_chunk::<4>() else { return Known::default() };
     if crc32fast::hash(body) != u32::from_be_bytes(*checksum) {
-        return Known::new();
+        return Known::default();
     }
     postcard::from_bytes(body).unwrap_or_default()
 }
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod faults;
 mod members;
+mod named_weights;
 mod operators;
 mod peers;
 mod pulls;
@@ -27,6 +28,7 @@
 use pulls::WHOLE_ANSWERS_KB;
 use routing::faults::FaultEvidence;
 use routing::locations::Locations;
+use routing::version_floor::VersionFloors;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -49,6 +51,8 @@
     pub directory: Mutex<Directory>,
     /// Durable state, as committed.
     pub published: Mutex<Published>,
+    /// Since when versions of weights are named.
+    version_floors: Mutex<VersionFloors>,
     /// Stores of kept prompts.
     pub stores: Stores,
     /// Where the shared starts of prompts are kept that this router owns.
@@ -82,6 +86,7 @@
             counters: Counters::default(),
             directory: Mutex::new(Directory::new(Origin(life))),
             published: Mutex::new(Published::default()),
+            version_floors: Mutex::default(),
             stores: Stores::default(),
             locations: Mutex::default(),
             evidence: Mutex::default(),
@@ -120,7 +125,8 @@
 
     /// Takes what was known when this node's former process ended. Heartbeats that come since are newer.
     pub fn restore(&self, known: Known) {
-        for (key, value) in known {
+        self.restore_named_weights(known.named_weights);
+        for (key, value) in known.records {
             if key == Key::Member(self.settings.node_name.clone()) {
                 continue;
             }
--- a/router/src/fleet/operators.rs
+++ b/router/src/fleet/operators.rs
@@ -71,6 +71,7 @@
     /// Takes what this node's own replica has committed.
     pub fn publish_own(&self, state: &control::state::ControlState) {
         if lock(&self.published).take_own(state) {
+            self.name_weights_now(&state.weights);
             self.announce();
         }
     }
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -1,6 +1,7 @@
 //! Pulling news from other nodes and answering their pulls.
 
 use super::Fleet;
+use super::named_weights::SentAt;
 use crate::clock;
 use crate::links::{Answer, lock};
 use crate::protocol::{PullRequest, Pulled, Request, Response};
@@ -84,7 +85,12 @@
         };
         let Some(Response::Pulled(pulled)) = response else { return Pull::Failed };
         let changed = lock(&self.directory).merge(pulled.records, &pulled.vector);
-        let news = pulled.state.is_some_and(|state| lock(&self.published).take(state));
+        let sent_at = SentAt { earliest: asked_at + pulled.held_ms, latest: clock::now() };
+        self.hear_of_named_weights(pulled.named_weights, sent_at);
+        let news = pulled.state.is_some_and(|state| {
+            self.name_weights_now(&state.weights);
+            lock(&self.published).take(state)
+        });
         self.hear_of_leader(pulled.leader);
         if !changed.is_empty() || news {
             self.announce();
@@ -160,6 +166,7 @@
             state: lock(&self.published).news_for(request.position, request.base),
             leader: self.leader(),
             age_ms: self.age(),
+            named_weights: self.named_weights(),
             held_ms: begun.elapsed().as_millis() as u64,
         };
         Answer { response: Response::Pulled(Box::new(pulled)), permit }
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -122,6 +122,10 @@
         for (model, target) in lock(&self.fleet.published).weights() {
             line(text, &format!("weights_named{{model=\"{model}\"}}"), target.version);
         }
+        for named in self.fleet.named_weights() {
+            let labels = format!("model=\"{}\",version=\"{}\"", named.model, named.version);
+            line(text, &format!("weights_named_ms_ago{{{labels}}}"), named.age_ms);
+        }
         let mut backends: BTreeMap<(String, u64), u64> = BTreeMap::new();
         for backend in self.table.all() {
             for (model, version) in backend.versions() {
--- a/router/src/protocol.rs
+++ b/router/src/protocol.rs
@@ -9,6 +9,7 @@
 use control::state::{Position, WeightsTarget};
 use control::view::{Epoch, ReplicaId};
 use routing::locations::{Located, Placement, PrefixKey};
+use routing::version_floor::NamedVersion;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -162,6 +163,8 @@
     pub age_ms: Option<u64>,
     /// So many milliseconds the answer was held back for news.
     pub held_ms: u64,
+    /// Versions of weights whose time runs, or was over last.
+    pub named_weights: Vec<NamedVersion>,
 }
 
 /// The committed control state as routers use it.
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -19,7 +19,6 @@
 use routing::budget::{Permitted, RetryBudget};
 use routing::hedging::{CopyAllowance, Pace};
 use routing::locations::{Located, PrefixKey};
-use routing::version_floor::VersionFloors;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -37,8 +36,6 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
 /// Part of the objective that a request may wait for a backend before it is refused.
 const WAIT_SHARE: u32 = 5;
-/// So long before new weights must be everywhere, backends without them are used no more.
-const VERSION_MARGIN: Millis = 1_300;
 
 /// A request was given up.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -78,7 +75,6 @@
     learned: Mutex<HashMap<KindKey, Learned>>,
     budgets: Mutex<HashMap<CompactString, RetryBudget>>,
     admissions: Mutex<HashMap<CompactString, Admission>>,
-    version_floors: Mutex<VersionFloors>,
 }
 
 /// How often a request was sent, and where.
@@ -114,7 +110,6 @@
             learned: Mutex::default(),
             budgets: Mutex::default(),
             admissions: Mutex::default(),
-            version_floors: Mutex::default(),
         })
     }
 
@@ -171,15 +166,6 @@
         self.with_budget(service, |budget| budget.take(routers, kept, clock::now()))
     }
 
-    /// The least version of a model's weights that a request may start on by now.
-    fn least_version(&self, model: &str) -> Option<u64> {
-        let target = lock(&self.fleet.published).weights().get(model).map(|target| target.version)?;
-        let patience = self.fleet.settings.bounds.version_ms.saturating_sub(VERSION_MARGIN);
-        let (now, mut floors) = (clock::now(), lock(&self.version_floors));
-        floors.hear(model, target, now);
-        floors.least(model, patience, now)
-    }
-
     pub(super) fn choose(
         &self,
         job: &Job,
@@ -191,7 +177,7 @@
         let need = Need {
             prompt,
             wall: &job.call.wall,
-            least_version: prompt.and_then(|prompt| self.least_version(&prompt.model)),
+            least_version: prompt.and_then(|prompt| self.fleet.least_version(&prompt.model)),
             zone: &self.fleet.settings.zone,
             located,
         };
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -1,7 +1,7 @@
 //! The task that runs this node's replica of the control state: it feeds it with messages, time and finished writes.
 
 use crate::clock;
-use crate::disk::Disk;
+use crate::disk::{Disk, Known};
 use crate::fleet::Fleet;
 use crate::links::lock;
 use crate::protocol::Request;
@@ -226,10 +226,10 @@
         }
         self.save_at = now + SAVE;
         let version = self.fleet.changes();
-        if version != self.saved {
+        if version != self.saved || !self.fleet.are_weights_settled() {
             self.saved = version;
-            let lasting = lock(&self.fleet.directory).lasting();
-            self.disk.save_fleet(&lasting);
+            let records = lock(&self.fleet.directory).lasting();
+            self.disk.save_fleet(&Known { records, named_weights: self.fleet.named_weights() });
         }
     }
 
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -8,7 +8,7 @@
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
 use control::directory::{Key, Order, OrderPhase, Value};
-use control::rollout::{Lacking, RefusedFences, Rollout, Turn};
+use control::rollout::{Lacking, OrderQueue, RefusedFences, Rollout, Turn};
 use control::view::Epoch;
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -27,6 +27,10 @@
 const REPORT: Duration = Duration::from_millis(150);
 /// An order that is not done by then is given anew.
 const ORDER_PATIENCE: Duration = Duration::from_secs(4);
+/// The same where the order itself got no answer.
+const UNANSWERED_PATIENCE: Duration = Duration::from_millis(600);
+/// So many reports in a row that do not come end the wait for a version.
+const MOST_UNANSWERED: u32 = 2;
 
 #[derive(Debug, Deserialize)]
 struct Report {
@@ -62,12 +66,14 @@
     client: reqwest::Client,
     number: AtomicU64,
     refused: Mutex<RefusedFences>,
+    queue: Mutex<OrderQueue>,
 }
 
 impl Orders {
     /// The orders of a node with a replica.
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
-        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused: Mutex::default() })
+        let (refused, queue) = (Mutex::default(), Mutex::default());
+        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue })
     }
 
     /// Keeps looking for backends that lack weights.
@@ -100,9 +106,13 @@
         let directory = lock(&self.fleet.directory);
         let mut rollout = Rollout::of(&directory, published.weights());
         let mut refused = lock(&self.refused);
-        refused.retain(|backend| directory.get(&Key::Backend(backend.into())).is_some());
+        let mut queue = lock(&self.queue);
+        let is_there = |backend: &str| directory.get(&Key::Backend(backend.into())).is_some();
+        refused.retain(is_there);
+        queue.retain(is_there);
         let fence = self.replica.fence();
         rollout.lacking.retain(|backend| fence.is_some_and(|fence| refused.allow(&backend.id, fence)));
+        queue.sort(&mut rollout.lacking);
         rollout
     }
 
@@ -121,24 +131,36 @@
     async fn bring(self: Arc<Self>, backend: Lacking) {
         let Some(fence) = self.replica.fence() else { return };
         self.note(&backend, fence, OrderPhase::UnderWay);
+        lock(&self.queue).ordered(&backend.id);
         tokio::time::sleep(NOTICE + self.fleet.gather_time()).await;
-        let begun = Instant::now();
         let answer = self.order(&backend).await;
         self.report(&backend, answer);
-        match answer {
-            OrderAnswer::Holds => return self.note(&backend, fence, OrderPhase::Done),
+        let is_done = match answer {
+            OrderAnswer::Holds => true,
             OrderAnswer::Fenced => return,
-            OrderAnswer::UnderWay | OrderAnswer::Unknown => {}
+            OrderAnswer::UnderWay => self.wait_for_version(&backend, ORDER_PATIENCE).await,
+            OrderAnswer::Unknown => self.wait_for_version(&backend, UNANSWERED_PATIENCE).await,
+        };
+        lock(&self.queue).ended(&backend.id, is_done);
+        if is_done {
+            self.note(&backend, fence, OrderPhase::Done);
         }
-        while begun.elapsed() < ORDER_PATIENCE && self.replica.leads() {
+    }
+
+    /// Asks for a backend's reports until it has the version. Few backends load at a time, so one that does not answer is left
+    /// soon: its place is for others.
+    async fn wait_for_version(&self, backend: &Lacking, patience: Duration) -> bool {
+        let begun = Instant::now();
+        let mut unanswered = 0;
+        while begun.elapsed() < patience && unanswered < MOST_UNANSWERED && self.replica.leads() {
             tokio::time::sleep(REPORT).await;
-            if self.has_version(&backend).await == Some(true) {
-                return self.note(&backend, fence, OrderPhase::Done);
-            }
-            if answer == OrderAnswer::Unknown && begun.elapsed() > 4 * REPORT {
-                return;
+            match self.has_version(backend).await {
+                Some(true) => return true,
+                Some(false) => unanswered = 0,
+                None => unanswered += 1,
             }
         }
+        false
     }
 
     fn report(&self, backend: &Lacking, answer: OrderAnswer) {
--- a/router/tests/weights_deadline.rs
+++ b/router/tests/weights_deadline.rs
@@ -10,6 +10,7 @@
 
 use common::*;
 use control::state::{Position, WeightsTarget};
+use router::disk::Known;
 use router::fleet::{Fleet, Pull};
 use router::links;
 use router::protocol::PublishedState;
@@ -73,3 +74,17 @@
     assert_eq!(ask(&late).await, "503", "the time of the old weights is over");
     assert_eq!(old.count(), sent, "and nothing is sent there");
 }
+
+/// Whoever restarts with its disk goes on counting where it was: else versions whose nodes are killed again and again are never required.
+#[tokio::test]
+async fn a_node_that_is_started_again_goes_on_where_its_time_was() {
+    let old = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let first = Router::start_on(fleet(2), CONFIGURATION, &[&old]).await;
+    hears_from(&first, source().await).await;
+    while ask(&first).await == "200" {}
+
+    let again = Router::start_on(fleet(3), CONFIGURATION, &[&old]).await;
+    let known = Known { records: Vec::new(), named_weights: first.fleet.named_weights() };
+    again.fleet.restore(known);
+    assert_eq!(ask(&again).await, "503", "the time was over before it was started again");
+}
--- a/routing/tests/version_floor.rs
+++ b/routing/tests/version_floor.rs
@@ -50,3 +50,52 @@
         assert_eq!(floors.least("m", PATIENCE, at + PATIENCE), Some(version));
     }
 }
+
+#[test]
+fn of_two_accounts_the_earlier_one_holds_in_every_order() {
+    for accounts in [[100, 400, 250], [400, 100, 250], [250, 400, 100], [400, 250, 100]] {
+        let mut floors = VersionFloors::default();
+        accounts.iter().for_each(|at| floors.hear("m", 2, *at));
+        assert_eq!(floors.least("m", PATIENCE, 99 + PATIENCE), None);
+        assert_eq!(floors.least("m", PATIENCE, 100 + PATIENCE), Some(2));
+    }
+}
+
+#[test]
+fn what_is_told_to_others_brings_them_to_the_same_times() {
+    let (mut teller, mut hearer) = (VersionFloors::default(), VersionFloors::default());
+    for (version, at) in [(2, 100), (3, 900), (4, 5_000)] {
+        teller.hear("m", version, at);
+    }
+    // The hearer's clock is another one.
+    let (told_at, heard_at) = (6_000, 50_000);
+    for named in teller.named(told_at) {
+        hearer.hear(&named.model, named.version, heard_at - named.age_ms);
+    }
+    for later in 0..6_000 {
+        let (told, heard) = (told_at + later, heard_at + later);
+        assert_eq!(teller.least("m", PATIENCE, told), hearer.least("m", PATIENCE, heard), "{later} ms later");
+    }
+    assert_eq!(teller.named(20_000).len(), 1, "what is over says nothing any more");
+}
+
+#[test]
+fn a_start_on_a_version_is_late_once_any_newer_one_is_due() {
+    let mut floors = VersionFloors::default();
+    assert_eq!(floors.last_start("m", 1, PATIENCE), None);
+    floors.hear("m", 3, 5_000);
+    floors.hear("m", 2, 1_000);
+    assert_eq!(floors.last_start("m", 1, PATIENCE), Some(1_000 + PATIENCE));
+    assert_eq!(floors.last_start("m", 2, PATIENCE), Some(5_000 + PATIENCE));
+    assert_eq!(floors.last_start("m", 3, PATIENCE), None);
+}
+
+#[test]
+fn versions_are_settled_once_the_last_one_is_due() {
+    let mut floors = VersionFloors::default();
+    assert!(floors.are_settled(PATIENCE, 0));
+    floors.hear("m", 2, 100);
+    floors.hear("n", 2, 300);
+    assert!(!floors.are_settled(PATIENCE, 299 + PATIENCE));
+    assert!(floors.are_settled(PATIENCE, 300 + PATIENCE));
+}
