--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -257,18 +257,30 @@
 }
 
 pub fn register(fleet: &Fleet, at: usize, backend: &StandIn, sequence: u64, phase: BackendPhase) {
-    let record = Backend {
+    put(fleet, at, Backend { sequence, phase, ..registered(backend) });
+}
+
+/// Registers a backend with some version of its weights.
+pub fn register_version(fleet: &Fleet, at: usize, backend: &StandIn, version: u64) {
+    put(fleet, at, Backend { models: vec![("m".into(), version)], ..registered(backend) });
+}
+
+fn put(fleet: &Fleet, at: usize, backend: Backend) {
+    fleet.put(Key::Backend(format!("i-{at}").into()), Value::Backend(backend));
+}
+
+fn registered(backend: &StandIn) -> Backend {
+    Backend {
         service: "s".into(),
         address: backend.address,
         zone: "a".into(),
         slots: 4,
-        phase,
-        sequence,
+        phase: BackendPhase::Ready,
+        sequence: 1,
         silent: false,
         owner: "n1".into(),
         models: vec![("m".into(), 1)],
-    };
-    fleet.put(Key::Backend(format!("i-{at}").into()), Value::Backend(record));
+    }
 }
 
 pub fn status(answer: &str) -> &str {
--- a/router/tests/weights_deadline.rs
+++ b/router/tests/weights_deadline.rs
@@ -88,3 +88,35 @@
     again.fleet.restore(known);
     assert_eq!(ask(&again).await, "503", "the time was over before it was started again");
 }
+
+/// Sends one request to the only backend there is, which lets it wait; then a version is named, and a backend has it.
+async fn waits_at_old_weights(path: &str) -> (String, bool, usize) {
+    let patient = CONFIGURATION.replace("\"timeoutMs\":3000", "\"timeoutMs\":60000");
+    let patient = patient.replace("\"targetLatencyMs\":100", "\"targetLatencyMs\":60000");
+    let old = StandIn::start(vec![Act::Hang]).await;
+    let new = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let router = Router::start_on(fleet(1), &patient, &[&old]).await;
+    let headers = format!("{KEY}{PROMPT}");
+    let asking = async { status(&router.ask(path, &headers).await).to_owned() };
+    let then_named = async {
+        while old.count() == 0 {
+            tokio::task::yield_now().await;
+        }
+        register_version(&router.fleet, 1, &new, 2);
+        hears_from(&router, source().await).await;
+        router.table.refresh(&router.fleet);
+    };
+    let (status, ()) = tokio::join!(asking, then_named);
+    let withdrawn = tokio::time::timeout(PATIENCE, old.given_up.acquire()).await.is_ok();
+    (status, withdrawn, new.count())
+}
+
+/// Story: requests waited at crowded backends for over two seconds, were sent in time, and began on the old weights when these must not be
+/// used any more. Cause: what is required was looked at only when a request is sent.
+#[tokio::test]
+async fn what_still_waits_at_old_weights_is_withdrawn_in_time() {
+    let repeatable = tokio::time::timeout(PATIENCE, waits_at_old_weights("/safe/")).await;
+    let other = tokio::time::timeout(PATIENCE, waits_at_old_weights("/unsafe/")).await;
+    assert_eq!(repeatable.ok(), Some(("200".to_owned(), true, 1)), "it is repeated at new weights");
+    assert_eq!(other.ok(), Some(("502".to_owned(), true, 0)), "it may have run, so it is not repeated");
+}
