What waits at weights that get too old is withdrawn and repeated elsewhere

Cause: a request counts from when it starts, and may wait at a crowded backend for seconds; its weights were looked at only as it was sent. Change: each send of a prompt, also one that takes up a stream, watches when its version must not start any more, and ends then: repeated where that is permitted, 502 where it may have run.

--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -116,6 +116,8 @@
     },
     /// It may have run.
     Broken,
+    /// It was withdrawn, as the backend's weights got too old for it to start there. It may have run.
+    Withdrawn,
 }
 
 /// What came of a send.
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -34,6 +34,8 @@
 const OVERDUE: u32 = 4;
 /// Time between two looks for a backend while there is none.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// Time between two looks whether newer weights were named than those at which a request waits.
+const LOOK_FOR_WEIGHTS: Duration = Duration::from_millis(200);
 /// Part of the objective that a request may wait for a backend before it is refused.
 const WAIT_SHARE: u32 = 5;
 
@@ -256,6 +258,42 @@
         Pending::new(self, job).run().await
     }
 
+    /// Sends a request to the chosen backend and waits for the start of its answer. A request may wait there for long before it
+    /// starts, so it is withdrawn when the backend's weights must not be used any more.
+    pub(super) async fn send(
+        &self,
+        job: &Job,
+        choice: Choice,
+        last_event_id: Option<String>,
+        located: Option<&Located>,
+        sent: Sent,
+    ) -> attempt::Result {
+        let transfer = self.transfer(job, &choice, located);
+        let overdue_after = self.overdue_after(job);
+        let variant = Variant { version: choice.version, last_event_id, transfer, overdue_after };
+        let answered = attempt::send(job.call.clone(), choice.backend, variant, choice.unread, sent);
+        let Some(prompt) = &job.call.prompt else { return answered.await };
+        tokio::select! {
+            biased;
+            result = answered => result,
+            () = self.get_too_old(&prompt.model, choice.version.unwrap_or_default()) => Err(Ended::Withdrawn),
+        }
+    }
+
+    /// Comes back when requests must not start on this version any more.
+    async fn get_too_old(&self, model: &str, version: u64) {
+        loop {
+            let left = match self.fleet.last_start(model, version) {
+                Some(last) => Duration::from_millis(last.saturating_sub(clock::now())),
+                None => LOOK_FOR_WEIGHTS,
+            };
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(LOOK_FOR_WEIGHTS)).await;
+        }
+    }
+
     /// A backend that has not begun to answer after this is taken to be at fault.
     pub(super) fn overdue_after(&self, job: &Job) -> Duration {
         let p95 = self.with_learned(job, |learned| learned.pace.p95);
@@ -270,17 +308,12 @@
             if !self.take_repeat(&job.service, 0.0) {
                 return None;
             }
-            let transfer = self.transfer(job, &choice, None);
-            let last_event_id = Some(last_event_id.clone());
-            let overdue_after = self.overdue_after(job);
-            let variant = Variant { version: choice.version, last_event_id, transfer, overdue_after };
             tries.tried.push(choice.backend.id.clone());
             tries.runs += 1;
-            let sent = Sent::default();
-            let send = attempt::send(job.call.clone(), choice.backend, variant, choice.unread, sent);
+            let send = self.send(job, choice, Some(last_event_id.clone()), None, Sent::default());
             match tokio::time::timeout_at(job.until, send).await.ok()? {
                 Ok(begun) => return Some(begun),
-                Err(Ended::Broken) => {}
+                Err(Ended::Broken | Ended::Withdrawn) => {}
                 Err(Ended::NotSent | Ended::Rejected { .. }) => {
                     tries.runs -= 1;
                     tries.rejections += 1;
--- a/router/src/proxy/pending.rs
+++ b/router/src/proxy/pending.rs
@@ -1,7 +1,7 @@
 //! One request under way: its first send, one copy where it is pending for long, repeats, and the answer that wins.
 
 use super::answer::is_own_failure;
-use super::attempt::{self, Begun, Ended, Sent, Variant};
+use super::attempt::{self, Begun, Ended, Sent};
 use super::exchange::{Exchanges, GivenUp, Job, MOST_REJECTIONS, Tries};
 use super::locator::Question;
 use super::pick::Choice;
@@ -132,12 +132,10 @@
         self.exchanges.count(Event::Sent);
         self.tries.tried.push(choice.backend.id.clone());
         self.tries.runs += 1;
-        let transfer = self.exchanges.transfer(self.job, &choice, self.located.as_ref());
-        let overdue_after = self.exchanges.overdue_after(self.job);
-        let variant = Variant { version: choice.version, last_event_id: None, transfer, overdue_after };
         let sent = Sent::default();
         self.sent.push(sent.clone());
-        let send = attempt::send(self.job.call.clone(), choice.backend, variant, choice.unread, sent);
+        let (exchanges, job, located) = (self.exchanges, self.job, self.located.clone());
+        let send = async move { exchanges.send(job, choice, None, located.as_ref(), sent).await };
         self.running.push(Box::pin(send));
     }
 
@@ -176,7 +174,7 @@
                 self.advice = retry_after.or(self.advice);
                 self.tries.rejections <= MOST_REJECTIONS
             }
-            Ended::Broken => route.is_idempotent() && self.tries.runs < route.attempts,
+            Ended::Broken | Ended::Withdrawn => route.is_idempotent() && self.tries.runs < route.attempts,
         }
     }
 
