--- a/lab/examples/days.rs
+++ b/lab/examples/days.rs
@@ -1,7 +1,7 @@
 //! Draws days of one's own for a deployment, and sums up what came of those that were played.
 //!
-//! `days draw LISTING FOLDER SEED COUNT [control]` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
-//! With `control` they are drawn from what concerns the control state.
+//! `days draw LISTING FOLDER SEED COUNT [control|series]` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
+//! With `control` they are drawn from what concerns the control state, with `series` they have series that overlap.
 //! `days table ENTRY...` prints rules by kinds from the journal entries of plays.
 
 use lab::days::{self, Focus, Played};
@@ -10,7 +10,7 @@
 use std::path::Path;
 use std::{env, fs};
 
-const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT [control] | days table ENTRY...";
+const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT [control|series] | days table ENTRY...";
 
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -21,6 +21,9 @@
         ["draw", listing, folder, seed, count, "control"] => {
             draw(listing, Focus::Control, Path::new(folder), seed.parse()?, count.parse()?)
         }
+        ["draw", listing, folder, seed, count, "series"] => {
+            draw(listing, Focus::Series, Path::new(folder), seed.parse()?, count.parse()?)
+        }
         ["table", ref entries @ ..] if !entries.is_empty() => table(entries),
         _ => Err(USAGE.into()),
     }
--- a/lab/src/days.rs
+++ b/lab/src/days.rs
@@ -31,6 +31,9 @@
     All,
     /// What concerns the control state: two more of these, and most of them close together.
     Control,
+    /// Every kind, beside series that overlap: versions of weights, configurations, and troubles that come again and again while
+    /// clients leave early.
+    Series,
 }
 
 /// The kinds known here that a listing of a deployment's kinds names, each on a line of its own before a colon.
@@ -43,16 +46,20 @@
 /// A day as a file: mostly drawn at random, with two troubles that meet.
 pub fn draw(kinds: &[Kind], focus: Focus, name: &str, seed: u64) -> String {
     let mut rng = Rng::with_seed(seed);
-    let is_in_focus = |kind: &Kind| focus == Focus::All || kind.is_about_control();
+    let is_in_focus = |kind: &Kind| focus != Focus::Control || kind.is_about_control();
     let of = |planned: bool| {
         kinds.iter().filter(|kind| kind.planned == planned && is_in_focus(kind)).collect::<Vec<_>>()
     };
-    let plan = entries(&of(true), 2..5, &mut rng);
+    let mut plan = entries(&of(true), 2..5, &mut rng);
     let mut faults = entries(&of(false), 2..5, &mut rng);
     faults.extend(pair(&of(false), &mut rng));
     if focus == Focus::Control {
         faults.extend(pair(&of(false), &mut rng));
     }
+    if focus == Focus::Series {
+        plan.extend(planned_series(kinds, &mut rng));
+        faults.extend(trouble_series(kinds, &mut rng));
+    }
     let closing = closing(&mut rng);
     format!(
         "[[day]]\nname = \"{name}\"\nslot = 1\nseed = {}\nlength_s = {LENGTH_S}\none = 0.9\nzero = 0.2\n\
@@ -63,6 +70,43 @@
     )
 }
 
+/// Versions of weights one after the other, so that a newer one is named before the last one is everywhere, and configurations.
+fn planned_series(kinds: &[Kind], rng: &mut Rng) -> Vec<String> {
+    let mut entries = Vec::new();
+    if kinds.iter().any(|kind| kind.name == "version_bump") {
+        let gap = 0.5 + 4.5 * rng.f64();
+        let first = FIRST_S + 10.0 * rng.f64();
+        let bumps = (0..rng.usize(3..9)).map(|number| first + gap * number as f64);
+        entries.extend(bumps.map(|at| format!("{{ at = {at:.1}, kind = \"version_bump\", count = 0 }}")));
+    }
+    if kinds.iter().any(|kind| kind.name == "config_storm") {
+        let at = FIRST_S + 20.0 * rng.f64();
+        let gap = 0.08 + 0.8 * rng.f64();
+        entries.push(format!("{{ at = {at:.1}, kind = \"config_storm\", for_s = 20, gap_s = {gap:.2} }}"));
+    }
+    entries
+}
+
+/// Clients that leave early for most of the day, and two troubles of backends or machines that come again and again.
+fn trouble_series(kinds: &[Kind], rng: &mut Rng) -> Vec<String> {
+    let mut entries = Vec::new();
+    if kinds.iter().any(|kind| kind.name == "give_up") {
+        let share = 0.1 + 0.4 * rng.f64();
+        entries.push(format!("{{ at = 2, kind = \"give_up\", share = {share:.2}, for_s = 50 }}"));
+    }
+    let recurring: Vec<&Kind> =
+        kinds.iter().filter(|kind| kind.name.starts_with("srv_") || kind.name.starts_with("node_")).collect();
+    for _ in 0..2 {
+        let Some(kind) = recurring.get(rng.usize(..recurring.len().max(1))) else { continue };
+        let gap = 2.0 + 4.0 * rng.f64();
+        let first = FIRST_S + 15.0 * rng.f64();
+        for number in 0..rng.usize(3..6) {
+            entries.push(entry(&[*kind], first + gap * number as f64, rng));
+        }
+    }
+    entries
+}
+
 /// What the day ends with, as a line of the file.
 fn closing(rng: &mut Rng) -> String {
     let Some(kind) = CLOSINGS[rng.usize(..CLOSINGS.len())] else { return String::new() };
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -81,3 +81,16 @@
     assert_eq!(row("hup"), ["hup", "1", "1"]);
     assert!(text.ends_with("2 days, 1 with a rule broken\n"));
 }
+
+#[test]
+fn days_with_series_name_versions_again_before_they_are_everywhere_while_clients_leave() {
+    for seed in 0..100 {
+        let day = draw(KINDS, Focus::Series, "d", seed);
+        assert!(day.matches("kind = \"version_bump\"").count() >= 3, "{day}");
+        assert!(names_kind(&day, "config_storm") && names_kind(&day, "give_up"), "{day}");
+        assert_eq!(day, draw(KINDS, Focus::Series, "d", seed));
+    }
+    // What a deployment does not list is left out here too.
+    let day = draw(&listed(LISTING), Focus::Series, "d", 1);
+    assert!(!names_kind(&day, "version_bump") && !names_kind(&day, "give_up"), "{day}");
+}
