The last known red test compares with a host that was not replaced, and not by chance

Change: it is replaced by a stricter one: of the first five queries a host that is remembered as slow gets none, the same host after its replacement at least one; and where the other one takes 30 ms it gets more than half of 20.

--- a/bitternsill/tests/learned.rs
+++ b/bitternsill/tests/learned.rs
@@ -359,27 +359,39 @@
     assert!(end(platform) < Duration::from_millis(4_500), "the end waited for the disk");
 }
 
-/// Hard case 4. A deploy that replaces the gatherer and the hosts at once: new hosts are not held to be what the old ones
-/// were, by their names or by their starts.
-#[test]
-fn hosts_that_were_replaced_with_the_gatherer_begin_anew() {
+/// Starts a gatherer that remembers its first host as slow, and counts what of its first queries goes there.
+fn queries_to_the_remembered_host(count: usize, was_replaced: bool, delays: [u64; 3]) -> usize {
     let folder = Temporary::new();
     let open = open(&folder.0);
     let taken = now_ms();
     open.write(&file::encode(&remembered(taken, [8.0, 1.0, 1.0])).unwrap(), |_| {}).unwrap();
     drop(open);
-    // The first host has started since; its slowness is not its own any more, and it is tried.
-    let (quick, counts) = hosts([1, 1, 1]);
+    let (hosts, counts) = hosts(delays);
     let file = folder.0.with_extension("json");
     std::fs::write(&file, json!({"learning": {"folder": folder.0}}).to_string()).unwrap();
     let mut targets: Vec<Value> =
-        quick.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
-    targets[0]["boot_ms"] = json!(taken - 60_000);
-    targets[2]["uid"] = json!("s-new");
+        hosts.iter().enumerate().map(|(i, h)| target(i, h.address, "active")).collect();
+    if was_replaced {
+        // The first host has started since.
+        targets[0]["boot_ms"] = json!(taken - 60_000);
+        targets[2]["uid"] = json!("s-new");
+    }
     let more = ["--operator".to_owned(), file.display().to_string()];
-    let platform = Platform::start_in("true", settings(), quick, Discovery::start(targets), 256, &more);
-    ask(&platform, 0, 20);
-    assert!(counts[0].load(Ordering::SeqCst) > 3, "it is used like any other");
+    let platform = Platform::start_in("true", settings(), hosts, Discovery::start(targets), 256, &more);
+    ask(&platform, 0, count);
+    counts[0].load(Ordering::SeqCst)
+}
+
+/// Hard case 4. A deploy that replaces the gatherer and the hosts at once: new hosts are not held to be what the old ones
+/// were, by their names or by their starts.
+#[test]
+fn hosts_that_were_replaced_with_the_gatherer_begin_anew() {
+    let equal = [1, 1, 1];
+    assert_eq!(queries_to_the_remembered_host(5, false, equal), 0, "a host that is the same is spared");
+    assert!(queries_to_the_remembered_host(5, true, equal) > 0, "one that began anew is tried at once");
+    let other_is_slow = [1, 30, 1];
+    let used = queries_to_the_remembered_host(20, true, other_is_slow);
+    assert!(used > 10, "and used like any other: {used} of 20 queries where it is the quicker one");
 }
 
 /// The commands, on sound files and on others.
