A soak of real router processes; signals are taken before anything else

Cause: the operators ask for a soak in which signals, restarts and changes overlap while clients keep their connections. Its first 13 seeds found that a router which was still starting ended at once by SIGHUP, and without order by SIGTERM, as signals were taken last. Change: the package soak (processes, stand-in backends, clients, operators, schedules by seed, checks of what was seen, each seen to fail in a test), a short run of four seeds among the tests, and signals taken first in a router.

--- /dev/null
+++ b/bitternsill/tests/router_signals.rs
@@ -0,0 +1,106 @@
+//! Signals that reach a router while it is still starting.
+//!
+//! Story: a router was restarted and told in the same moment that its settings had changed. It ended at once, as if killed; told to end
+//! instead, it did so without finishing anything. Evidence: soak runs in which signals come in series, seeds 1 and 3. Cause: the
+//! signals were taken last, after the disk had been read and every interface was up.
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Starts, as each one is a little different.
+const STARTS: usize = 8;
+
+struct Started {
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn free_port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+/// Starts a router, and comes back as soon as it has begun to use its disk, which is long before it serves.
+fn start(name: &str) -> Started {
+    let folder = std::env::temp_dir().join(format!("router-signals-{}-{name}", std::process::id()));
+    fs::create_dir_all(folder.join("data")).unwrap();
+    let at = || format!("127.0.0.1:{}", free_port());
+    let internal = free_port();
+    let settings = json!({
+        "nodeName": "n1", "ipAddress": "127.0.0.1", "zone": "a",
+        "listen": {"frontend": at(), "readiness": at(), "controlPlane": at()},
+        "internalPortRange": [internal, internal], "seeds": ["127.0.0.1:1"], "bootstrap": true, "countsForQuorum": true,
+        "dataDirectory": folder.join("data"), "bounds": {"gracePeriodS": 2},
+    });
+    fs::write(folder.join("settings.json"), settings.to_string()).unwrap();
+    let log = fs::File::create(folder.join("log")).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_bitternsill"))
+        .arg("router")
+        .arg("--settings")
+        .arg(folder.join("settings.json"))
+        .stdin(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    let mut started = Started { child, folder };
+    until(&mut started, |folder| {
+        fs::read_dir(folder.join("data")).is_ok_and(|mut files| files.next().is_some())
+    });
+    started
+}
+
+fn until(started: &mut Started, is_so: impl Fn(&Path) -> bool) {
+    let begun = Instant::now();
+    while !is_so(&started.folder) {
+        assert!(begun.elapsed() < PATIENCE, "it does not come about");
+        let ended = started.child.try_wait().unwrap();
+        assert_eq!(ended, None, "the process has ended: {}", log(&started.folder));
+        std::thread::yield_now();
+    }
+}
+
+fn log(folder: &Path) -> String {
+    fs::read_to_string(folder.join("log")).unwrap_or_default()
+}
+
+fn signal(started: &Started, signal: Signal) {
+    kill_process(Pid::from_raw(started.child.id() as i32).unwrap(), signal).unwrap();
+}
+
+fn end(started: &mut Started) -> ExitStatus {
+    let begun = Instant::now();
+    loop {
+        if let Some(status) = started.child.try_wait().unwrap() {
+            return status;
+        }
+        assert!(begun.elapsed() < PATIENCE, "it does not end: {}", log(&started.folder));
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_router_that_is_starting_takes_signals_as_one_that_serves() {
+    for number in 0..STARTS {
+        let mut told_of_settings = start(&format!("hangup-{number}"));
+        signal(&told_of_settings, Signal::HUP);
+        until(&mut told_of_settings, |folder| log(folder).contains("SIGHUP"));
+
+        let mut told_to_end = start(&format!("terminate-{number}"));
+        signal(&told_to_end, Signal::TERM);
+        let status = end(&mut told_to_end);
+        assert!(status.success(), "{status}: {}", log(&told_to_end.folder));
+    }
+}
--- /dev/null
+++ b/bitternsill/tests/soak.rs
@@ -0,0 +1,50 @@
+//! A short soak by seed: real router processes under signals, restarts and changes in series that overlap, while clients keep using their
+//! connections until the process behind them is gone. The long one is started by hand: see `soak/src/main.rs`.
+
+use soak::run::{Plan, Report, run};
+use soak::settings::Size;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Seeds that are run two at a time.
+const SEEDS: [[u64; 2]; 2] = [[1, 3], [6, 11]];
+/// Networks of their own, apart from those of soaks by hand.
+const FIRST_NETWORK: u64 = 230;
+
+fn plan(seed: u64) -> Plan {
+    Plan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_bitternsill")),
+        seed,
+        size: Size { routers: 5, replicas: 3 },
+        backends: 4,
+        clients: 16,
+        pause: Duration::from_millis(400),
+        trouble_ms: 10_000,
+        network: (FIRST_NETWORK + seed) as u8,
+        folder: std::env::temp_dir().join(format!("soak-test-{}-{seed}", std::process::id())),
+    }
+}
+
+/// What was broken in a run; its logs stay where something was.
+async fn broken(seed: u64) -> Vec<String> {
+    let plan = plan(seed);
+    let folder = plan.folder.clone();
+    let Report { violations, history } = run(plan).await.expect("a run");
+    assert!(history.requests.len() > 500, "only {} requests were made", history.requests.len());
+    if violations.is_empty() {
+        // What is left there harms nobody.
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    violations.iter().map(|violation| format!("seed {seed}: {violation}")).collect()
+}
+
+#[test]
+fn a_short_soak_keeps_every_rule() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+    let mut found = Vec::new();
+    for [first, second] in SEEDS {
+        let (first, second) = runtime.block_on(async { tokio::join!(broken(first), broken(second)) });
+        found.extend(first.into_iter().chain(second));
+    }
+    assert!(found.is_empty(), "{}", found.join("\n"));
+}
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -31,7 +31,7 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
 /// A router without any backend calls itself ready so long after it has a configuration.
@@ -77,6 +77,18 @@
     runtime.block_on(serve(settings, path.to_owned(), metrics_port))
 }
 
+/// The signals of the platform.
+struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn take() -> io::Result<Self> {
+        Ok(Signals { terminate: signal(SignalKind::terminate())?, hangup: signal(SignalKind::hangup())? })
+    }
+}
+
 /// The replica of a node with a disk.
 struct Replica {
     node: ControlNode,
@@ -111,6 +123,8 @@
     path: PathBuf,
     metrics_port: Option<u16>,
 ) -> std::result::Result<(), ServeError> {
+    // First of all: a signal that comes before would end the process at once.
+    let signals = Signals::take()?;
     let settings = Arc::new(settings);
     let life = fastrand::u64(1..);
     let replica = open_replica(&settings, life)?;
@@ -161,7 +175,7 @@
     listen(metrics_port.map(|port| SocketAddrV4::new(settings.ip_address, port)), metrics);
     log::info!("{} serves, with settings from {}", settings.node_name, path.display());
 
-    end_in_order(&fleet, &settings, stop, clients).await
+    end_in_order(&fleet, &settings, signals, stop, clients).await
 }
 
 /// Serves an interface for as long as the process lives.
@@ -198,15 +212,14 @@
 async fn end_in_order(
     fleet: &Fleet,
     settings: &Settings,
+    mut signals: Signals,
     stop: tokio::sync::watch::Sender<bool>,
     clients: Option<tokio::task::JoinHandle<()>>,
 ) -> std::result::Result<(), ServeError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => log::info!("SIGHUP: nothing in the settings changes while the process runs"),
+            _ = signals.terminate.recv() => break,
+            _ = signals.hangup.recv() => log::info!("SIGHUP: nothing in the settings changes while the process runs"),
         }
     }
     log::info!("SIGTERM: no new clients, open requests are finished");
--- /dev/null
+++ b/soak/src/client.rs
@@ -0,0 +1,189 @@
+//! Clients: each keeps its connection for as long as the other end does, and some leave early.
+
+use crate::backend::{WORK_HEADER, event};
+use crate::clock::Clock;
+use crate::history::{Kind, Outcome, Recorder, Request};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// What a client gives its requests.
+const DEADLINE_MS: u64 = 3_000;
+/// And so much longer it waits for an answer that is on its way.
+const DEADLINE_SLACK_MS: u64 = 1_000;
+/// How long a connection may take.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+
+/// What all clients share.
+pub struct Clients {
+    /// The run's clock.
+    pub clock: Clock,
+    /// Where requests are recorded.
+    pub recorder: Arc<Recorder>,
+    /// Where routers take clients.
+    pub frontends: Vec<SocketAddrV4>,
+    /// Of a thousand requests, how many are left early.
+    pub leaves: u64,
+    /// The number of the next request.
+    pub next: AtomicU64,
+}
+
+/// A connection to a router. It is closed when it is dropped.
+struct Connection {
+    router: usize,
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// What a client asks for.
+struct Wish {
+    id: u64,
+    kind: Kind,
+    work_ms: u64,
+    events: u64,
+}
+
+impl Wish {
+    fn draw(id: u64) -> Self {
+        let kind = [Kind::Unsafe, Kind::Safe, Kind::Resumable][fastrand::usize(..3)];
+        // One in twenty takes long.
+        let work_ms = if fastrand::u8(..20) == 0 { fastrand::u64(300..900) } else { fastrand::u64(2..60) };
+        let events = if kind == Kind::Resumable { fastrand::u64(2..12) } else { 0 };
+        Wish { id, kind, work_ms, events }
+    }
+
+    fn path(&self) -> &'static str {
+        match self.kind {
+            Kind::Unsafe => "/unsafe/x",
+            Kind::Safe => "/safe/x",
+            Kind::Resumable => "/resumable/x",
+        }
+    }
+
+    fn request(&self) -> Option<hyper::Request<Full<Bytes>>> {
+        let builder = hyper::Request::post(self.path())
+            .header("host", "h")
+            .header("authorization", "Bearer key1")
+            .header("x-request-id", format!("{:016x}", self.id))
+            .header("x-deadline-ms", DEADLINE_MS.to_string())
+            .header("x-model-name", "m")
+            .header("x-token-counts", "200,10")
+            .header("x-prompt-prefix", format!("aa:50,{:x}:150", self.id))
+            .header(WORK_HEADER, format!("{},{}", self.work_ms, self.events));
+        builder.body(Full::new(Bytes::from_static(b"body"))).ok()
+    }
+
+    /// The body of a whole answer.
+    fn expected(&self) -> String {
+        if self.events == 0 {
+            return format!("done {:016x}", self.id);
+        }
+        (1..=self.events).map(|number| event(self.id, number)).collect()
+    }
+}
+
+impl Clients {
+    /// One client, until it is told to end. It pauses for up to `pause` between two requests.
+    pub async fn run(self: Arc<Self>, pause: Duration, mut ends: watch::Receiver<bool>) {
+        let mut connection: Option<Connection> = None;
+        while !*ends.borrow_and_update() {
+            tokio::time::sleep(pause.mul_f64(fastrand::f64())).await;
+            let Some(mut open) = self.open(connection.take()).await else { continue };
+            if self.ask(&mut open).await {
+                connection = Some(open);
+            }
+        }
+    }
+
+    /// The connection that there is, as long as the other end keeps it, or a new one to any router.
+    async fn open(&self, held: Option<Connection>) -> Option<Connection> {
+        if let Some(mut held) = held {
+            if held.sender.ready().await.is_ok() {
+                return Some(held);
+            }
+        }
+        let router = fastrand::usize(..self.frontends.len());
+        let connecting = TcpStream::connect(self.frontends[router]);
+        let stream = tokio::time::timeout(CONNECT_PATIENCE, connecting).await.ok()?.ok()?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::spawn(async move {
+            // How it ended is told to whoever waits for an answer on it.
+            let _ = connection.await;
+        });
+        Some(Connection { router, sender, task })
+    }
+
+    /// Sends one request. Whether the connection may be used again.
+    async fn ask(&self, connection: &mut Connection) -> bool {
+        let wish = Wish::draw(self.next.fetch_add(1, Ordering::Relaxed));
+        let Some(request) = wish.request() else { return false };
+        let sent_at = self.clock.now();
+        let patience = Duration::from_millis(DEADLINE_MS + DEADLINE_SLACK_MS);
+        let leaves = fastrand::u64(..1_000) < self.leaves;
+        let leaves_after =
+            Duration::from_millis(if leaves { fastrand::u64(1..250) } else { u64::from(u32::MAX) });
+        let outcome = tokio::select! {
+            outcome = exchange(&mut connection.sender, request, &wish) => outcome,
+            () = tokio::time::sleep(leaves_after) => Outcome::Left,
+            () = tokio::time::sleep(patience) => Outcome::TimedOut,
+        };
+        let record = Request {
+            id: wish.id,
+            kind: wish.kind,
+            router: connection.router,
+            sent_at,
+            ended_at: self.clock.now(),
+            outcome,
+        };
+        self.recorder.open().requests.push(record);
+        matches!(outcome, Outcome::Served | Outcome::Status(_))
+    }
+}
+
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: hyper::Request<Full<Bytes>>,
+    wish: &Wish,
+) -> Outcome {
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut failure) => {
+            let was_sent = failure.take_message().is_none();
+            return if was_sent { Outcome::NoAnswer } else { Outcome::NotSent };
+        }
+    };
+    let status = response.status().as_u16();
+    let (head, body) = response.into_parts();
+    let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let id = format!("{:016x}", wish.id);
+    let (own, seal) = (text("x-request-id") == id, text("x-response-seal") == format!("seal-{id}"));
+    let Some(body) = read(body).await else { return Outcome::BrokenOff };
+    match status {
+        200 if !own => Outcome::Spoiled("it names another request"),
+        200 if !seal => Outcome::Spoiled("it has no seal of its own"),
+        200 if body != wish.expected() => Outcome::Spoiled("its body is not the backend's"),
+        200 => Outcome::Served,
+        other => Outcome::Status(other),
+    }
+}
+
+/// The whole body; none where it broke off.
+async fn read(body: Incoming) -> Option<String> {
+    let bytes = body.collect().await.ok()?.to_bytes();
+    Some(String::from_utf8_lossy(&bytes).into_owned())
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,125 @@
+//! Soaks a router fleet: `soak --program target/release/bitternsill --first 1 --seeds 50`.
+
+use clap::Parser;
+use soak::run::{Plan, Report, run};
+use soak::settings::Size;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Networks of runs begin here: 127.N.
+const FIRST_NETWORK: u64 = 10;
+const NETWORKS: u64 = 200;
+/// Broken rules that are printed of a run.
+const PRINTED: usize = 12;
+
+/// Runs routers under signals, restarts and changes that overlap, and checks what was seen.
+#[derive(Debug, Parser)]
+struct Options {
+    /// The program whose routers are run.
+    #[arg(long, default_value = "target/release/bitternsill")]
+    program: PathBuf,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// How many seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// How many runs at the same time.
+    #[arg(long, default_value_t = 1)]
+    jobs: usize,
+    /// Routers in each run.
+    #[arg(long, default_value_t = 7)]
+    routers: usize,
+    /// Those of them that hold the control state.
+    #[arg(long, default_value_t = 3)]
+    replicas: usize,
+    /// Backends in each run.
+    #[arg(long, default_value_t = 6)]
+    backends: usize,
+    /// Clients in each run.
+    #[arg(long, default_value_t = 30)]
+    clients: usize,
+    /// The longest pause of a client between two requests, in milliseconds.
+    #[arg(long, default_value_t = 300)]
+    pause_ms: u64,
+    /// Seconds of trouble in each run.
+    #[arg(long, default_value_t = 15)]
+    trouble_s: u64,
+    /// Where logs of runs with a broken rule are kept.
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+impl Options {
+    fn plan(&self, seed: u64) -> Plan {
+        let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+        Plan {
+            program: self.program.clone(),
+            seed,
+            size: Size { routers: self.routers, replicas: self.replicas },
+            backends: self.backends,
+            clients: self.clients,
+            pause: Duration::from_millis(self.pause_ms),
+            trouble_ms: self.trouble_s * 1_000,
+            network: (FIRST_NETWORK + seed % NETWORKS) as u8,
+            folder: self.keep.as_ref().map_or(folder, |keep| keep.join(format!("seed-{seed}"))),
+        }
+    }
+}
+
+/// Prints what came of a run. Whether every rule was kept.
+fn tell(seed: u64, report: &Report) -> bool {
+    println!("seed {seed}: {} broken; {}", report.violations.len(), report.figures());
+    report.violations.iter().take(PRINTED).for_each(|violation| println!("  {violation}"));
+    report.violations.is_empty()
+}
+
+async fn soak(options: Options) -> bool {
+    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(options.jobs.max(1)));
+    let mut runs = tokio::task::JoinSet::new();
+    for seed in options.first..options.first + options.seeds {
+        let (plan, permits) = (options.plan(seed), permits.clone());
+        runs.spawn(async move {
+            // The semaphore is never closed.
+            let _permit = permits.acquire().await.ok();
+            let folder = plan.folder.clone();
+            (seed, folder, run(plan).await)
+        });
+    }
+    let mut all_kept = true;
+    while let Some(ended) = runs.join_next().await {
+        let is_kept = match ended {
+            Ok((seed, folder, Ok(report))) => {
+                let is_kept = tell(seed, &report);
+                if is_kept || options.keep.is_none() {
+                    // What is left there harms nobody.
+                    let _ = std::fs::remove_dir_all(folder);
+                }
+                is_kept
+            }
+            Ok((seed, _, Err(problem))) => {
+                println!("seed {seed}: {problem}");
+                false
+            }
+            Err(problem) => {
+                println!("a run broke off: {problem}");
+                false
+            }
+        };
+        all_kept &= is_kept;
+    }
+    all_kept
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(problem) => {
+            eprintln!("soak: {problem}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if runtime.block_on(soak(options)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/soak/src/operator.rs
@@ -0,0 +1,111 @@
+//! Operators: they send configurations and versions of weights, again where the answer is unclear, to any router.
+
+use crate::clock::Clock;
+use crate::history::{Change, Changed, Recorder, Reply};
+use serde_json::json;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Patience for one answer.
+const CALL_PATIENCE: Duration = Duration::from_millis(1_200);
+/// How long a change is sent again.
+const CHANGE_PATIENCE: Duration = Duration::from_secs(15);
+/// Pause before a change is sent again.
+const AGAIN: Duration = Duration::from_millis(60);
+
+/// An operator.
+pub struct Operator {
+    /// The run's clock.
+    pub clock: Clock,
+    /// Where changes are recorded.
+    pub recorder: Arc<Recorder>,
+    /// Where routers take calls.
+    pub control: Vec<SocketAddrV4>,
+    /// For calls.
+    pub client: reqwest::Client,
+    /// Tells configurations of one version apart.
+    pub variants: AtomicU64,
+}
+
+impl Operator {
+    fn anywhere(&self) -> SocketAddrV4 {
+        self.control[fastrand::usize(..self.control.len())]
+    }
+
+    /// Sends a configuration on top of a version until there is a clear answer.
+    pub async fn configure(&self, base: u64, version: u64) -> Reply {
+        let variant = self.variants.fetch_add(1, Ordering::Relaxed);
+        let body = configuration(version, variant);
+        let send = |address: SocketAddrV4| {
+            let url = format!("http://{address}/v1/configuration/replace");
+            self.client.post(url).header("x-base-version", base.to_string()).body(body.clone())
+        };
+        self.change(Change::Configuration { base, version, variant }, send).await
+    }
+
+    /// Names a version of the weights until that is acknowledged.
+    pub async fn name_weights(&self, version: u64) -> Reply {
+        let body = json!({"model": "m", "version": version}).to_string();
+        let send = |address: SocketAddrV4| {
+            self.client.post(format!("http://{address}/v1/version-put")).body(body.clone())
+        };
+        self.change(Change::Weights(version), send).await
+    }
+
+    async fn change(&self, change: Change, send: impl Fn(SocketAddrV4) -> reqwest::RequestBuilder) -> Reply {
+        let sent_at = self.clock.now();
+        let begun = Instant::now();
+        let mut reply = Reply::Unclear;
+        while reply == Reply::Unclear && begun.elapsed() < CHANGE_PATIENCE {
+            let answer = send(self.anywhere()).timeout(CALL_PATIENCE).send().await;
+            reply = match answer.map(|answer| answer.status().as_u16()) {
+                Ok(200) => Reply::Acknowledged,
+                Ok(status @ (400 | 412)) => Reply::Refused(status),
+                _ => Reply::Unclear,
+            };
+            if reply == Reply::Unclear {
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+        let changed = Changed { change, sent_at, answered_at: self.clock.now(), reply };
+        self.recorder.open().changes.push(changed);
+        reply
+    }
+
+    /// The version of the newest configuration, asked for until a router is sure of it.
+    pub async fn read_back(&self, patience: Duration) -> Option<u64> {
+        let begun = Instant::now();
+        while begun.elapsed() < patience {
+            let url = format!("http://{}/v1/configuration/read", self.anywhere());
+            if let Ok(answer) = self.client.get(url).timeout(CALL_PATIENCE).send().await
+                && answer.status() == 200
+                && let Ok(body) = answer.bytes().await
+                && let Ok(body) = serde_json::from_slice::<serde_json::Value>(&body)
+            {
+                return body["version"].as_u64();
+            }
+            tokio::time::sleep(AGAIN).await;
+        }
+        None
+    }
+}
+
+/// A configuration with a route of every kind, and one by which two of one version differ.
+fn configuration(version: u64, variant: u64) -> String {
+    let route = |name: &str, kind: &str, attempts: u64, resumable: bool| {
+        json!({"name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind, "timeoutMs": 3_000,
+               "targetLatencyMs": 300, "service": "s", "attempts": attempts, "resumable": resumable})
+    };
+    json!({
+        "version": version,
+        "routes": [route("unsafe", "unsafe", 1, false), route("safe", "safe", 2, false),
+                   route("resumable", "streaming", 3, true), route(&format!("variant-{variant}"), "safe", 1, false)],
+        "services": [{"name": "s", "healthPath": "/health", "connectionLimit": 1_000}],
+        "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
+        "tenants": [{"name": "t1", "apiKeys": ["key1"]}],
+    })
+    .to_string()
+}
--- /dev/null
+++ b/soak/tests/check.rs
@@ -0,0 +1,247 @@
+//! Every rule is found broken in a history that breaks it, and in none that doesn't.
+
+use soak::check::violations;
+use soak::history::{
+    Blow, Change, Changed, Final, History, Kind, OrderSeen, Outcome, Reply, Request, Run, Seen, Struck,
+};
+
+/// A fleet of five routers, three with the control state, that served one request.
+fn sound() -> History {
+    History {
+        requests: vec![request(1, Kind::Unsafe, 20_000, 20_050, Outcome::Served)],
+        runs: vec![run(1, 1, 20_010, 20_040)],
+        struck: (0..5).map(|router| Struck { router, at: 0, blow: Blow::Started }).collect(),
+        changes: vec![configured(0, 1, 1, 5_000, Reply::Acknowledged)],
+        end: Final {
+            read_back: Some(1),
+            configurations: vec![1; 5],
+            weights: vec![1; 2],
+            requests: (10, 10),
+        },
+        replicas: 3,
+        ..History::default()
+    }
+}
+
+fn request(id: u64, kind: Kind, sent_at: u64, ended_at: u64, outcome: Outcome) -> Request {
+    Request { id, kind, router: 4, sent_at, ended_at, outcome }
+}
+
+fn run(request: u64, version: u64, begun: u64, ended: u64) -> Run {
+    Run {
+        request,
+        backend: 1,
+        version,
+        arrived_at: begun,
+        begun_at: Some(begun),
+        ended_at: Some(ended),
+        broke_off: false,
+    }
+}
+
+fn configured(base: u64, version: u64, variant: u64, answered_at: u64, reply: Reply) -> Changed {
+    let change = Change::Configuration { base, version, variant };
+    Changed { change, sent_at: answered_at - 10, answered_at, reply }
+}
+
+fn named(version: u64, answered_at: u64) -> Changed {
+    let change = Change::Weights(version);
+    Changed { change, sent_at: answered_at - 10, answered_at, reply: Reply::Acknowledged }
+}
+
+fn seen(router: usize, at: u64, configuration: u64) -> Seen {
+    Seen { router, asked_at: at, answered_at: at + 5, configuration }
+}
+
+fn struck(router: usize, at: u64, blow: Blow) -> Struck {
+    Struck { router, at, blow }
+}
+
+/// The rules that are broken once a sound history is changed.
+fn broken(change: impl FnOnce(&mut History)) -> Vec<&'static str> {
+    let mut history = sound();
+    change(&mut history);
+    let mut rules: Vec<_> = violations(&history).iter().map(|violation| violation.rule).collect();
+    rules.dedup();
+    rules
+}
+
+const NONE: [&str; 0] = [];
+
+#[test]
+fn a_sound_history_breaks_nothing() {
+    assert_eq!(broken(|_| {}), NONE);
+}
+
+#[test]
+fn answers_are_the_backend_s_and_whole() {
+    let spoil = |history: &mut History| history.requests[0].outcome = Outcome::Spoiled("it has no seal");
+    assert_eq!(broken(spoil), ["MIXED"]);
+}
+
+#[test]
+fn what_may_run_once_runs_once() {
+    let again = |history: &mut History| history.runs.push(run(1, 1, 20_020, 20_030));
+    assert_eq!(broken(again), ["TWICE"]);
+    assert_eq!(
+        broken(|history| {
+            again(history);
+            history.requests[0].kind = Kind::Safe;
+        }),
+        NONE
+    );
+    assert_eq!(
+        broken(|history| {
+            again(history);
+            history.runs[1].begun_at = None;
+        }),
+        NONE,
+        "it was turned away there"
+    );
+}
+
+#[test]
+fn what_was_never_sent_reaches_no_backend() {
+    assert_eq!(broken(|history| history.requests[0].outcome = Outcome::NotSent), ["UNASKED"]);
+}
+
+#[test]
+fn a_refusal_promises_that_nothing_has_run() {
+    for (status, expected) in [(503, vec!["REFUSED"]), (429, vec!["REFUSED"]), (502, vec![])] {
+        assert_eq!(broken(|history| history.requests[0].outcome = Outcome::Status(status)), expected);
+    }
+}
+
+#[test]
+fn a_request_that_was_passed_on_is_answered_unless_its_process_was_killed() {
+    let lost = |history: &mut History| history.requests[0].outcome = Outcome::BrokenOff;
+    assert_eq!(broken(lost), ["LOST"]);
+    let blows =
+        [(Blow::Killed, true), (Blow::Stopped, true), (Blow::Terminated, false), (Blow::HungUp, false)];
+    for (blow, excuses) in blows {
+        let rules = broken(|history| {
+            lost(history);
+            history.struck.push(struck(4, 20_020, blow));
+        });
+        assert_eq!(rules.is_empty(), excuses, "{blow:?}");
+    }
+    let by_the_backend = |history: &mut History| {
+        lost(history);
+        history.runs[0].broke_off = true;
+    };
+    assert_eq!(broken(by_the_backend), NONE);
+}
+
+#[test]
+fn a_connection_that_crosses_its_close_ends_soon() {
+    let crossed = |took: u64| {
+        broken(|history| {
+            history.runs.clear();
+            history.requests[0] = request(1, Kind::Unsafe, 20_000, 20_000 + took, Outcome::NoAnswer);
+        })
+    };
+    assert_eq!(crossed(50), NONE);
+    assert_eq!(crossed(700), ["LOST"]);
+}
+
+#[test]
+fn backends_stop_for_clients_that_left() {
+    let work_on = |count: u64, ended: Option<u64>| {
+        broken(|history| {
+            history.requests.clear();
+            history.runs.clear();
+            for id in 1..=count {
+                history.requests.push(request(id, Kind::Safe, 20_000, 20_100, Outcome::Left));
+                history.runs.push(Run { ended_at: ended, ..run(id, 1, 20_010, 0) });
+            }
+        })
+    };
+    assert_eq!(work_on(4, Some(20_900)), NONE);
+    assert_eq!(work_on(4, Some(21_200)), ["GONE"; 1]);
+    assert_eq!(work_on(4, None), ["GONE"; 1]);
+    assert_eq!(work_on(3, None), NONE, "a few are permitted");
+}
+
+#[test]
+fn requests_begin_on_weights_that_are_not_too_old() {
+    let begins = |at: u64, blow: Option<Struck>| {
+        broken(|history| {
+            history.changes.push(named(2, 10_000));
+            history.end.weights = vec![2; 2];
+            history.requests[0] = request(1, Kind::Unsafe, at - 20, at + 50, Outcome::Served);
+            history.runs[0] = run(1, 1, at, at + 20);
+            history.struck.extend(blow);
+        })
+    };
+    assert_eq!(begins(16_300, None), NONE);
+    assert_eq!(begins(16_500, None), ["VERSION"]);
+    assert_eq!(begins(16_500, Some(struck(3, 12_000, Blow::HungUp))), ["VERSION"]);
+    assert_eq!(begins(16_500, Some(struck(3, 12_000, Blow::Killed))), ["VERSION"], "another router's affair");
+    assert_eq!(begins(16_500, Some(struck(0, 12_000, Blow::Killed))), NONE, "the core was not stable");
+    assert_eq!(begins(16_500, Some(struck(4, 8_000, Blow::Killed))), NONE, "the router was out of touch");
+}
+
+#[test]
+fn a_router_in_touch_follows_and_never_goes_back() {
+    let look = |looks: &[Seen], blow: Option<Struck>| {
+        broken(|history| {
+            history.changes.push(configured(1, 3, 2, 10_000, Reply::Acknowledged));
+            history.end = Final { read_back: Some(3), configurations: vec![3; 5], ..history.end.clone() };
+            history.seen.extend_from_slice(looks);
+            history.struck.extend(blow);
+        })
+    };
+    assert_eq!(look(&[seen(4, 12_300, 1)], None), NONE);
+    assert_eq!(look(&[seen(4, 12_500, 1)], None), ["CONFIG"]);
+    assert_eq!(look(&[seen(4, 12_500, 1)], Some(struck(0, 9_000, Blow::Killed))), NONE, "no stable core");
+    assert_eq!(
+        look(&[seen(4, 12_500, 1)], Some(struck(3, 9_000, Blow::Killed))),
+        ["CONFIG"],
+        "another router"
+    );
+    assert_eq!(look(&[seen(4, 9_000, 3), seen(4, 9_400, 1)], None), ["CONFIG"]);
+    let restarted = Some(struck(4, 9_200, Blow::Started));
+    assert_eq!(look(&[seen(4, 9_000, 3), seen(4, 9_400, 1)], restarted), NONE, "another life");
+}
+
+#[test]
+fn of_two_operators_one_wins() {
+    let race = |reply| broken(|history| history.changes.push(configured(0, 1, 2, 5_010, reply)));
+    assert_eq!(race(Reply::Acknowledged), ["CONFIG"]);
+    assert_eq!(race(Reply::Refused(412)), NONE);
+}
+
+#[test]
+fn a_fencing_token_has_one_holder() {
+    let order = |holder: &str, fence| OrderSeen { backend: 1, at: 9_000, holder: holder.to_owned(), fence };
+    assert_eq!(broken(|history| history.orders = vec![order("a", 1), order("b", 1)]), ["ONE"]);
+    assert_eq!(broken(|history| history.orders = vec![order("a", 1), order("b", 2)]), NONE);
+}
+
+#[test]
+fn processes_end_when_told_in_order_and_in_time() {
+    let ends = |blows: &[(u64, Blow)]| {
+        let blows = blows.iter().map(|(at, blow)| struck(3, *at, *blow)).collect::<Vec<_>>();
+        broken(|history| history.struck.extend(blows))
+    };
+    let (in_order, failed) = (Blow::Ended { in_order: true }, Blow::Ended { in_order: false });
+    assert_eq!(ends(&[(9_000, failed)]), ["FAULT"], "by itself");
+    assert_eq!(ends(&[(30, failed)]), NONE, "it had hardly started");
+    assert_eq!(ends(&[(9_000, Blow::Terminated), (11_000, in_order)]), NONE);
+    assert_eq!(ends(&[(9_000, Blow::Terminated), (11_000, failed)]), ["FAULT"]);
+    assert_eq!(ends(&[(9_000, Blow::Killed), (9_001, failed)]), NONE);
+    assert_eq!(ends(&[(9_000, Blow::Terminated), (17_000, Blow::Killed), (17_001, failed)]), ["FAULT"]);
+    let stood_still =
+        [(9_000, Blow::Terminated), (9_100, Blow::Stopped), (17_000, Blow::Killed), (17_001, failed)];
+    assert_eq!(ends(&stood_still), NONE);
+}
+
+#[test]
+fn in_the_end_everything_acknowledged_is_there_and_clients_are_served() {
+    assert_eq!(broken(|history| history.end.read_back = None), ["CONFIG"]);
+    assert_eq!(broken(|history| history.end.read_back = Some(0)), ["LOST"]);
+    assert_eq!(broken(|history| history.end.configurations[2] = 0), ["CONFIG"]);
+    assert_eq!(broken(|history| history.changes.push(named(2, 15_000))), ["VERSION"]);
+    assert_eq!(broken(|history| history.end.requests = (100, 94)), ["RECOVER"]);
+    assert_eq!(broken(|history| history.end.requests = (0, 0)), ["RECOVER"]);
+}
--- /dev/null
+++ b/soak/tests/schedule.rs
@@ -0,0 +1,42 @@
+//! What a seed draws: always the same, every kind of action, and never more lost disks than are tolerated.
+
+use soak::fleet::Strike;
+use soak::schedule::{Action, Scope, Step, draw};
+use soak::settings::Size;
+
+const SCOPE: Scope = Scope { size: Size { routers: 7, replicas: 3 }, backends: 6, lasts: 15_000 };
+
+#[test]
+fn a_seed_always_draws_the_same_in_order_and_within_its_time() {
+    for seed in 0..300 {
+        let steps = draw(SCOPE, seed);
+        assert_eq!(steps, draw(SCOPE, seed));
+        assert!(steps.is_sorted_by_key(|step| step.at));
+        assert!(steps.iter().all(|step| step.at < SCOPE.lasts), "{steps:?}");
+    }
+}
+
+#[test]
+fn every_kind_of_action_comes_up_and_series_overlap() {
+    let all: Vec<Step> = (0..300).flat_map(|seed| draw(SCOPE, seed)).collect();
+    let comes_up = |wanted: fn(&Action) -> bool| all.iter().any(|step| wanted(&step.action));
+    assert!(comes_up(|action| matches!(action, Action::Router(_, Strike::Terminate))));
+    assert!(comes_up(|action| matches!(action, Action::Router(_, Strike::Kill))));
+    assert!(comes_up(|action| matches!(action, Action::Router(_, Strike::Stop(_)))));
+    assert!(comes_up(|action| matches!(action, Action::Router(_, Strike::HangUp))));
+    assert!(comes_up(|action| matches!(action, Action::Router(_, Strike::Wipe))));
+    assert!(comes_up(|action| matches!(action, Action::Configure { race: true })));
+    assert!(comes_up(|action| *action == Action::NameWeights));
+    assert!(comes_up(|action| matches!(action, Action::CrashBackend(_))));
+    assert!(comes_up(|action| matches!(action, Action::HangBackend(..))));
+    assert!(comes_up(|action| matches!(action, Action::ReplaceBackend(_))));
+}
+
+#[test]
+fn a_disk_is_lost_once_at_the_most() {
+    for seed in 0..300 {
+        let steps = draw(SCOPE, seed);
+        let lost = steps.iter().filter(|step| matches!(step.action, Action::Router(_, Strike::Wipe)));
+        assert!(lost.count() <= 1);
+    }
+}
