Two large test files split by concern; each soak has a loopback network of its own

Cause: tests/mechanism.rs (977 lines) and platform.rs (733) held more than one idea each; two soaks at once would have met on one network.

--- a/bitternsill/tests/common/mod.rs
+++ b/bitternsill/tests/common/mod.rs
@@ -430,3 +430,13 @@
     // Fails only where the connection is gone already.
     let _ = socket.shutdown(Shutdown::Both);
 }
+
+/// A host's sound answer with this score.
+pub fn good(score: u64) -> impl Fn(&str) -> Say + Send + Sync + 'static {
+    move |id| Say::Good(score, format!("value of {id}"))
+}
+
+/// Three sound hosts.
+pub fn three() -> Vec<FrameHost> {
+    (1..=3).map(|score| FrameHost::start(good(score))).collect()
+}
--- a/bitternsill/tests/contract.rs
+++ b/bitternsill/tests/contract.rs
@@ -1,5 +1,5 @@
 //! The protocol page field by field: what stands in each message that the program sends, and what it makes of each that it
-//! is sent, seen from the other end of a loopback socket. Stories about faults stand in `platform.rs`.
+//! is sent, seen from the other end of a loopback socket. Stories about faults stand in `platform_clients.rs`, `platform_hosts.rs` and `platform_discovery.rs`.
 
 mod common;
 
--- a/bitternsill/tests/soak.rs
+++ b/bitternsill/tests/soak.rs
@@ -8,8 +8,6 @@
 
 /// Seeds that are run two at a time.
 const SEEDS: [[u64; 2]; 2] = [[1, 3], [6, 11]];
-/// Networks of their own, apart from those of soaks by hand.
-const FIRST_NETWORK: u64 = 230;
 
 fn plan(seed: u64) -> Plan {
     Plan {
@@ -20,7 +18,6 @@
         clients: 16,
         pause: Duration::from_millis(400),
         trouble_ms: 10_000,
-        network: (FIRST_NETWORK + seed) as u8,
         folder: std::env::temp_dir().join(format!("soak-test-{}-{seed}", std::process::id())),
     }
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod fleet;
 pub mod history;
+pub mod network;
 pub mod operator;
 pub mod run;
 pub mod schedule;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -7,9 +7,6 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Networks of runs begin here: 127.N.
-const FIRST_NETWORK: u64 = 10;
-const NETWORKS: u64 = 200;
 /// Broken rules that are printed of a run.
 const PRINTED: usize = 12;
 
@@ -62,7 +59,6 @@
             clients: self.clients,
             pause: Duration::from_millis(self.pause_ms),
             trouble_ms: self.trouble_s * 1_000,
-            network: (FIRST_NETWORK + seed % NETWORKS) as u8,
             folder: self.keep.as_ref().map_or(folder, |keep| keep.join(format!("seed-{seed}"))),
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -6,6 +6,7 @@
 use crate::clock::{Clock, Millis};
 use crate::fleet::{self, Keeper, Site, Strike};
 use crate::history::{History, Outcome, Recorder, Reply, Seen};
+use crate::network::Network;
 use crate::operator::Operator;
 use crate::schedule::{self, Action, Scope, Step};
 use crate::settings::{Addresses, Size};
@@ -51,8 +52,6 @@
     pub pause: Duration,
     /// How long there is trouble, in milliseconds.
     pub trouble_ms: Millis,
-    /// The second byte of the loopback addresses.
-    pub network: u8,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
 }
@@ -117,7 +116,8 @@
 /// Makes a run.
 pub async fn run(plan: Plan) -> Result<Report, RunError> {
     fs::create_dir_all(&plan.folder)?;
-    let addresses = Addresses { network: plan.network };
+    let network = Network::claim()?;
+    let addresses = network.addresses;
     let (clock, recorder) = (Clock::start(), Arc::new(Recorder::default()));
     recorder.open().replicas = plan.size.replicas;
     let client = reqwest::Client::builder().no_proxy().build()?;
