Soak: what a run started ends with it, also where it is told to end

Traced by orders that a primary gave and no backend of the run had recorded. Change: backends end when they are dropped; SIGTERM ends the soak with its processes.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -125,8 +125,6 @@
     /// It ends at once, with everything that it does.
     pub fn crash(self) {
         self.state.has_crashed.store(true, Ordering::Relaxed);
-        self.serving.abort();
-        self.beating.abort();
     }
 
     /// It leaves in order: says so, serves on for a while, and ends.
@@ -143,6 +141,14 @@
     }
 }
 
+/// What a backend does ends with it: else it would go on sending heartbeats to the routers of the next run.
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.serving.abort();
+        self.beating.abort();
+    }
+}
+
 async fn serve(listener: TcpListener, state: Arc<State>) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Broken rules that are printed of a run.
 const PRINTED: usize = 12;
@@ -108,6 +109,18 @@
     all_kept
 }
 
+/// Comes back on SIGTERM or SIGINT.
+async fn is_told_to_end() {
+    let signals = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 fn main() -> ExitCode {
     let options = Options::parse();
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
@@ -117,5 +130,13 @@
             return ExitCode::FAILURE;
         }
     };
-    if runtime.block_on(soak(options)) { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    let all_kept = runtime.block_on(async {
+        tokio::select! {
+            all_kept = soak(options) => all_kept,
+            // Runs that are dropped end their processes.
+            () = is_told_to_end() => false,
+        }
+    });
+    drop(runtime);
+    if all_kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
