--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,6 +10,7 @@
 use crate::operator::Operator;
 use crate::schedule::{self, Action, Scope, Step};
 use crate::settings::{Addresses, Size};
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::path::PathBuf;
@@ -80,16 +81,27 @@
 }
 
 impl Report {
+    /// How many answers had another status than 200, by status.
+    fn statuses(&self) -> BTreeMap<u16, usize> {
+        let mut statuses = BTreeMap::new();
+        for request in &self.history.requests {
+            if let Outcome::Status(status) = request.outcome {
+                *statuses.entry(status).or_default() += 1;
+            }
+        }
+        statuses
+    }
+
     /// A line with the figures of the run.
     pub fn figures(&self) -> String {
         let count = |wanted: fn(&Outcome) -> bool| {
             self.history.requests.iter().filter(|request| wanted(&request.outcome)).count()
         };
         format!(
-            "{} requests: {} served, {} refused or failed, {} left, {} without a whole answer, {} in no time; {} blows, {} changes, {} orders",
+            "{} requests: {} served, other answers {:?}, {} left, {} without a whole answer, {} in no time; {} blows, {} changes, {} orders",
             self.history.requests.len(),
             count(|outcome| *outcome == Outcome::Served),
-            count(|outcome| matches!(outcome, Outcome::Status(_))),
+            self.statuses(),
             count(|outcome| *outcome == Outcome::Left),
             count(|outcome| matches!(outcome, Outcome::NoAnswer | Outcome::BrokenOff)),
             count(|outcome| *outcome == Outcome::TimedOut),
