Sight: who gives orders, and what keeps backends from new weights

Neither logs nor figures told whether anybody gave orders to backends, and why one got none. Log lines for each change of the holder's turn, a warning for a version that is not everywhere in time, and figures: orders_given_here, backends_lacking_weights by cause, weights_unfinished_ms, backends_refusing_fences. control::rollout is split by concern; no logic has changed.

--- /dev/null
+++ b/control/src/rollout/mod.rs
@@ -0,0 +1,134 @@
+//! Bringing new weights to backends: which ones lack a version, what keeps them from an order, how many may load at a time, and
+//! when the holder of the lease may give orders.
+
+mod queue;
+mod turn;
+
+pub use queue::{OrderQueue, RefusedFences};
+pub use turn::{Turn, TurnStanding};
+
+use crate::directory::{Backend, BackendPhase, Directory, Order, OrderPhase};
+use crate::state::WeightsTarget;
+use compact_str::CompactString;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// One in so many backends with models may load at the same time.
+const LOADING_SHARE: usize = 4;
+
+/// A backend that lacks a version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lacking {
+    /// Its instance id.
+    pub id: CompactString,
+    /// Where it takes orders.
+    pub address: SocketAddrV4,
+    /// The model.
+    pub model: CompactString,
+    /// The version that it lacks.
+    pub version: u64,
+}
+
+/// What is to be done.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Rollout {
+    /// Backends that lack a version.
+    pub lacking: Vec<Lacking>,
+    /// How many of them may load at the same time.
+    pub most_at_once: usize,
+}
+
+/// What keeps a backend that lacks a version from getting an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum HeldBack {
+    /// Nothing: its order is due.
+    Due,
+    /// An order was given, and it is not known to be done.
+    UnderWay,
+    /// Its heartbeats have stopped coming.
+    Silent,
+    /// It is about to leave.
+    Draining,
+}
+
+impl HeldBack {
+    /// Every cause.
+    pub const ALL: [HeldBack; 4] = [HeldBack::Due, HeldBack::UnderWay, HeldBack::Silent, HeldBack::Draining];
+
+    /// The word that operators are told.
+    pub fn name(self) -> &'static str {
+        match self {
+            HeldBack::Due => "due",
+            HeldBack::UnderWay => "under_way",
+            HeldBack::Silent => "silent",
+            HeldBack::Draining => "draining",
+        }
+    }
+
+    fn of(backend: &Backend, order: Option<&Order>, lacking: &Lacking) -> Option<Self> {
+        let is_under_way = order.is_some_and(|order| {
+            order.model == lacking.model
+                && order.version == lacking.version
+                && order.phase == OrderPhase::UnderWay
+        });
+        match backend.phase {
+            BackendPhase::Gone => None,
+            BackendPhase::Draining => Some(HeldBack::Draining),
+            BackendPhase::Ready if backend.silent => Some(HeldBack::Silent),
+            BackendPhase::Ready if is_under_way => Some(HeldBack::UnderWay),
+            BackendPhase::Ready => Some(HeldBack::Due),
+        }
+    }
+}
+
+/// How many backends lack the newest version of some weights, by what keeps them from an order.
+pub fn lacking_by_cause(
+    directory: &Directory,
+    targets: &BTreeMap<CompactString, WeightsTarget>,
+) -> BTreeMap<HeldBack, u64> {
+    let mut counts: BTreeMap<HeldBack, u64> = HeldBack::ALL.map(|cause| (cause, 0)).into();
+    for (id, backend) in directory.backends() {
+        let order = directory.order(id);
+        for lacking in lacking(id, backend, order, targets) {
+            if let Some(cause) = HeldBack::of(backend, order, &lacking) {
+                *counts.entry(cause).or_default() += 1;
+            }
+        }
+    }
+    counts
+}
+
+impl Rollout {
+    /// What is to be done for these versions. Backends that drain, are silent, or have no models are left alone.
+    pub fn of(directory: &Directory, targets: &BTreeMap<CompactString, WeightsTarget>) -> Self {
+        let takes_orders = |backend: &Backend| {
+            backend.phase == BackendPhase::Ready && !backend.silent && !backend.models.is_empty()
+        };
+        let backends = directory.backends().filter(|(_, backend)| takes_orders(backend));
+        let backends: Vec<(&CompactString, &Backend)> = backends.collect();
+        let lacking =
+            backends.iter().flat_map(|(id, backend)| lacking(id, backend, directory.order(id), targets));
+        Rollout { lacking: lacking.collect(), most_at_once: backends.len().div_ceil(LOADING_SHARE).max(1) }
+    }
+}
+
+fn lacking<'a>(
+    id: &'a CompactString,
+    backend: &'a Backend,
+    order: Option<&'a Order>,
+    targets: &'a BTreeMap<CompactString, WeightsTarget>,
+) -> impl Iterator<Item = Lacking> + 'a {
+    backend.models.iter().filter_map(move |(model, version)| {
+        let target = targets.get(model)?;
+        let is_done = order.is_some_and(|order| {
+            order.model == *model && order.version >= target.version && order.phase == OrderPhase::Done
+        });
+        let lacks = *version < target.version && !is_done;
+        lacks.then(|| Lacking {
+            id: id.clone(),
+            address: backend.address,
+            model: model.clone(),
+            version: target.version,
+        })
+    })
+}
--- a/control/tests/rollout.rs
+++ b/control/tests/rollout.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
-use control::rollout::{OrderQueue, RefusedFences, Rollout, Turn};
+use control::rollout::{HeldBack, OrderQueue, RefusedFences, Rollout, Turn, lacking_by_cause};
 use control::state::WeightsTarget;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -55,6 +55,26 @@
     assert_eq!(lacking(&directory, 3), ["new", "old"]);
 }
 
+#[test]
+fn each_backend_that_lacks_a_version_counts_by_what_holds_it_back() {
+    let mut directory = directory([
+        ("due", backend(1)),
+        ("has it", backend(2)),
+        ("drains", Backend { phase: BackendPhase::Draining, ..backend(1) }),
+        ("silent", Backend { silent: true, ..backend(1) }),
+        ("gone", Backend { phase: BackendPhase::Gone, ..backend(1) }),
+        ("loads", backend(1)),
+        ("loaded the last one", backend(1)),
+    ]);
+    for (id, version) in [("loads", 2), ("loaded the last one", 1)] {
+        let order = Order { fence: 1, number: 1, model: "m".into(), version, phase: OrderPhase::UnderWay };
+        directory.put(Key::Order(id.into()), Value::Order(order));
+    }
+    let expected =
+        [(HeldBack::Due, 2), (HeldBack::UnderWay, 1), (HeldBack::Silent, 1), (HeldBack::Draining, 1)];
+    assert_eq!(lacking_by_cause(&directory, &targets(2)), BTreeMap::from(expected));
+}
+
 #[test]
 fn an_order_that_is_done_counts_until_a_newer_version_is_named() {
     let mut directory = directory([("b", backend(1))]);
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod registration;
 mod service;
 
+pub use named_weights::UnfinishedVersion;
 pub use pulls::{PULL_WAIT, Pull};
 
 use crate::clock;
--- a/router/src/fleet/named_weights.rs
+++ b/router/src/fleet/named_weights.rs
@@ -5,6 +5,8 @@
 use crate::links::lock;
 use compact_str::CompactString;
 use control::Millis;
+use control::directory::BackendPhase;
+use control::rollout::{HeldBack, lacking_by_cause};
 use control::state::WeightsTarget;
 use routing::version_floor::NamedVersion;
 use std::collections::BTreeMap;
@@ -26,7 +28,44 @@
     pub(super) latest: Millis,
 }
 
+/// A version that some backend lacks which could have it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnfinishedVersion {
+    /// The version; the oldest such one of its model.
+    pub named: NamedVersion,
+    /// How many backends lack it.
+    pub lacking: u64,
+}
+
 impl Fleet {
+    /// How many backends lack the newest version of some weights, by what keeps them from an order.
+    pub fn lacking_by_cause(&self) -> BTreeMap<HeldBack, u64> {
+        let published = lock(&self.published);
+        lacking_by_cause(&lock(&self.directory), published.weights())
+    }
+
+    /// The versions of weights that are not everywhere; of each model the oldest one.
+    pub fn unfinished_versions(&self) -> Vec<UnfinishedVersion> {
+        let named = self.named_weights();
+        let mut oldest: BTreeMap<CompactString, UnfinishedVersion> = BTreeMap::new();
+        let directory = lock(&self.directory);
+        let ready = directory.backends().filter(|(_, backend)| backend.phase == BackendPhase::Ready);
+        let held: Vec<(&CompactString, u64)> = ready
+            .flat_map(|(_, backend)| backend.models.iter().map(|(model, version)| (model, *version)))
+            .collect();
+        for named in named {
+            let lacks = |(model, version): &&(&CompactString, u64)| {
+                **model == named.model && *version < named.version
+            };
+            let lacking = held.iter().filter(lacks).count() as u64;
+            let is_older = oldest.get(&named.model).is_none_or(|known| named.version < known.named.version);
+            if lacking > 0 && is_older {
+                oldest.insert(named.model.clone(), UnfinishedVersion { named, lacking });
+            }
+        }
+        oldest.into_values().collect()
+    }
+
     /// The least version of a model's weights to whose backends a request may be sent now.
     pub fn least_version(&self, model: &str) -> Option<u64> {
         let patience = self.settings.bounds.version_ms.saturating_sub(SEND_MARGIN);
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -3,8 +3,11 @@
 use crate::fleet::Fleet;
 use crate::links::lock;
 use crate::proxy::table::Table;
+use crate::weights::Orders;
 use control::directory::BackendPhase;
+use control::rollout::TurnStanding;
 use poem::{Endpoint, Request, Response, Result};
+use routing::version_floor::NamedVersion;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
@@ -83,12 +86,13 @@
 pub struct MetricsPage {
     fleet: Arc<Fleet>,
     table: Arc<Table>,
+    orders: Option<Arc<Orders>>,
 }
 
 impl MetricsPage {
-    /// The page of a router.
-    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>) -> Self {
-        MetricsPage { fleet, table }
+    /// The page of a router; a node with a replica may give orders.
+    pub fn new(fleet: Arc<Fleet>, table: Arc<Table>, orders: Option<Arc<Orders>>) -> Self {
+        MetricsPage { fleet, table, orders }
     }
 
     /// One line a figure: its name, labels if any, and its value.
@@ -99,6 +103,7 @@
         }
         self.write_control(&mut text);
         self.write_weights(&mut text);
+        self.write_orders(&mut text);
         self.write_backends(&mut text);
         text
     }
@@ -137,6 +142,23 @@
         }
     }
 
+    fn write_orders(&self, text: &mut String) {
+        if let Some(orders) = &self.orders {
+            let gives = orders.standing() == TurnStanding::MayOrder;
+            line(text, "orders_given_here", u64::from(gives));
+            line(text, "backends_refusing_fences", orders.refusing_backends());
+        }
+        for unfinished in self.fleet.unfinished_versions() {
+            let NamedVersion { model, version, age_ms } = unfinished.named;
+            let labels = format!("model=\"{model}\",version=\"{version}\"");
+            line(text, &format!("weights_unfinished_ms{{{labels}}}"), age_ms);
+        }
+        for (cause, count) in self.fleet.lacking_by_cause() {
+            let name = cause.name();
+            line(text, &format!("backends_lacking_weights{{cause=\"{name}\"}}"), count);
+        }
+    }
+
     fn write_backends(&self, text: &mut String) {
         let directory = lock(&self.fleet.directory);
         for (phase, name) in [
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -144,10 +144,7 @@
 
     let traffic = fleet.links.traffic().clone();
     tokio::spawn(links::serve(listener, fleet.clone(), traffic));
-    if let Some(Replica { node, disk, stored, handle, inputs }) = replica {
-        tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle.clone(), inputs));
-        tokio::spawn(Orders::new(fleet.clone(), handle, client.clone()).run());
-    }
+    let orders = replica.map(|replica| start_replica(replica, &fleet, &client));
     tokio::spawn(upstreams::keep_pulling(fleet.clone()));
     tokio::spawn(membership::monitor(fleet.clone(), socket));
     tokio::spawn(membership::watch_backends(fleet.clone()));
@@ -159,7 +156,7 @@
     tokio::spawn(table::keep_in_step(table.clone(), fleet.clone()));
     tokio::spawn(fault_log::keep_telling(table.faults(), fleet.clone()));
 
-    let metrics = MetricsPage::new(fleet.clone(), table.clone());
+    let metrics = MetricsPage::new(fleet.clone(), table.clone(), orders);
     let ready = Ready::new(fleet.clone(), table);
     listen(settings.listen.readiness, ready);
     listen(settings.listen.control_plane, ControlApi::new(fleet.clone()));
@@ -178,6 +175,15 @@
     end_in_order(&fleet, &settings, signals, stop, clients).await
 }
 
+/// Runs the replica, and the task that gives orders while it leads.
+fn start_replica(replica: Replica, fleet: &Arc<Fleet>, client: &reqwest::Client) -> Arc<Orders> {
+    let Replica { node, disk, stored, handle, inputs } = replica;
+    let orders = Orders::new(fleet.clone(), handle.clone(), client.clone());
+    tokio::spawn(replica::run(node, disk, stored, fleet.clone(), handle, inputs));
+    tokio::spawn(orders.clone().run());
+    orders
+}
+
 /// Serves an interface for as long as the process lives.
 fn listen(address: Option<SocketAddrV4>, endpoint: impl Endpoint<Output = Response> + 'static) {
     let Some(address) = address else { return };
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -1,23 +1,27 @@
 //! Bringing new weights to the backends: the holder of the lease gives fenced orders, a few at a time.
 
 use crate::clock;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, UnfinishedVersion};
 use crate::links::lock;
 use crate::metrics::Event;
 use crate::proxy::headers::EXPECT_INSTANCE;
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
+use control::Millis;
 use control::directory::{Key, Order, OrderPhase, Value};
-use control::rollout::{Lacking, OrderQueue, RefusedFences, Rollout, Turn};
+use control::rollout::{Lacking, OrderQueue, RefusedFences, Rollout, Turn, TurnStanding};
 use control::view::Epoch;
+use routing::version_floor::NamedVersion;
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what has to be done.
 const LOOK: Duration = Duration::from_millis(100);
+/// Time between two looks for versions that should be everywhere and are not.
+const LOOK_FOR_OVERDUE: Millis = 1_000;
 /// After routers were told that a backend is about to load, so long passes before its order, beyond the time for which news
 /// are gathered on the way to them.
 const NOTICE: Duration = Duration::from_millis(40);
@@ -59,6 +63,35 @@
     Unknown,
 }
 
+/// Tells operators of versions that should be everywhere and are not, once each.
+#[derive(Debug, Default)]
+struct OverdueVersions {
+    looked_at: Millis,
+    told: BTreeMap<CompactString, u64>,
+}
+
+impl OverdueVersions {
+    fn look(&mut self, fleet: &Fleet) {
+        let now = clock::now();
+        if now < self.looked_at + LOOK_FOR_OVERDUE {
+            return;
+        }
+        self.looked_at = now;
+        for UnfinishedVersion { named, lacking } in fleet.unfinished_versions() {
+            let NamedVersion { model, version, age_ms } = named;
+            let is_told = self.told.get(&model).is_some_and(|told| *told >= version);
+            if age_ms < fleet.settings.bounds.version_ms || is_told {
+                continue;
+            }
+            log::warn!(
+                "version {version} of the weights of {model} is not everywhere after {age_ms} ms: {lacking} backends lack it; \
+                 the figures backends_lacking_weights and orders_given_here tell why"
+            );
+            self.told.insert(model, version);
+        }
+    }
+}
+
 /// Gives orders while this node holds the lease.
 pub struct Orders {
     fleet: Arc<Fleet>,
@@ -67,24 +100,28 @@
     number: AtomicU64,
     refused: Mutex<RefusedFences>,
     queue: Mutex<OrderQueue>,
+    standing: Mutex<TurnStanding>,
 }
 
 impl Orders {
     /// The orders of a node with a replica.
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
-        let (refused, queue) = (Mutex::default(), Mutex::default());
-        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue })
+        let (refused, queue, standing) = (Mutex::default(), Mutex::default(), Mutex::default());
+        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue, standing })
     }
 
     /// Keeps looking for backends that lack weights.
     pub async fn run(self: Arc<Self>) {
         let mut turn = Turn::default();
+        let mut overdue = OverdueVersions::default();
         let mut under_way: HashMap<CompactString, tokio::task::JoinHandle<()>> = HashMap::new();
         loop {
             tokio::time::sleep(LOOK).await;
             under_way.retain(|_, task| !task.is_finished());
+            overdue.look(&self.fleet);
             let now = clock::now();
             turn.update(self.replica.fence(), now);
+            self.enter(turn.standing(self.fleet.settings.bounds.lease_ms, now));
             if !turn.may_order(self.fleet.settings.bounds.lease_ms, now) {
                 continue;
             }
@@ -100,6 +137,24 @@
         }
     }
 
+    /// The one place where it changes whether this node gives orders.
+    fn enter(&self, standing: TurnStanding) {
+        let former = std::mem::replace(&mut *lock(&self.standing), standing);
+        if former != standing {
+            log::info!("orders: {standing}");
+        }
+    }
+
+    /// Whether this node gives orders.
+    pub fn standing(&self) -> TurnStanding {
+        *lock(&self.standing)
+    }
+
+    /// How many backends have refused a fencing token.
+    pub fn refusing_backends(&self) -> u64 {
+        lock(&self.refused).count()
+    }
+
     /// What is to be done, but for backends that have refused the present fencing token.
     fn rollout(&self) -> Rollout {
         let published = lock(&self.fleet.published);
--- a/router/tests/metrics.rs
+++ b/router/tests/metrics.rs
@@ -3,7 +3,12 @@
 mod common;
 
 use common::*;
+use control::state::{Position, WeightsTarget};
+use router::disk::Known;
 use router::metrics::{Counters, Event, MetricsPage};
+use router::protocol::PublishedState;
+use routing::version_floor::NamedVersion;
+use std::collections::BTreeMap;
 
 fn figure(text: &str, name: &str) -> Option<u64> {
     text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
@@ -24,7 +29,7 @@
     let full = answer("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
     let backend = StandIn::start(vec![Act::Say(success("ok")), Act::Say(full)]).await;
     let router = Router::start(&[&backend]).await;
-    let page = MetricsPage::new(router.fleet.clone(), router.table.clone());
+    let page = MetricsPage::new(router.fleet.clone(), router.table.clone(), None);
     assert_eq!(status(&router.ask("/unsafe/", KEY).await), "200");
     assert_eq!(status(&router.ask("/unsafe/", KEY).await), "503");
     let text = page.text();
@@ -42,3 +47,31 @@
     }
     assert!(text.lines().all(|line| line.split_whitespace().count() == 2), "{text}");
 }
+
+#[tokio::test]
+async fn the_page_tells_which_weights_are_not_everywhere_and_what_holds_them_back() {
+    let backends = [StandIn::start(Vec::new()).await, StandIn::start(Vec::new()).await];
+    let router = Router::start(&[&backends[0], &backends[1]]).await;
+    let weights = BTreeMap::from([("m".into(), WeightsTarget { version: 2, index: 2 })]);
+    let named = PublishedState { position: Position { index: 2, epoch: 1 }, configuration: None, weights };
+    assert!(router.fleet.published.lock().unwrap().take(named));
+    router.fleet.restore(Known {
+        records: Vec::new(),
+        named_weights: vec![NamedVersion { model: "m".into(), version: 2, age_ms: 700 }],
+    });
+    register_version(&router.fleet, 1, &backends[1], 2);
+    let text = MetricsPage::new(router.fleet.clone(), router.table.clone(), None).text();
+    for (name, expected) in [
+        ("backends_lacking_weights{cause=\"due\"}", 1),
+        ("backends_lacking_weights{cause=\"under_way\"}", 0),
+        ("backends_lacking_weights{cause=\"silent\"}", 0),
+        ("backends_lacking_weights{cause=\"draining\"}", 0),
+    ] {
+        assert_eq!(figure(&text, name), Some(expected), "{name}\n{text}");
+    }
+    let age = figure(&text, "weights_unfinished_ms{model=\"m\",version=\"2\"}");
+    assert!(age.is_some_and(|age| age >= 700), "{text}");
+    register_version(&router.fleet, 0, &backends[0], 2);
+    let text = MetricsPage::new(router.fleet.clone(), router.table.clone(), None).text();
+    assert!(!text.contains("weights_unfinished_ms"), "all have it\n{text}");
+}
