--- /dev/null
+++ b/control/tests/order_turns.rs
@@ -0,0 +1,142 @@
+//! Whether somebody may give orders to backends while the primary is struck again and again.
+//!
+//! Story: at the end of a long day with hundreds of changes more than a tenth of the backends still had old weights, though the newest
+//! version had been acknowledged long before, and there had been over twelve calm seconds since, a few at a time. Troubles of the
+//! nodes that hold the control state came every few seconds.
+//!
+//! Evidence: plays of such troubles show a primary for most of the time, and no moment at which it may give orders. Cause: whoever gets
+//! the lease lets the time of a lease pass before its first order, for the sake of orders of its predecessor. That wait began
+//! anew with every change of the primary, though its predecessor had given no order, and with every look at which the lease was not
+//! shown, though nobody else had held it.
+
+mod world;
+
+use control::Millis;
+use control::rollout::Turn;
+use std::collections::BTreeMap;
+use world::{World, configuration};
+
+/// The time that lies between orders of two holders.
+const LEASE: Millis = 3_000;
+/// Time between two looks whether orders may be given.
+const LOOK: Millis = 100;
+/// Time between two changes of the configuration.
+const CHANGE: Millis = 250;
+
+/// A group of five that bears two losses, with what each node makes of its turn.
+struct Group {
+    world: World,
+    turns: BTreeMap<String, Turn>,
+    version: u64,
+    /// Who might have given an order, and when: at each look.
+    orders: Vec<(Millis, String)>,
+}
+
+impl Group {
+    fn founded(seed: u64) -> Self {
+        let world = World::founded(seed, 5, 2);
+        Group { world, turns: BTreeMap::new(), version: 0, orders: Vec::new() }
+    }
+
+    /// Lets time pass with changes under way.
+    fn run(&mut self, time: Millis) {
+        for _ in 0..time {
+            self.world.run(1);
+            if self.world.now % CHANGE == 0 {
+                self.change();
+            }
+            if self.world.now % LOOK == 0 {
+                self.look();
+            }
+        }
+    }
+
+    fn change(&mut self) {
+        let Some(primary) = self.world.primary() else { return };
+        let node = self.world.machines[&primary].node.as_ref().expect("it leads");
+        let base = node.state().version();
+        self.version = base.max(self.version) + 1;
+        self.world.submit(&primary, configuration(base, self.version, "m"));
+    }
+
+    fn look(&mut self) {
+        let now = self.world.now;
+        for (name, machine) in &self.world.machines {
+            let Some(node) = machine.node.as_ref().filter(|_| machine.frozen_until <= now) else {
+                self.turns.remove(name);
+                continue;
+            };
+            let turn = self.turns.entry(name.clone()).or_default();
+            turn.update(node.leads(now), now);
+            if turn.may_order(LEASE, now) {
+                self.orders.push((now, name.clone()));
+            }
+        }
+    }
+
+    fn strike_primary(&mut self, strike: impl Fn(&mut World, &str)) {
+        if let Some(primary) = self.world.primary() {
+            strike(&mut self.world, &primary);
+        }
+    }
+
+    /// For how long orders might have been given since a moment.
+    fn ordered_since(&self, since: Millis) -> Millis {
+        self.orders.iter().filter(|(at, _)| *at >= since).count() as Millis * LOOK
+    }
+
+    /// Orders of two machines lie further apart than a lease.
+    fn assert_apart(&self) {
+        for pair in self.orders.windows(2) {
+            let [(before, one), (after, other)] = pair else { unreachable!() };
+            assert!(one == other || after - before > LEASE, "{one} at {before}, {other} at {after}");
+        }
+    }
+}
+
+/// The primary is killed every 6.6 s, and the disk of the next one hangs for a moment in between.
+#[test]
+fn orders_go_on_between_troubles_that_change_the_primary_again_and_again() {
+    for seed in 1..=5 {
+        let mut group = Group::founded(seed);
+        group.run(5_000);
+        for cycle in 0..6 {
+            let begun = group.world.now;
+            group.strike_primary(|world, name| world.kill(name, 400, false));
+            group.run(3_300);
+            group.strike_primary(|world, name| world.machines.get_mut(name).expect("a machine").sync = None);
+            group.run(900);
+            group.world.restore_disks();
+            group.run(2_400);
+            let ordered = group.ordered_since(begun);
+            assert!(ordered >= 1_500, "seed {seed}, cycle {cycle}: {ordered} ms of 6,600 ms for orders");
+        }
+        group.assert_apart();
+    }
+}
+
+/// A backup whose process is killed is taken out of the view and in again, which makes two views of the same primary.
+#[test]
+fn views_of_the_same_primary_hold_no_order_back() {
+    for seed in 1..=5 {
+        let mut group = Group::founded(seed);
+        let primary = group.world.primary().expect("a primary");
+        // Another primary than the first one, which waits for nobody.
+        group.world.kill(&primary, 400, false);
+        group.run(8_000);
+        let begun = group.world.now;
+        let holder = group.world.primary().expect("a primary");
+        for _ in 0..8 {
+            let backup = group.world.names().into_iter().find(|name| *name != holder).expect("a backup");
+            // Syncs of the disk take their time, so that a new view takes a while to begin.
+            for machine in group.world.machines.values_mut() {
+                machine.sync = Some(60);
+            }
+            group.world.kill(&backup, 1_200, false);
+            group.run(2_500);
+        }
+        let ordered = group.ordered_since(begun);
+        assert!(ordered >= 15_000, "seed {seed}: {ordered} ms of 20,000 ms for orders");
+        group.assert_apart();
+    }
+}
