Orders go on: a node waits for who gave them last, and not for whoever led last

Cause: each look at which the lease was not shown, and each change of the primary, began the wait of a whole lease anew, though nobody else had given an order. A primary that is struck every few seconds left no time for orders. Change: the control state names who gives orders (a change that the primary makes before its first one, format 3 on disk; formats 1 and 2 are read). Who is named goes on at once; another one waits from when the named one held the lease no more, through any number of holders that gave none. What a backend reports is awaited also where the lease is lost.

--- a/control/src/changes.rs
+++ b/control/src/changes.rs
@@ -1,11 +1,12 @@
 //! Changes of the control state, and what comes of them.
 
 use crate::state::StoredConfiguration;
+use crate::view::ReplicaId;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-/// A change that an operator asks for.
+/// A change that an operator asks for, or a primary.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
     /// A whole configuration on top of a version.
@@ -22,6 +23,11 @@
         /// The version.
         version: u64,
     },
+    /// From now on this replica gives orders to backends. The primary asks for it before its first order.
+    OrderHolder {
+        /// The replica.
+        replica: ReplicaId,
+    },
 }
 
 impl Change {
@@ -30,6 +36,7 @@
         match self {
             Change::Configuration { body, .. } => body.len(),
             Change::Weights { model, .. } => model.len(),
+            Change::OrderHolder { replica } => replica.node.len(),
         }
     }
 }
--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -25,6 +25,7 @@
 use crate::changes::{Change, Outcome, Reading};
 use crate::message::{Envelope, Message};
 use crate::proposer::Attempt;
+use crate::rollout::{FormerHolder, OrderTurn};
 use crate::state::{ControlState, Position, Update};
 use crate::storage::{Record, Recovered};
 use crate::view::{Epoch, Life, ReplicaId, View};
@@ -125,6 +126,7 @@
     join_at: Millis,
     known: BTreeSet<ReplicaId>,
     calls: Calls,
+    former_holder: FormerHolder,
     made: u64,
     durable: u64,
     waiting_since: Millis,
@@ -141,7 +143,7 @@
         let own = view.is_some_and(|view| view.primary == identity.id);
         let role = if view.is_some() { Role::Backup } else { Role::Outside };
         let last = recovered.tail.as_ref().map_or(recovered.state.position, |tail| tail.position);
-        ControlNode {
+        let mut node = ControlNode {
             witness: Witness::new(recovered.votes, identity.may_found, timing.lease, now),
             role,
             state: recovered.state,
@@ -160,13 +162,16 @@
             join_at: 0,
             known: BTreeSet::new(),
             calls: Calls::default(),
+            former_holder: FormerHolder::default(),
             made: 0,
             durable: 0,
             waiting_since: now,
             held: VecDeque::new(),
             inbox: VecDeque::new(),
             effects: Vec::new(),
-        }
+        };
+        node.note_order_holder(now);
+        node
     }
 
     /// Which replica this is.
@@ -228,6 +233,26 @@
         }
     }
 
+    /// Whether orders may be given to backends from here.
+    pub fn order_turn(&self, now: Millis) -> OrderTurn {
+        if self.leads(now).is_none() {
+            return OrderTurn::NotLeading;
+        }
+        match (&self.state.order_holder, self.former_holder.since()) {
+            (None, _) => OrderTurn::First,
+            (Some(holder), _) if holder == self.id() => OrderTurn::Held,
+            (Some(_), Some(former_ended)) => OrderTurn::After { former_ended },
+            // It leads here, so it does not elsewhere; from now on at the latest.
+            (Some(_), None) => OrderTurn::After { former_ended: now },
+        }
+    }
+
+    /// A view was learned, or the committed state has changed.
+    fn note_order_holder(&mut self, now: Millis) {
+        let holder = self.state.order_holder.as_ref();
+        self.former_holder.note(self.witness.decided(), holder, now);
+    }
+
     fn lease_until(&self, primary: &Primary) -> Millis {
         let lasts = self.timing.lease - self.timing.lease_margin;
         self.view().map_or(0, |view| primary.lease.until(view, lasts))
@@ -369,7 +394,7 @@
             }
             Message::Committed { epoch, position } => {
                 if self.is_primary_of(&from, epoch) {
-                    self.commit_up_to(position);
+                    self.commit_up_to(position, now);
                 }
             }
             Message::Join { last, committed } => self.on_join(from, last, committed, now),
--- a/control/src/node/replication.rs
+++ b/control/src/node/replication.rs
@@ -63,7 +63,7 @@
             return;
         }
         // What one replica knows to be committed is committed: every replica that may lead stores it.
-        if self.commit_up_to(committed) {
+        if self.commit_up_to(committed, now) {
             self.tell_committed();
         }
         self.note_holds(&from, last, now);
@@ -176,7 +176,7 @@
             return self.reconsider_view(now);
         }
         self.set_stage(Stage::Ready, "every in-sync replica has the same state");
-        self.commit_tail();
+        self.commit_tail(now);
         self.reconsider_view(now);
         self.confirm_calls(now);
         self.order_next(now);
@@ -272,16 +272,16 @@
         let Stage::Replicating { stored, .. } = &primary.stage else { return };
         if self.required_copies().is_subset(stored) {
             self.set_stage(Stage::Ready, "the change is stored everywhere");
-            self.commit_tail();
+            self.commit_tail(now);
             self.reconsider_view(now);
             self.order_next(now);
         }
     }
 
     /// The primary's stored change is on every in-sync disk.
-    fn commit_tail(&mut self) {
+    fn commit_tail(&mut self, now: Millis) {
         let position = self.last();
-        self.commit_up_to(position);
+        self.commit_up_to(position, now);
         if let Some(ticket) = self.tail_ticket.take() {
             self.effects.push(Effect::Reply { ticket, outcome: Outcome::Done });
         }
@@ -298,9 +298,10 @@
     // ---- as any replica ------------------------------------------------------------------------------------
 
     /// Notes that the changes up to a position are committed. True where that is news.
-    pub(super) fn commit_up_to(&mut self, position: Position) -> bool {
+    pub(super) fn commit_up_to(&mut self, position: Position, now: Millis) -> bool {
         let Some(tail) = self.tail.take_if(|tail| tail.position == position) else { return false };
         self.state.apply(&tail);
+        self.note_order_holder(now);
         self.effects.push(Effect::Committed);
         true
     }
@@ -338,6 +339,7 @@
         }
         let is_newer = state.position.index > self.state.position.index;
         (self.state, self.tail) = (state, tail);
+        self.note_order_holder(now);
         self.backlog = Backlog::new(self.last());
         let record = Record::Install { state: self.state.clone(), tail: self.tail.clone() };
         self.store(vec![record], now);
@@ -361,7 +363,7 @@
         if previous == self.last() {
             for update in updates {
                 // The primary orders a change only once the one before it is committed.
-                self.commit_up_to(self.last());
+                self.commit_up_to(self.last(), now);
                 self.keep(update, now);
             }
         }
--- a/control/src/node/views.rs
+++ b/control/src/node/views.rs
@@ -56,7 +56,7 @@
         if is_current {
             self.heard_primary = now;
             if let Some(committed) = committed {
-                self.commit_up_to(committed);
+                self.commit_up_to(committed, now);
                 self.note_age(committed, echo);
             }
         }
@@ -295,6 +295,7 @@
             return;
         }
         self.store_votes(now);
+        self.note_order_holder(now);
         if self.attempt.as_ref().is_some_and(|attempt| attempt.epoch() <= view.epoch) {
             self.attempt = None;
         }
--- a/control/src/rollout/mod.rs
+++ b/control/src/rollout/mod.rs
@@ -5,7 +5,7 @@
 mod turn;
 
 pub use queue::{OrderQueue, RefusedFences};
-pub use turn::{Turn, TurnStanding};
+pub use turn::{FormerHolder, OrderTurn};
 
 use crate::directory::{Backend, BackendPhase, Directory, Order, OrderPhase};
 use crate::state::WeightsTarget;
--- a/control/src/rollout/turn.rs
+++ b/control/src/rollout/turn.rs
@@ -1,78 +1,87 @@
 //! When the holder of the lease may give orders.
+//!
+//! Orders of two nodes must lie further apart than the time of a lease. Before its first order a node therefore has the control
+//! state say that it is the one that gives orders, so every later holder knows who did. Whoever is named there goes on at once
+//! when it holds the lease again, and anybody else waits from when the named one held it no more: a holder in between that never
+//! came to give an order does not make its successor wait, and neither does a moment without the lease.
 
 use crate::Millis;
-use crate::view::Epoch;
+use crate::view::{Epoch, ReplicaId, View};
 use std::fmt;
 
-/// Beyond the time of a lease, so long passes before a new holder's first order.
+/// Beyond the time of a lease, so long passes between the last moment at which a former holder may have given an order and the
+/// first order of the next.
 const TAKEOVER_MARGIN: Millis = 100;
-/// The epoch of the first holder, before which there was none.
-const FIRST_EPOCH: Epoch = 1;
 
-/// How a node stands with regard to orders, as operators are told.
+/// Whether a node may give orders.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum TurnStanding {
+pub enum OrderTurn {
     /// It does not hold the lease.
     #[default]
-    NotHeld,
-    /// It holds the lease and waits, as orders of a former holder may still be on their way.
-    Waiting,
-    /// It may give orders.
-    MayOrder,
+    NotLeading,
+    /// It holds the lease. Another node gave orders last, and has not held the lease from some moment on.
+    After {
+        /// That moment, or a later one.
+        former_ended: Millis,
+    },
+    /// It holds the lease, and nobody has given orders yet.
+    First,
+    /// It holds the lease, and gave orders last.
+    Held,
 }
 
-impl fmt::Display for TurnStanding {
+impl OrderTurn {
+    /// Whether the node may have itself named as the one that gives orders.
+    pub fn may_take(&self, lease: Millis, now: Millis) -> bool {
+        match *self {
+            OrderTurn::NotLeading | OrderTurn::Held => false,
+            OrderTurn::After { former_ended } => now >= former_ended + lease + TAKEOVER_MARGIN,
+            OrderTurn::First => true,
+        }
+    }
+}
+
+impl fmt::Display for OrderTurn {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
-            TurnStanding::NotHeld => "this node does not hold the lease",
-            TurnStanding::Waiting => {
-                "this node holds the lease and waits for a former holder's orders to be over"
-            }
-            TurnStanding::MayOrder => "this node gives orders",
+            OrderTurn::NotLeading => "this node does not hold the lease",
+            OrderTurn::After { .. } => "this node holds the lease, and another one gave orders last",
+            OrderTurn::First => "this node holds the lease, and nobody has given orders yet",
+            OrderTurn::Held => "this node gives orders",
         })
     }
 }
 
-/// Since when this node holds the lease, as far as orders are concerned.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Turn {
-    /// It does not.
-    #[default]
-    NotHeld,
-    /// It does, under some epochs without a break.
-    Held {
-        /// The present epoch.
-        epoch: Epoch,
-        /// Since when.
-        since: Millis,
-    },
+/// Since when the node that gave orders last does not hold the lease, as far as one replica can tell.
+///
+/// A view is decided only once the lease of another primary is over, so the moment of learning such a view is late enough.
+/// Between two views that follow each other nobody else can have led; where a view was missed, the time begins anew.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct FormerHolder(Option<Ended>);
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Ended {
+    holder: ReplicaId,
+    epoch: Epoch,
+    since: Millis,
 }
 
-impl Turn {
-    /// Takes the fencing token of the lease, none where it is not held. The same holder goes on under a new epoch.
-    pub fn update(&mut self, fence: Option<Epoch>, now: Millis) {
-        *self = match (*self, fence) {
-            (_, None) => Turn::NotHeld,
-            (Turn::Held { since, .. }, Some(epoch)) => Turn::Held { epoch, since },
-            (Turn::NotHeld, Some(epoch)) => Turn::Held { epoch, since: now },
+impl FormerHolder {
+    /// Takes the newest view, and who gave orders last.
+    pub fn note(&mut self, view: Option<&View>, holder: Option<&ReplicaId>, now: Millis) {
+        let Some((view, holder)) = view.zip(holder).filter(|(view, holder)| view.primary != **holder) else {
+            self.0 = None;
+            return;
         };
-    }
-
-    /// How it stands.
-    pub fn standing(&self, lease: Millis, now: Millis) -> TurnStanding {
-        match self {
-            Turn::NotHeld => TurnStanding::NotHeld,
-            _ if self.may_order(lease, now) => TurnStanding::MayOrder,
-            _ => TurnStanding::Waiting,
+        let goes_on = |ended: &&mut Ended| ended.holder == *holder && view.epoch <= ended.epoch + 1;
+        match self.0.as_mut().filter(goes_on) {
+            Some(ended) => ended.epoch = view.epoch,
+            None => self.0 = Some(Ended { holder: holder.clone(), epoch: view.epoch, since: now }),
         }
     }
 
-    /// Whether orders may be given: a new holder lets the time of a lease pass, so that no order of a former one can cross
-    /// its own.
-    pub fn may_order(&self, lease: Millis, now: Millis) -> bool {
-        match *self {
-            Turn::NotHeld => false,
-            Turn::Held { epoch, since } => epoch == FIRST_EPOCH || now >= since + lease + TAKEOVER_MARGIN,
-        }
+    /// Since when; none where it may hold the lease, or there is no such node.
+    pub fn since(&self) -> Option<Millis> {
+        self.0.as_ref().map(|ended| ended.since)
     }
 }
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -1,8 +1,8 @@
-//! The durable control state: the configuration in force, the versions of weights, and what was acknowledged.
+//! The durable control state: the configuration in force, the versions of weights, who gives orders, and what was acknowledged.
 
 use crate::changes::{Change, Outcome, Refusal};
 use crate::configuration::{self, Configuration};
-use crate::view::Epoch;
+use crate::view::{Epoch, ReplicaId};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -72,7 +72,9 @@
     pub configuration: Option<StoredConfiguration>,
     /// The newest version of each model's weights that was named.
     pub weights: BTreeMap<CompactString, WeightsTarget>,
-    accepted: Vec<(u64, Fingerprint)>,
+    pub(crate) accepted: Vec<(u64, Fingerprint)>,
+    /// Who gives orders to backends, or gave them last; none before the first one.
+    pub order_holder: Option<ReplicaId>,
 }
 
 impl ControlState {
@@ -100,6 +102,9 @@
                 let known = self.weights.get(model).is_some_and(|target| target.version >= *version);
                 known.then_some(Outcome::Done)
             }
+            Change::OrderHolder { replica } => {
+                (self.order_holder.as_ref() == Some(replica)).then_some(Outcome::Done)
+            }
         }
     }
 
@@ -140,6 +145,7 @@
                 let target = WeightsTarget { version: *version, index: update.position.index };
                 self.weights.insert(model.clone(), target);
             }
+            Change::OrderHolder { replica } => self.order_holder = Some(replica.clone()),
         }
     }
 
--- a/control/src/storage.rs
+++ b/control/src/storage.rs
@@ -4,8 +4,10 @@
 //! segment was never acknowledged and is dropped; any other damage is an error that names the place and the remedy.
 
 mod format1;
+mod format2;
 
 pub use format1::{AcceptedV1, BallotV1, VotesV1};
+pub use format2::ControlStateV2;
 
 use crate::state::{ControlState, Update};
 use crate::witness::Votes;
@@ -17,7 +19,7 @@
 /// The longest record; a longer length can only be damage.
 const LONGEST: usize = 48 << 20;
 /// The format written by this program.
-pub const FORMAT: u32 = 2;
+pub const FORMAT: u32 = 3;
 
 /// One record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +35,15 @@
     VotesV1(VotesV1),
     /// A change that is stored and not yet known to be committed.
     Update(Update),
+    /// A state as format 2 had it.
+    InstallV2 {
+        /// The committed state.
+        state: ControlStateV2,
+        /// A stored change that is not known to be committed.
+        tail: Option<Update>,
+    },
+    /// The witness's votes.
+    Votes(Votes),
     /// A state that takes the place of all before.
     Install {
         /// The committed state.
@@ -40,8 +51,6 @@
         /// A stored change that is not known to be committed.
         tail: Option<Update>,
     },
-    /// The witness's votes.
-    Votes(Votes),
 }
 
 /// Why stored records can't be used.
@@ -87,7 +96,8 @@
 /// Reads a snapshot, which was written and synced as a whole; its last record is the state.
 pub fn decode_snapshot(bytes: &[u8]) -> Result<Vec<Record>, Damage> {
     let (records, sound) = decode(bytes)?;
-    let is_whole = sound == bytes.len() && matches!(records.last(), Some(Record::Install { .. }));
+    let holds_state = matches!(records.last(), Some(Record::Install { .. } | Record::InstallV2 { .. }));
+    let is_whole = sound == bytes.len() && holds_state;
     if is_whole { Ok(records) } else { Err(Damage::CutOff { sound }) }
 }
 
@@ -167,6 +177,7 @@
             Record::Disk { disk, .. } => self.disk = disk,
             Record::VotesV1(votes) => self.votes = votes.into(),
             Record::Votes(votes) => self.votes = votes,
+            Record::InstallV2 { state, tail } => (self.state, self.tail) = (state.into(), tail),
             Record::Install { state, tail } => (self.state, self.tail) = (state, tail),
             Record::Update(update) => {
                 // A change is only ordered once the one before it is committed.
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -5,7 +5,7 @@
 use crate::proxy::table::Table;
 use crate::weights::Orders;
 use control::directory::BackendPhase;
-use control::rollout::TurnStanding;
+use control::rollout::OrderTurn;
 use poem::{Endpoint, Request, Response, Result};
 use routing::version_floor::NamedVersion;
 use std::collections::BTreeMap;
@@ -144,7 +144,7 @@
 
     fn write_orders(&self, text: &mut String) {
         if let Some(orders) = &self.orders {
-            let gives = orders.standing() == TurnStanding::MayOrder;
+            let gives = orders.turn() == OrderTurn::Held;
             line(text, "orders_given_here", u64::from(gives));
             line(text, "backends_refusing_fences", orders.refusing_backends());
         }
--- a/router/src/replica.rs
+++ b/router/src/replica.rs
@@ -10,6 +10,7 @@
 use control::changes::{Change, Outcome, Reading};
 use control::message::Envelope;
 use control::node::{ControlNode, Effect, RoleName};
+use control::rollout::OrderTurn;
 use control::state::StoredConfiguration;
 use control::view::{Epoch, ReplicaId, View};
 use std::collections::{BTreeSet, HashMap};
@@ -39,6 +40,8 @@
 pub struct Shown {
     /// The fencing token of the lease, and until when it is held.
     pub lease: Option<(Epoch, Millis)>,
+    /// Whether orders may be given to backends from here.
+    pub order_turn: OrderTurn,
     /// When the committed state was last known to be the newest.
     pub current_at: Option<Millis>,
     /// The newest view that is known to be decided.
@@ -91,6 +94,16 @@
         lock(&self.shown).lease.filter(|(_, until)| clock::now() < *until).map(|(epoch, _)| epoch)
     }
 
+    /// Whether orders may be given to backends from here at this very moment.
+    pub fn order_turn(&self) -> OrderTurn {
+        if self.leads() { lock(&self.shown).order_turn } else { OrderTurn::NotLeading }
+    }
+
+    /// The fencing token of orders to backends, while they may be given from here.
+    pub fn order_fence(&self) -> Option<Epoch> {
+        self.fence().filter(|_| self.order_turn() == OrderTurn::Held)
+    }
+
     /// When its committed state was last known to be the newest.
     pub fn current_at(&self) -> Option<Millis> {
         lock(&self.shown).current_at
@@ -277,6 +290,7 @@
         let is_same = former.as_ref().map(|view| view.epoch) == node.view().map(|view| view.epoch);
         self.handle.show(Shown {
             lease: node.lease(now),
+            order_turn: node.order_turn(now),
             current_at: node.current_at(now),
             view: if is_same { former } else { node.view().cloned().map(Arc::new) },
             role: Some(node.role()),
--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -8,8 +8,9 @@
 use crate::replica::ReplicaHandle;
 use compact_str::CompactString;
 use control::Millis;
+use control::changes::Change;
 use control::directory::{Key, Order, OrderPhase, Value};
-use control::rollout::{Lacking, OrderQueue, RefusedFences, Rollout, Turn, TurnStanding};
+use control::rollout::{Lacking, OrderQueue, OrderTurn, RefusedFences, Rollout};
 use control::view::Epoch;
 use routing::version_floor::NamedVersion;
 use serde::Deserialize;
@@ -100,32 +101,33 @@
     number: AtomicU64,
     refused: Mutex<RefusedFences>,
     queue: Mutex<OrderQueue>,
-    standing: Mutex<TurnStanding>,
+    turn: Mutex<OrderTurn>,
 }
 
 impl Orders {
     /// The orders of a node with a replica.
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
-        let (refused, queue, standing) = (Mutex::default(), Mutex::default(), Mutex::default());
-        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue, standing })
+        let (refused, queue, turn) = (Mutex::default(), Mutex::default(), Mutex::default());
+        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue, turn })
     }
 
     /// Keeps looking for backends that lack weights.
     pub async fn run(self: Arc<Self>) {
-        let mut turn = Turn::default();
         let mut overdue = OverdueVersions::default();
         let mut under_way: HashMap<CompactString, tokio::task::JoinHandle<()>> = HashMap::new();
         loop {
             tokio::time::sleep(LOOK).await;
             under_way.retain(|_, task| !task.is_finished());
             overdue.look(&self.fleet);
-            let now = clock::now();
-            turn.update(self.replica.fence(), now);
-            self.enter(turn.standing(self.fleet.settings.bounds.lease_ms, now));
-            if !turn.may_order(self.fleet.settings.bounds.lease_ms, now) {
+            let turn = self.replica.order_turn();
+            self.enter(turn);
+            if turn == OrderTurn::NotLeading {
                 continue;
             }
             let Rollout { lacking, most_at_once } = self.rollout();
+            if lacking.is_empty() || !self.take_turn(turn).await {
+                continue;
+            }
             for backend in lacking {
                 if under_way.len() >= most_at_once {
                     break;
@@ -137,17 +139,28 @@
         }
     }
 
+    /// Whether orders may be given here, for which the control state has to name this node.
+    async fn take_turn(&self, turn: OrderTurn) -> bool {
+        if turn.may_take(self.fleet.settings.bounds.lease_ms, clock::now()) {
+            // Where nobody can tell what became of it, it is asked for again at the next look.
+            let change = Change::OrderHolder { replica: self.replica.id.clone() };
+            let outcome = self.replica.submit(change).await;
+            log::debug!("orders: this node asked to give them: {outcome:?}");
+        }
+        self.replica.order_fence().is_some()
+    }
+
     /// The one place where it changes whether this node gives orders.
-    fn enter(&self, standing: TurnStanding) {
-        let former = std::mem::replace(&mut *lock(&self.standing), standing);
-        if former != standing {
-            log::info!("orders: {standing}");
+    fn enter(&self, turn: OrderTurn) {
+        let former = std::mem::replace(&mut *lock(&self.turn), turn);
+        if former != turn {
+            log::info!("orders: {turn}");
         }
     }
 
     /// Whether this node gives orders.
-    pub fn standing(&self) -> TurnStanding {
-        *lock(&self.standing)
+    pub fn turn(&self) -> OrderTurn {
+        *lock(&self.turn)
     }
 
     /// How many backends have refused a fencing token.
@@ -184,7 +197,7 @@
 
     /// Brings one backend to a version.
     async fn bring(self: Arc<Self>, backend: Lacking) {
-        let Some(fence) = self.replica.fence() else { return };
+        let Some(fence) = self.replica.order_fence() else { return };
         self.note(&backend, fence, OrderPhase::UnderWay);
         lock(&self.queue).ordered(&backend.id);
         tokio::time::sleep(NOTICE + self.fleet.gather_time()).await;
@@ -203,11 +216,11 @@
     }
 
     /// Asks for a backend's reports until it has the version. Few backends load at a time, so one that does not answer is left
-    /// soon: its place is for others.
+    /// soon: its place is for others. What a backend reports is true whoever leads, so a lease that is lost ends nothing here.
     async fn wait_for_version(&self, backend: &Lacking, patience: Duration) -> bool {
         let begun = Instant::now();
         let mut unanswered = 0;
-        while begun.elapsed() < patience && unanswered < MOST_UNANSWERED && self.replica.leads() {
+        while begun.elapsed() < patience && unanswered < MOST_UNANSWERED {
             tokio::time::sleep(REPORT).await;
             match self.has_version(backend).await {
                 Some(true) => return true,
@@ -231,7 +244,7 @@
     /// Gives the order.
     async fn order(&self, backend: &Lacking) -> OrderAnswer {
         // The fence is read right before the effect: it is none once the lease has ended.
-        let Some(fence) = self.replica.fence() else { return OrderAnswer::Unknown };
+        let Some(fence) = self.replica.order_fence() else { return OrderAnswer::Unknown };
         let body = serde_json::json!({
             "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
             "holder": self.fleet.settings.node_name.as_str(), "fenceToken": fence,
