Failing test: a cut-off node takes backends for silent that others hear

Same class as the incident: a word of one node that cannot know holds back orders to backends. Its record outranks the others' once the cut heals, until each backend's next heartbeat.

--- a/router/tests/registration.rs
+++ b/router/tests/registration.rs
@@ -216,3 +216,25 @@
     pulls(&fleet, 4, &VersionVector::new()).await;
     assert!(fleet.register("i".into(), ready()).await.is_some(), "three of five are parted from two");
 }
+
+/// Whether a backend is marked as silent whose node is down, as far as this node can tell.
+fn marks_silent(fleet: &Fleet) -> bool {
+    let owned = Backend { owner: "n2".into(), ..backend("a", 7, BackendPhase::Ready) };
+    fleet.put(Key::Backend("i".into()), Value::Backend(owned));
+    put(fleet, 2, "a", MemberStatus::Down);
+    let now = router::clock::now();
+    (0..200).for_each(|step| fleet.watch_backends(now + 200 * step));
+    match fleet.directory.lock().expect("sound").get(&Key::Backend("i".into())) {
+        Some(Value::Backend(backend)) => backend.silent,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Story: a control machine was cut off for some seconds. Once the cut had healed, backends that had been heard elsewhere all the time were
+/// silent for the whole fleet, and got neither requests nor new weights until their next heartbeats. Cause: a node that is cut off hears
+/// neither its backends nor the nodes that hear them, took both for gone, and its word outranked the others' when it was back.
+#[tokio::test]
+async fn a_node_that_is_cut_off_takes_no_backend_for_silent() {
+    assert!(marks_silent(&fleet()), "in touch it does, also for a node that is down");
+    assert!(!marks_silent(&fleet_in_touch_at(None)), "cut off it can't tell");
+}
