A node that is cut off takes no backend for silent

Cause: a node without touch to the primary, and to half of the nodes with replicas, counted silence of backends that others heard, also those of nodes that it took for down. Change: it does not look for silent backends meanwhile, by the same condition under which it takes no heartbeats. Test of registration: 8 passed.

--- a/router/src/fleet/registration.rs
+++ b/router/src/fleet/registration.rs
@@ -115,8 +115,12 @@
         members.into_iter().map(|(_, member)| member).collect()
     }
 
-    /// Marks backends as silent whose heartbeats have stopped coming here.
+    /// Marks backends as silent whose heartbeats have stopped coming here. A node that is cut off can't tell: they go to other
+    /// nodes, and it does not learn which of these are there.
     pub fn watch_backends(&self, now: Millis) {
+        if !self.takes_registrations() {
+            return;
+        }
         let patience = 5 * self.settings.heartbeat_interval_ms / 2;
         let orphans = self.orphaned_backends();
         let silent = {
