Soak: the primary struck in series, backends left behind, and orders a lease apart

The soak saw old weights at the end of a run only, and one holder for each fencing token. It now keeps each backend's life and finds one that lacked a version for nine calm seconds in all, and orders of two routers within a lease. Checks are split by concern.

--- a/bitternsill/tests/soak.rs
+++ b/bitternsill/tests/soak.rs
@@ -8,8 +8,10 @@
 
 /// Seeds that are run two at a time.
 const SEEDS: [[u64; 2]; 2] = [[1, 3], [6, 11]];
+/// The same, with a primary that is struck again and again.
+const PRIMARY_SEEDS: [u64; 2] = [21, 22];
 
-fn plan(seed: u64) -> Plan {
+fn plan(seed: u64, strikes_primary: bool) -> Plan {
     Plan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_bitternsill")),
         seed,
@@ -17,14 +19,15 @@
         backends: 4,
         clients: 16,
         pause: Duration::from_millis(400),
-        trouble_ms: 10_000,
+        trouble_ms: if strikes_primary { 20_000 } else { 10_000 },
+        strikes_primary,
         folder: std::env::temp_dir().join(format!("soak-test-{}-{seed}", std::process::id())),
     }
 }
 
 /// What was broken in a run; its logs stay where something was.
-async fn broken(seed: u64) -> Vec<String> {
-    let plan = plan(seed);
+async fn broken(seed: u64, strikes_primary: bool) -> Vec<String> {
+    let plan = plan(seed, strikes_primary);
     let folder = plan.folder.clone();
     let Report { violations, history } = run(plan).await.expect("a run");
     assert!(history.requests.len() > 500, "only {} requests were made", history.requests.len());
@@ -39,8 +42,10 @@
 fn a_short_soak_keeps_every_rule() {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
     let mut found = Vec::new();
-    for [first, second] in SEEDS {
-        let (first, second) = runtime.block_on(async { tokio::join!(broken(first), broken(second)) });
+    let runs = SEEDS.map(|seeds| (seeds, false)).into_iter().chain([(PRIMARY_SEEDS, true)]);
+    for ([first, second], strikes_primary) in runs {
+        let both = async { tokio::join!(broken(first, strikes_primary), broken(second, strikes_primary)) };
+        let (first, second) = runtime.block_on(both);
         found.extend(first.into_iter().chain(second));
     }
     assert!(found.is_empty(), "{}", found.join("\n"));
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of backends: they register, take orders, run requests and keep a record of each run.
 
 use crate::clock::Clock;
-use crate::history::{OrderSeen, Recorder, Run};
+use crate::history::{OrderSeen, Recorder, Run, Stage, Staged};
 use crate::settings::HEARTBEAT_MS;
 use bytes::Bytes;
 use futures_util::stream;
@@ -107,6 +107,7 @@
             sequence: AtomicU64::new(0),
             slots: Semaphore::new(SLOTS),
         });
+        state.note(Stage::Started { version: state.version.load(Ordering::Relaxed) });
         let serving = tokio::spawn(serve(listener, state.clone()));
         let beating = tokio::spawn(beat(state.clone()));
         Ok(Backend { state, serving, beating })
@@ -120,16 +121,19 @@
     /// It takes connections and answers nothing, or goes on.
     pub fn hang(&self, hangs: bool) {
         self.state.is_hanging.store(hangs, Ordering::Relaxed);
+        self.state.note(if hangs { Stage::Hanging } else { Stage::Answering });
     }
 
     /// It ends at once, with everything that it does.
     pub fn crash(self) {
         self.state.has_crashed.store(true, Ordering::Relaxed);
+        self.state.note(Stage::Leaving);
     }
 
     /// It leaves in order: says so, serves on for a while, and ends.
     pub async fn leave(self) {
         self.state.is_draining.store(true, Ordering::Relaxed);
+        self.state.note(Stage::Leaving);
         let acknowledged = async {
             while !self.state.call("heartbeat").await {}
             tokio::time::sleep(SERVES_ON).await;
@@ -254,6 +258,11 @@
         }
     }
 
+    fn note(&self, stage: Stage) {
+        let at = self.around.clock.now();
+        self.around.recorder.open().backends.push(Staged { backend: self.number, at, stage });
+    }
+
     async fn hang(&self) {
         if self.is_hanging.load(Ordering::Relaxed) {
             std::future::pending::<()>().await;
@@ -290,6 +299,7 @@
         tokio::spawn(async move {
             tokio::time::sleep(LOAD).await;
             state.version.store(version, Ordering::Relaxed);
+            state.note(Stage::Loaded { version });
             state.is_loading.store(false, Ordering::Relaxed);
         });
         answer(202, Bytes::new())
--- a/soak/src/check.rs
+++ b/soak/src/check/mod.rs
@@ -1,8 +1,10 @@
 //! Holds what was seen against the rules.
 
+mod weights;
+
 use crate::clock::Millis;
 use crate::history::{Blow, Change, Changed, History, Kind, Outcome, Reply, Request, Run, Struck};
-use crate::settings::{CONFIG_APPLY_MS, CONTACT_MS, GRACE_MS, VERSION_MS};
+use crate::settings::{CONFIG_APPLY_MS, CONTACT_MS, GRACE_MS};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 
@@ -44,11 +46,13 @@
         promises,
         lost_requests,
         abandoned_work,
-        old_weights,
+        weights::old_weights,
+        weights::left_behind,
         configurations_in_force,
         configurations_that_go_back,
         races,
-        orders,
+        weights::holders,
+        weights::turns,
         processes,
         ending,
     ];
@@ -206,34 +210,6 @@
     history.changes.iter().filter(|changed| changed.reply == Reply::Acknowledged)
 }
 
-/// No request begins on weights that have been replaced for too long.
-fn old_weights(history: &History) -> Vec<Violation> {
-    let requests: HashMap<u64, &Request> =
-        history.requests.iter().map(|request| (request.id, request)).collect();
-    let mut found = Vec::new();
-    for run in &history.runs {
-        let (Some(begun), Some(request)) = (run.begun_at, requests.get(&run.request)) else { continue };
-        let is_too_old = |changed: &&Changed| match changed.change {
-            Change::Weights(version) => {
-                version > run.version
-                    && begun > changed.answered_at + VERSION_MS + SLACK_MS
-                    && in_touch(history, request.router, changed.answered_at, begun)
-            }
-            Change::Configuration { .. } => false,
-        };
-        if let Some(changed) = acknowledged(history).find(is_too_old) {
-            let what = format!(
-                "it began on version {}, {} ms after {:?} was acknowledged",
-                run.version,
-                begun - changed.answered_at,
-                changed.change
-            );
-            found.push(violation("VERSION", begun, request, &what));
-        }
-    }
-    found
-}
-
 fn configuration_acks(history: &History) -> impl Iterator<Item = (u64, Millis)> {
     acknowledged(history).filter_map(|changed| match changed.change {
         Change::Configuration { version, .. } => Some((version, changed.answered_at)),
@@ -304,20 +280,6 @@
     found
 }
 
-/// One fencing token has one holder.
-fn orders(history: &History) -> Vec<Violation> {
-    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
-    let mut found = Vec::new();
-    for order in &history.orders {
-        let holder = holders.entry(order.fence).or_insert(&order.holder);
-        if *holder != order.holder {
-            let what = format!("{holder} and {} use fencing token {}", order.holder, order.fence);
-            found.push(Violation { rule: "ONE", at: order.at, what });
-        }
-    }
-    found
-}
-
 /// Processes end when they are told to, in order and in time, and not by themselves.
 fn processes(history: &History) -> Vec<Violation> {
     let mut told: BTreeMap<usize, Option<Struck>> = BTreeMap::new();
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -170,6 +170,38 @@
     pub fence: u64,
 }
 
+/// What became of a backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It has started, with a version of the weights.
+    Started {
+        /// The version.
+        version: u64,
+    },
+    /// It has loaded a version of the weights.
+    Loaded {
+        /// The version.
+        version: u64,
+    },
+    /// It answers nothing.
+    Hanging,
+    /// It answers again.
+    Answering,
+    /// It is about to leave, or has crashed.
+    Leaving,
+}
+
+/// A moment in the life of a backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Staged {
+    /// The backend's incarnation.
+    pub backend: u64,
+    /// When.
+    pub at: Millis,
+    /// What became of it.
+    pub stage: Stage,
+}
+
 /// How the fleet stood after the last trouble, once it had had its time.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Final {
@@ -198,6 +230,8 @@
     pub seen: Vec<Seen>,
     /// Orders to backends.
     pub orders: Vec<OrderSeen>,
+    /// What became of backends.
+    pub backends: Vec<Staged>,
     /// How it ended.
     pub end: Final,
     /// Routers that hold the control state.
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -44,6 +44,9 @@
     /// Seconds of trouble in each run.
     #[arg(long, default_value_t = 15)]
     trouble_s: u64,
+    /// The primary is struck again and again while versions of the weights are named.
+    #[arg(long)]
+    strike_primary: bool,
     /// Where logs of runs with a broken rule are kept.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -60,6 +63,7 @@
             clients: self.clients,
             pause: Duration::from_millis(self.pause_ms),
             trouble_ms: self.trouble_s * 1_000,
+            strikes_primary: self.strike_primary,
             folder: self.keep.as_ref().map_or(folder, |keep| keep.join(format!("seed-{seed}"))),
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -53,6 +53,8 @@
     pub pause: Duration,
     /// How long there is trouble, in milliseconds.
     pub trouble_ms: Millis,
+    /// Whether the primary is struck again and again while versions of the weights are named.
+    pub strikes_primary: bool,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
 }
@@ -117,6 +119,7 @@
     plan: Plan,
     clock: Clock,
     recorder: Arc<Recorder>,
+    addresses: Addresses,
     keepers: Vec<Keeper>,
     around: Arc<Surroundings>,
     backends: Vec<Mutex<Option<Backend>>>,
@@ -156,9 +159,19 @@
         variants: AtomicU64::new(1),
     };
     let weights = AtomicU64::new(1);
-    let stage =
-        Arc::new(Stage { plan, clock, recorder, keepers, around, backends, operator, client, weights });
-    let played = stage.clone().play(addresses).await;
+    let stage = Arc::new(Stage {
+        plan,
+        clock,
+        recorder,
+        addresses,
+        keepers,
+        around,
+        backends,
+        operator,
+        client,
+        weights,
+    });
+    let played = stage.clone().play().await;
     stage.keepers.iter().for_each(|keeper| keeper.strike(Strike::End));
     for keeping in kept {
         // A keeper that failed has been seen by its router's silence.
@@ -171,7 +184,7 @@
 }
 
 impl Stage {
-    async fn play(self: Arc<Self>, addresses: Addresses) -> Result<(), RunError> {
+    async fn play(self: Arc<Self>) -> Result<(), RunError> {
         let started = tokio::time::timeout(START_PATIENCE, async {
             while self.operator.configure(0, 1).await != Reply::Acknowledged {}
         });
@@ -180,7 +193,7 @@
         let clients = Arc::new(Clients {
             clock: self.clock,
             recorder: self.recorder.clone(),
-            frontends: (0..self.plan.size.routers).map(|number| addresses.frontend(number)).collect(),
+            frontends: (0..self.plan.size.routers).map(|number| self.addresses.frontend(number)).collect(),
             leaves: LEAVES,
             next: AtomicU64::new(1),
         });
@@ -189,21 +202,32 @@
             tasks.spawn(clients.clone().run(self.plan.pause, ends.clone()));
         }
         for number in 0..self.plan.size.routers {
-            tasks.spawn(self.clone().look(number, addresses, ends.clone()));
+            tasks.spawn(self.clone().look(number, ends.clone()));
         }
         self.clone().play_schedule().await;
         tokio::time::sleep(RETURN).await;
         let calm_since = self.clock.now();
         tokio::time::sleep(CALM).await;
-        self.look_at_the_end(calm_since, addresses).await;
+        self.look_at_the_end(calm_since).await;
         // Everybody holds a receiver until the run is over.
         let _ = end.send(true);
         while tasks.join_next().await.is_some() {}
         Ok(())
     }
 
+    /// The router that leads the control state, as far as one says so.
+    async fn primary(&self) -> Option<usize> {
+        for number in 0..self.plan.size.replicas {
+            if self.figure(number, "control_leads").await == Some(1) {
+                return Some(number);
+            }
+        }
+        None
+    }
+
     async fn play_schedule(self: Arc<Self>) {
-        let scope = Scope { size: self.plan.size, backends: self.plan.backends, lasts: self.plan.trouble_ms };
+        let Plan { size, backends, trouble_ms, strikes_primary, .. } = self.plan;
+        let scope = Scope { size, backends, lasts: trouble_ms, strikes_primary };
         let begun = tokio::time::Instant::now();
         let mut under_way = JoinSet::new();
         for Step { at, action } in schedule::draw(scope, self.plan.seed) {
@@ -216,6 +240,11 @@
     async fn act(self: Arc<Self>, action: Action) {
         match action {
             Action::Router(number, strike) => self.keepers[number].strike(strike),
+            Action::Primary(strike) => {
+                if let Some(number) = self.primary().await {
+                    self.keepers[number].strike(strike);
+                }
+            }
             Action::Configure { race } => self.configure(race).await,
             Action::NameWeights => self.name_weights().await,
             Action::CrashBackend(number) => {
@@ -264,10 +293,10 @@
     }
 
     /// Keeps asking a router for its configuration.
-    async fn look(self: Arc<Self>, number: usize, addresses: Addresses, mut ends: watch::Receiver<bool>) {
+    async fn look(self: Arc<Self>, number: usize, mut ends: watch::Receiver<bool>) {
         while !*ends.borrow_and_update() {
             let asked_at = self.clock.now();
-            if let Some(configuration) = self.figure(number, addresses).await {
+            if let Some(configuration) = self.figure(number, "configuration_version").await {
                 let answered_at = self.clock.now();
                 let seen = Seen { router: number, asked_at, answered_at, configuration };
                 self.recorder.open().seen.push(seen);
@@ -276,19 +305,19 @@
         }
     }
 
-    /// The version of a router's configuration, as its metrics page tells.
-    async fn figure(&self, number: usize, addresses: Addresses) -> Option<u64> {
-        let url = format!("http://{}/metrics", addresses.metrics(number));
+    /// A figure of a router, as its metrics page tells.
+    async fn figure(&self, number: usize, name: &str) -> Option<u64> {
+        let url = format!("http://{}/metrics", self.addresses.metrics(number));
         let answer = self.client.get(url).timeout(LOOK_PATIENCE).send().await.ok()?;
         let text = String::from_utf8(answer.bytes().await.ok()?.to_vec()).ok()?;
-        text.lines().find_map(|line| line.strip_prefix("configuration_version ")?.parse().ok())
+        text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
     }
 
-    async fn look_at_the_end(&self, calm_since: Millis, addresses: Addresses) {
+    async fn look_at_the_end(&self, calm_since: Millis) {
         let read_back = self.operator.read_back(READ_PATIENCE).await;
         let mut configurations = Vec::new();
         for number in 0..self.plan.size.routers {
-            configurations.push(self.figure(number, addresses).await.unwrap_or(0));
+            configurations.push(self.figure(number, "configuration_version").await.unwrap_or(0));
         }
         let mut weights = Vec::new();
         for backend in &self.backends {
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -12,6 +12,8 @@
 pub enum Action {
     /// Something is done to a router.
     Router(usize, Strike),
+    /// Something is done to whoever leads the control state.
+    Primary(Strike),
     /// A configuration is sent; two operators may send one each on top of the same version.
     Configure {
         /// Whether two do.
@@ -45,6 +47,8 @@
     pub backends: usize,
     /// How long there is trouble.
     pub lasts: Millis,
+    /// Whether the primary is struck again and again while versions of the weights are named.
+    pub strikes_primary: bool,
 }
 
 /// Series that overlap, sorted by time. A seed always draws the same.
@@ -66,10 +70,33 @@
     if !spares_replicas && rng.bool() {
         steps.extend(blow_to_the_core(scope, &mut rng));
     }
+    if scope.strikes_primary {
+        steps.extend(primary_series(scope, &mut rng));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// The primary is struck every few seconds, and versions of the weights are named meanwhile.
+fn primary_series(scope: Scope, rng: &mut Rng) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let gap = rng.u64(3_000..7_000);
+    let mut at = rng.u64(..gap);
+    while at < scope.lasts {
+        let strike = match rng.u8(..4) {
+            0 => Strike::Terminate,
+            1 => Strike::Stop(Duration::from_millis(rng.u64(900..2_500))),
+            _ => Strike::Kill,
+        };
+        steps.push(Step { at, action: Action::Primary(strike) });
+        at += gap * rng.u64(80..120) / 100;
+    }
+    let gap = rng.u64(700..2_500);
+    let names = (0..scope.lasts / gap).map(|number| Step { at: number * gap, action: Action::NameWeights });
+    steps.extend(names);
+    steps
+}
+
 /// Moments of a series: some, with a gap, from anywhere in the first two thirds.
 fn moments(scope: Scope, count: usize, gap: Millis, rng: &mut Rng) -> impl Iterator<Item = Millis> {
     let first = rng.u64(..scope.lasts * 2 / 3);
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -12,6 +12,8 @@
 pub const CONFIG_APPLY_MS: u64 = 2_000;
 /// Time after which no request begins on older weights.
 pub const VERSION_MS: u64 = 6_000;
+/// Time between orders of two holders of the lease.
+pub const LEASE_MS: u64 = 3_000;
 /// Time without trouble after which a router is in touch again.
 pub const CONTACT_MS: u64 = 3_000;
 
@@ -97,6 +99,6 @@
         "faultTolerance": {"machines": (size.replicas - 1) / 2, "zones": 0, "regions": 0},
         "bounds": {"configApplyMs": CONFIG_APPLY_MS, "ackTimeoutMs": 4_000, "drainTimeoutMs": 2_000,
                    "gracePeriodS": GRACE_MS / 1_000, "retryBudgetRatio": 0.2, "retryBudgetSlack": 60,
-                   "budgetWindowS": 10, "leaseMs": 3_000, "versionMs": VERSION_MS},
+                   "budgetWindowS": 10, "leaseMs": LEASE_MS, "versionMs": VERSION_MS},
     })
 }
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -2,7 +2,8 @@
 
 use soak::check::violations;
 use soak::history::{
-    Blow, Change, Changed, Final, History, Kind, OrderSeen, Outcome, Reply, Request, Run, Seen, Struck,
+    Blow, Change, Changed, Final, History, Kind, OrderSeen, Outcome, Reply, Request, Run, Seen, Stage,
+    Staged, Struck,
 };
 
 /// A fleet of five routers, three with the control state, that served one request.
@@ -215,7 +216,69 @@
 fn a_fencing_token_has_one_holder() {
     let order = |holder: &str, fence| OrderSeen { backend: 1, at: 9_000, holder: holder.to_owned(), fence };
     assert_eq!(broken(|history| history.orders = vec![order("a", 1), order("b", 1)]), ["ONE"]);
-    assert_eq!(broken(|history| history.orders = vec![order("a", 1), order("b", 2)]), NONE);
+    let later = |fence, at| OrderSeen { at, ..order("b", fence) };
+    assert_eq!(broken(|history| history.orders = vec![order("a", 1), later(1, 20_000)]), ["ONE"]);
+    assert_eq!(broken(|history| history.orders = vec![order("a", 1), later(2, 20_000)]), NONE);
+}
+
+#[test]
+fn orders_of_two_routers_lie_a_lease_apart() {
+    let order =
+        |holder: &str, at: u64, fence: u64| OrderSeen { backend: at, at, holder: holder.to_owned(), fence };
+    let orders = |second: u64, third: u64| {
+        move |history: &mut History| {
+            history.orders = vec![order("a", 9_000, 1), order("b", second, 2), order("b", third, 3)];
+        }
+    };
+    assert_eq!(broken(orders(11_999, 12_500)), ["ONE"]);
+    assert_eq!(broken(orders(12_000, 12_500)), NONE, "one router goes on under another token");
+    let thawed = |history: &mut History| {
+        orders(11_999, 12_500)(history);
+        history.struck.push(struck(1, 11_900, Blow::Continued));
+    };
+    assert_eq!(broken(thawed), NONE, "it may have been on its way before its sender stood still");
+}
+
+/// A history of 40 s in which version 2 was acknowledged at 10 s, and a backend started with version 1 before.
+fn behind(stages: &[(u64, Stage)], blows: &[Struck]) -> Vec<&'static str> {
+    broken(|history| {
+        history.changes.push(named(2, 10_000));
+        history.end.weights = vec![2; 2];
+        history.requests.push(request(2, Kind::Unsafe, 39_950, 40_000, Outcome::Served));
+        history.runs = vec![run(1, 2, 20_010, 20_040), run(2, 2, 39_960, 39_990)];
+        let mut stage = |at, stage| history.backends.push(Staged { backend: 7, at, stage });
+        stage(1_000, Stage::Started { version: 1 });
+        stages.iter().for_each(|(at, what)| stage(*at, *what));
+        history.struck.extend_from_slice(blows);
+    })
+}
+
+#[test]
+fn no_backend_is_left_behind_for_nine_calm_seconds_in_all() {
+    let loaded = Stage::Loaded { version: 2 };
+    assert_eq!(behind(&[(19_400, loaded)], &[]), NONE);
+    assert_eq!(behind(&[(19_500, loaded)], &[]), ["VERSION"]);
+    assert_eq!(behind(&[], &[]), ["VERSION"], "it never got it");
+    assert_eq!(behind(&[(19_400, Stage::Loaded { version: 3 })], &[]), NONE, "a newer one serves as well");
+    assert_eq!(behind(&[(19_000, Stage::Leaving)], &[]), NONE, "it left before");
+    let hung = [(11_000, Stage::Hanging), (15_000, Stage::Answering), (26_000, loaded)];
+    assert_eq!(behind(&hung, &[]), NONE, "it answered nothing for a while");
+}
+
+#[test]
+fn calm_seconds_between_troubles_add_up() {
+    // Each 5.5 s a control machine is killed and starts again at once: 2.5 s of each are calm.
+    let kills = |router: usize, every: u64| -> Vec<Struck> {
+        let at = (0..6).map(|number| 10_000 + number * every);
+        at.flat_map(|at| [struck(router, at, Blow::Killed), struck(router, at + 1, Blow::Started)]).collect()
+    };
+    let loaded = |at| [(at, Stage::Loaded { version: 2 })];
+    assert_eq!(behind(&loaded(30_000), &kills(0, 5_500)), NONE);
+    assert_eq!(behind(&loaded(36_000), &kills(0, 5_500)), ["VERSION"]);
+    assert_eq!(behind(&loaded(25_000), &kills(0, 4_500)), NONE, "stretches under two seconds don't count");
+    assert_eq!(behind(&loaded(30_000), &kills(4, 5_500)), ["VERSION"], "a router without the control state");
+    let away = [struck(1, 10_000, Blow::Stopped), struck(1, 36_000, Blow::Continued)];
+    assert_eq!(behind(&loaded(40_000), &away), NONE, "one of them stood still");
 }
 
 #[test]
--- a/soak/tests/schedule.rs
+++ b/soak/tests/schedule.rs
@@ -4,7 +4,8 @@
 use soak::schedule::{Action, Scope, Step, draw};
 use soak::settings::Size;
 
-const SCOPE: Scope = Scope { size: Size { routers: 7, replicas: 3 }, backends: 6, lasts: 15_000 };
+const SCOPE: Scope =
+    Scope { size: Size { routers: 7, replicas: 3 }, backends: 6, lasts: 15_000, strikes_primary: false };
 
 #[test]
 fn a_seed_always_draws_the_same_in_order_and_within_its_time() {
@@ -40,3 +41,23 @@
         assert!(lost.count() <= 1);
     }
 }
+
+#[test]
+fn the_primary_is_struck_in_series_beside_all_else_while_versions_are_named() {
+    let scope = Scope { strikes_primary: true, ..SCOPE };
+    for seed in 0..300 {
+        let steps = draw(scope, seed);
+        assert_eq!(steps, draw(scope, seed));
+        assert!(steps.iter().all(|step| step.at < scope.lasts), "{steps:?}");
+        let without = draw(SCOPE, seed);
+        let rest = without.iter().filter(|step| !steps.contains(step));
+        assert_eq!(rest.count(), 0, "seed {seed}: what is drawn without stays as it is");
+        let primary: Vec<&Step> =
+            steps.iter().filter(|step| matches!(step.action, Action::Primary(_))).collect();
+        assert!(primary.len() >= 2, "seed {seed}: {primary:?}");
+        let gaps = primary.windows(2).map(|pair| pair[1].at - pair[0].at);
+        assert!(gaps.into_iter().all(|gap| (2_400..8_400).contains(&gap)), "seed {seed}: {primary:?}");
+        let named = steps.iter().filter(|step| step.action == Action::NameWeights);
+        assert!(named.count() >= 6, "seed {seed}");
+    }
+}
