--- a/lab/examples/days.rs
+++ b/lab/examples/days.rs
@@ -1,7 +1,8 @@
 //! Draws days of one's own for a deployment, and sums up what came of those that were played.
 //!
-//! `days draw LISTING FOLDER SEED COUNT [control|series]` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
-//! With `control` they are drawn from what concerns the control state, with `series` they have series that overlap.
+//! `days draw LISTING FOLDER SEED COUNT [control|series|long]` writes COUNT days; LISTING is a file with the deployment's kinds of trouble.
+//! With `control` they are drawn from what concerns the control state, with `series` they have series that overlap,
+//! with `long` they are long, with hundreds of changes and a primary that is struck again and again.
 //! `days table ENTRY...` prints rules by kinds from the journal entries of plays.
 
 use lab::days::{self, Focus, Played};
@@ -10,7 +11,7 @@
 use std::path::Path;
 use std::{env, fs};
 
-const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT [control|series] | days table ENTRY...";
+const USAGE: &str = "usage: days draw LISTING FOLDER SEED COUNT [control|series|long] | days table ENTRY...";
 
 fn main() -> Result<(), Box<dyn Error>> {
     let arguments: Vec<String> = env::args().skip(1).collect();
@@ -24,6 +25,9 @@
         ["draw", listing, folder, seed, count, "series"] => {
             draw(listing, Focus::Series, Path::new(folder), seed.parse()?, count.parse()?)
         }
+        ["draw", listing, folder, seed, count, "long"] => {
+            draw(listing, Focus::Long, Path::new(folder), seed.parse()?, count.parse()?)
+        }
         ["table", ref entries @ ..] if !entries.is_empty() => table(entries),
         _ => Err(USAGE.into()),
     }
--- a/lab/src/days.rs
+++ b/lab/src/days.rs
@@ -2,6 +2,7 @@
 //! meet; and what came of them, as a table of rules by kinds.
 
 mod kinds;
+mod long;
 
 pub use kinds::{KINDS, Kind, Target};
 
@@ -10,7 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
-/// How long a day lasts, in seconds of traffic.
+/// How long a usual day lasts, in seconds of traffic.
 const LENGTH_S: f64 = 60.0;
 /// Nothing begins before this.
 const FIRST_S: f64 = 4.0;
@@ -34,6 +35,15 @@
     /// Every kind, beside series that overlap: versions of weights, configurations, and troubles that come again and again while
     /// clients leave early.
     Series,
+    /// Long days with hundreds of configurations, versions of weights in series, and a primary that is struck again and again.
+    Long,
+}
+
+impl Focus {
+    /// How long a day lasts, in seconds of traffic.
+    fn length_s(self) -> f64 {
+        if self == Focus::Long { long::LENGTH_S } else { LENGTH_S }
+    }
 }
 
 /// The kinds known here that a listing of a deployment's kinds names, each on a line of its own before a colon.
@@ -60,9 +70,14 @@
         plan.extend(planned_series(kinds, &mut rng));
         faults.extend(trouble_series(kinds, &mut rng));
     }
+    if focus == Focus::Long {
+        plan.extend(long::planned(kinds, &mut rng));
+        faults.extend(long::troubles(kinds, &mut rng));
+    }
     let closing = closing(&mut rng);
+    let length = focus.length_s();
     format!(
-        "[[day]]\nname = \"{name}\"\nslot = 1\nseed = {}\nlength_s = {LENGTH_S}\none = 0.9\nzero = 0.2\n\
+        "[[day]]\nname = \"{name}\"\nslot = 1\nseed = {}\nlength_s = {length}\none = 0.9\nzero = 0.2\n\
          goal = {{ floor = 0.5 }}\n{closing}plan = [{}]\nfaults = [{}]\n",
         rng.u32(1..),
         plan.join(", "),
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -94,3 +94,18 @@
     let day = draw(&listed(LISTING), Focus::Series, "d", 1);
     assert!(!names_kind(&day, "version_bump") && !names_kind(&day, "give_up"), "{day}");
 }
+
+#[test]
+fn long_days_have_hundreds_of_changes_and_a_primary_that_is_struck_to_the_end() {
+    for seed in 0..50 {
+        let day = draw(KINDS, Focus::Long, "d", seed);
+        assert_eq!(day, draw(KINDS, Focus::Long, "d", seed));
+        assert!(day.contains("length_s = 180"), "{day}");
+        let count = |text: &str| day.matches(text).count();
+        assert!(count("config_change") >= 120, "seed {seed}: {}", count("config_change"));
+        assert!(count("version_bump") >= 8, "seed {seed}: {}", count("version_bump"));
+        assert!(count("how = \"leader\"") >= 20, "seed {seed}: {}", count("leader"));
+    }
+    let day = draw(&listed(LISTING), Focus::Long, "d", 1);
+    assert!(!day.contains("version_bump"), "only kinds that the deployment knows: {day}");
+}
