Failing test: an order that was announced and not given keeps requests away

Found while looking for the incident's cause elsewhere: where the lease is lost between the announcement of an order and the order itself, routers keep away from the backend for 3 s.

--- a/control/src/directory.rs
+++ b/control/src/directory.rs
@@ -111,6 +111,8 @@
     UnderWay,
     /// It has the version.
     Done,
+    /// It was not given, or not taken: send requests as before.
+    Withdrawn,
 }
 
 /// An order to a backend.
--- a/router/tests/orders.rs
+++ b/router/tests/orders.rs
@@ -10,7 +10,7 @@
 mod common;
 
 use common::*;
-use control::directory::BackendPhase;
+use control::directory::{BackendPhase, OrderPhase};
 use control::rollout::OrderTurn;
 use control::state::{Position, WeightsTarget};
 use control::view::ReplicaId;
@@ -74,3 +74,29 @@
         "with backends that are silent, and that crash after an order"
     );
 }
+
+/// What the directory says of the last order to a backend.
+fn phase_of(fleet: &Fleet, at: usize) -> Option<OrderPhase> {
+    let directory = fleet.directory.lock().unwrap();
+    directory.order(&format!("i-{at}")).map(|order| order.phase)
+}
+
+/// Story: after a change of the primary, backends got neither requests nor an order for three seconds. Cause: routers had been told that they
+/// were about to load, and the order was not given any more as the lease was lost in between.
+#[tokio::test]
+async fn a_backend_whose_order_was_not_given_gets_requests_again_at_once() {
+    let backend = StandIn::start(vec![Act::Hang]).await;
+    let (fleet, handle) = leader(std::slice::from_ref(&backend));
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let orders = tokio::spawn(Orders::new(fleet.clone(), handle.clone(), client).run());
+    let becomes = async |phase| {
+        while phase_of(&fleet, 0) != Some(phase) {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, becomes(OrderPhase::UnderWay)).await.expect("it is announced");
+    handle.show(Shown::default());
+    tokio::time::timeout(PATIENCE, becomes(OrderPhase::Withdrawn)).await.expect("it is taken back");
+    assert_eq!(backend.count(), 0, "no order was given");
+    orders.abort();
+}
