An order that was announced and not given is taken back

Cause: the announcement that a backend is about to load stood until its time was over, up to 18 of 72 backends at a change of the primary. Change: a phase of its own, Withdrawn, is noted where the lease was lost before the order, or the backend refused its token.

--- a/router/src/weights.rs
+++ b/router/src/weights.rs
@@ -60,6 +60,8 @@
     UnderWay,
     /// Another holder has used a higher fencing token.
     Fenced,
+    /// It was not given, as this node does not hold the lease any more.
+    NotGiven,
     /// It is not known to be taken.
     Unknown,
 }
@@ -205,7 +207,10 @@
         self.report(&backend, answer);
         let is_done = match answer {
             OrderAnswer::Holds => true,
-            OrderAnswer::Fenced => return,
+            OrderAnswer::Fenced | OrderAnswer::NotGiven => {
+                // Else routers would keep away from a backend that loads nothing.
+                return self.note(&backend, fence, OrderPhase::Withdrawn);
+            }
             OrderAnswer::UnderWay => self.wait_for_version(&backend, ORDER_PATIENCE).await,
             OrderAnswer::Unknown => self.wait_for_version(&backend, UNANSWERED_PATIENCE).await,
         };
@@ -234,17 +239,19 @@
     fn report(&self, backend: &Lacking, answer: OrderAnswer) {
         let Lacking { id, model, version, .. } = backend;
         log::info!("order to backend {id} for version {version} of {model}: {answer:?}");
-        self.fleet.counters.count(match answer {
+        let event = match answer {
             OrderAnswer::Holds | OrderAnswer::UnderWay => Event::OrderTaken,
             OrderAnswer::Fenced => Event::OrderFenced,
             OrderAnswer::Unknown => Event::OrderUnanswered,
-        });
+            OrderAnswer::NotGiven => return,
+        };
+        self.fleet.counters.count(event);
     }
 
     /// Gives the order.
     async fn order(&self, backend: &Lacking) -> OrderAnswer {
         // The fence is read right before the effect: it is none once the lease has ended.
-        let Some(fence) = self.replica.order_fence() else { return OrderAnswer::Unknown };
+        let Some(fence) = self.replica.order_fence() else { return OrderAnswer::NotGiven };
         let body = serde_json::json!({
             "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
             "holder": self.fleet.settings.node_name.as_str(), "fenceToken": fence,
