--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod lease;
 mod membership;
+mod orders;
 mod primary;
 mod replication;
 mod timing;
@@ -25,7 +26,7 @@
 use crate::changes::{Change, Outcome, Reading};
 use crate::message::{Envelope, Message};
 use crate::proposer::Attempt;
-use crate::rollout::{FormerHolder, OrderTurn};
+use crate::rollout::FormerHolder;
 use crate::state::{ControlState, Position, Update};
 use crate::storage::{Record, Recovered};
 use crate::view::{Epoch, Life, ReplicaId, View};
@@ -233,26 +234,6 @@
         }
     }
 
-    /// Whether orders may be given to backends from here.
-    pub fn order_turn(&self, now: Millis) -> OrderTurn {
-        if self.leads(now).is_none() {
-            return OrderTurn::NotLeading;
-        }
-        match (&self.state.order_holder, self.former_holder.since()) {
-            (None, _) => OrderTurn::First,
-            (Some(holder), _) if holder == self.id() => OrderTurn::Held,
-            (Some(_), Some(former_ended)) => OrderTurn::After { former_ended },
-            // It leads here, so it does not elsewhere; from now on at the latest.
-            (Some(_), None) => OrderTurn::After { former_ended: now },
-        }
-    }
-
-    /// A view was learned, or the committed state has changed.
-    fn note_order_holder(&mut self, now: Millis) {
-        let holder = self.state.order_holder.as_ref();
-        self.former_holder.note(self.witness.decided(), holder, now);
-    }
-
     fn lease_until(&self, primary: &Primary) -> Millis {
         let lasts = self.timing.lease - self.timing.lease_margin;
         self.view().map_or(0, |view| primary.lease.until(view, lasts))
--- a/router/src/weights.rs
+++ b/router/src/weights/mod.rs
@@ -1,33 +1,30 @@
 //! Bringing new weights to the backends: the holder of the lease gives fenced orders, a few at a time.
 
+mod backend_calls;
+mod overdue;
+
 use crate::clock;
-use crate::fleet::{Fleet, UnfinishedVersion};
+use crate::fleet::Fleet;
 use crate::links::lock;
 use crate::metrics::Event;
-use crate::proxy::headers::EXPECT_INSTANCE;
 use crate::replica::ReplicaHandle;
+use backend_calls::{BackendCalls, OrderAnswer};
 use compact_str::CompactString;
-use control::Millis;
 use control::changes::Change;
 use control::directory::{Key, Order, OrderPhase, Value};
 use control::rollout::{Lacking, OrderQueue, OrderTurn, RefusedFences, Rollout};
 use control::view::Epoch;
-use routing::version_floor::NamedVersion;
-use serde::Deserialize;
-use std::collections::{BTreeMap, HashMap};
+use overdue::OverdueVersions;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Time between two looks at what has to be done.
 const LOOK: Duration = Duration::from_millis(100);
-/// Time between two looks for versions that should be everywhere and are not.
-const LOOK_FOR_OVERDUE: Millis = 1_000;
 /// After routers were told that a backend is about to load, so long passes before its order, beyond the time for which news
 /// are gathered on the way to them.
 const NOTICE: Duration = Duration::from_millis(40);
-/// Patience for an order or a report.
-const CALL_PATIENCE: Duration = Duration::from_millis(600);
 /// Time between two questions whether an order is done.
 const REPORT: Duration = Duration::from_millis(150);
 /// An order that is not done by then is given anew.
@@ -37,69 +34,11 @@
 /// So many reports in a row that do not come end the wait for a version.
 const MOST_UNANSWERED: u32 = 2;
 
-#[derive(Debug, Deserialize)]
-struct Report {
-    #[serde(default)]
-    models: Vec<ReportedModel>,
-    #[serde(default)]
-    busy: bool,
-}
-
-#[derive(Debug, Deserialize)]
-struct ReportedModel {
-    name: CompactString,
-    version: u64,
-}
-
-/// How a backend answered an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum OrderAnswer {
-    /// It has the version already.
-    Holds,
-    /// It is being done, or another order is.
-    UnderWay,
-    /// Another holder has used a higher fencing token.
-    Fenced,
-    /// It was not given, as this node does not hold the lease any more.
-    NotGiven,
-    /// It is not known to be taken.
-    Unknown,
-}
-
-/// Tells operators of versions that should be everywhere and are not, once each.
-#[derive(Debug, Default)]
-struct OverdueVersions {
-    looked_at: Millis,
-    told: BTreeMap<CompactString, u64>,
-}
-
-impl OverdueVersions {
-    fn look(&mut self, fleet: &Fleet) {
-        let now = clock::now();
-        if now < self.looked_at + LOOK_FOR_OVERDUE {
-            return;
-        }
-        self.looked_at = now;
-        for UnfinishedVersion { named, lacking } in fleet.unfinished_versions() {
-            let NamedVersion { model, version, age_ms } = named;
-            let is_told = self.told.get(&model).is_some_and(|told| *told >= version);
-            if age_ms < fleet.settings.bounds.version_ms || is_told {
-                continue;
-            }
-            log::warn!(
-                "version {version} of the weights of {model} is not everywhere after {age_ms} ms: {lacking} backends lack it; \
-                 the figures backends_lacking_weights and orders_given_here tell why"
-            );
-            self.told.insert(model, version);
-        }
-    }
-}
-
 /// Gives orders while this node holds the lease.
 pub struct Orders {
     fleet: Arc<Fleet>,
     replica: ReplicaHandle,
-    client: reqwest::Client,
+    backends: BackendCalls,
     number: AtomicU64,
     refused: Mutex<RefusedFences>,
     queue: Mutex<OrderQueue>,
@@ -110,7 +49,8 @@
     /// The orders of a node with a replica.
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
         let (refused, queue, turn) = (Mutex::default(), Mutex::default(), Mutex::default());
-        Arc::new(Orders { fleet, replica, client, number: AtomicU64::new(1), refused, queue, turn })
+        let backends = BackendCalls::new(client);
+        Arc::new(Orders { fleet, replica, backends, number: AtomicU64::new(1), refused, queue, turn })
     }
 
     /// Keeps looking for backends that lack weights.
@@ -227,7 +167,7 @@
         let mut unanswered = 0;
         while begun.elapsed() < patience && unanswered < MOST_UNANSWERED {
             tokio::time::sleep(REPORT).await;
-            match self.has_version(backend).await {
+            match self.backends.has_version(backend).await {
                 Some(true) => return true,
                 Some(false) => unanswered = 0,
                 None => unanswered += 1,
@@ -252,35 +192,10 @@
     async fn order(&self, backend: &Lacking) -> OrderAnswer {
         // The fence is read right before the effect: it is none once the lease has ended.
         let Some(fence) = self.replica.order_fence() else { return OrderAnswer::NotGiven };
-        let body = serde_json::json!({
-            "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
-            "holder": self.fleet.settings.node_name.as_str(), "fenceToken": fence,
-        });
-        let url = format!("http://{}/v1/order", backend.address);
-        let call = self.client.post(url).header("content-type", "application/json");
-        // Another incarnation at this address, or after a restart, does not take it.
-        let call = call.header(EXPECT_INSTANCE.as_str(), backend.id.as_str()).body(body.to_string());
-        let Ok(answer) = call.timeout(CALL_PATIENCE).send().await else { return OrderAnswer::Unknown };
-        match answer.status().as_u16() {
-            200 => OrderAnswer::Holds,
-            202 | 409 => OrderAnswer::UnderWay,
-            412 => {
-                log::warn!("backend {} has seen a higher fencing token than {fence}", backend.id);
-                lock(&self.refused).refused(&backend.id, fence);
-                OrderAnswer::Fenced
-            }
-            status => {
-                log::warn!("backend {} answered an order with {status}", backend.id);
-                OrderAnswer::Unknown
-            }
+        let answer = self.backends.order(backend, &self.fleet.settings.node_name, fence).await;
+        if answer == OrderAnswer::Fenced {
+            lock(&self.refused).refused(&backend.id, fence);
         }
-    }
-
-    async fn has_version(&self, backend: &Lacking) -> Option<bool> {
-        let url = format!("http://{}/v1/report", backend.address);
-        let answer = self.client.get(url).timeout(CALL_PATIENCE).send().await.ok()?;
-        let report: Report = serde_json::from_slice(&answer.bytes().await.ok()?).ok()?;
-        let has = |model: &ReportedModel| model.name == backend.model && model.version >= backend.version;
-        Some(!report.busy && report.models.iter().any(has))
+        answer
     }
 }
