Sight: backends whose heartbeats contradict that their orders are done

Now a backend that tells an older version than its order brought counts as 'contradicted', and the holder of the lease logs it with what it reports itself and how many orders it has taken. Nothing acts on it yet. Tested with every history of six looks.

--- a/control/src/rollout/mod.rs
+++ b/control/src/rollout/mod.rs
@@ -1,9 +1,11 @@
 //! Bringing new weights to backends: which ones lack a version, what keeps them from an order, how many may load at a time, and
 //! when the holder of the lease may give orders.
 
+mod confirmations;
 mod queue;
 mod turn;
 
+pub use confirmations::{Confirmations, Doubt};
 pub use queue::{OrderQueue, RefusedFences};
 pub use turn::{FormerHolder, OrderTurn};
 
@@ -49,11 +51,14 @@
     Silent,
     /// It is about to leave.
     Draining,
+    /// Its order is done, and its heartbeats tell an older version still or again.
+    Contradicted,
 }
 
 impl HeldBack {
     /// Every cause.
-    pub const ALL: [HeldBack; 4] = [HeldBack::Due, HeldBack::UnderWay, HeldBack::Silent, HeldBack::Draining];
+    pub const ALL: [HeldBack; 5] =
+        [HeldBack::Due, HeldBack::UnderWay, HeldBack::Silent, HeldBack::Draining, HeldBack::Contradicted];
 
     /// The word that operators are told.
     pub fn name(self) -> &'static str {
@@ -62,6 +67,7 @@
             HeldBack::UnderWay => "under_way",
             HeldBack::Silent => "silent",
             HeldBack::Draining => "draining",
+            HeldBack::Contradicted => "contradicted",
         }
     }
 
@@ -94,10 +100,19 @@
                 *counts.entry(cause).or_default() += 1;
             }
         }
+        if order.is_some_and(|order| is_contradicted(backend, order)) {
+            *counts.entry(HeldBack::Contradicted).or_default() += 1;
+        }
     }
     counts
 }
 
+/// Whether a backend that takes orders tells an older version than its order, which is done, should have brought.
+fn is_contradicted(backend: &Backend, order: &Order) -> bool {
+    let is_there = backend.phase == BackendPhase::Ready && !backend.silent;
+    is_there && order.phase == OrderPhase::Done && confirmations::told_version(backend, order) < order.version
+}
+
 impl Rollout {
     /// What is to be done for these versions. Backends that drain, are silent, or have no models are left alone.
     pub fn of(directory: &Directory, targets: &BTreeMap<CompactString, WeightsTarget>) -> Self {
--- a/control/tests/rollout.rs
+++ b/control/tests/rollout.rs
@@ -3,7 +3,7 @@
 use compact_str::CompactString;
 use control::directory::{Backend, BackendPhase, Directory, Key, Order, OrderPhase, Origin, Value};
 use control::rollout::{
-    FormerHolder, HeldBack, OrderQueue, OrderTurn, RefusedFences, Rollout, lacking_by_cause,
+    Confirmations, FormerHolder, HeldBack, OrderQueue, OrderTurn, RefusedFences, Rollout, lacking_by_cause,
 };
 use control::state::WeightsTarget;
 use control::view::{ReplicaId, View};
@@ -68,13 +68,27 @@
         ("gone", Backend { phase: BackendPhase::Gone, ..backend(1) }),
         ("loads", backend(1)),
         ("loaded the last one", backend(1)),
+        ("has loaded and tells otherwise", backend(1)),
+        ("has loaded and tells so", backend(2)),
+        ("has loaded and is silent", Backend { silent: true, ..backend(1) }),
     ]);
-    for (id, version) in [("loads", 2), ("loaded the last one", 1)] {
-        let order = Order { fence: 1, number: 1, model: "m".into(), version, phase: OrderPhase::UnderWay };
+    for (id, version, phase) in [
+        ("loads", 2, OrderPhase::UnderWay),
+        ("loaded the last one", 1, OrderPhase::UnderWay),
+        ("has loaded and tells otherwise", 2, OrderPhase::Done),
+        ("has loaded and tells so", 2, OrderPhase::Done),
+        ("has loaded and is silent", 2, OrderPhase::Done),
+    ] {
+        let order = Order { fence: 1, number: 1, model: "m".into(), version, phase };
         directory.put(Key::Order(id.into()), Value::Order(order));
     }
-    let expected =
-        [(HeldBack::Due, 2), (HeldBack::UnderWay, 1), (HeldBack::Silent, 1), (HeldBack::Draining, 1)];
+    let expected = [
+        (HeldBack::Due, 2),
+        (HeldBack::UnderWay, 1),
+        (HeldBack::Silent, 1),
+        (HeldBack::Draining, 1),
+        (HeldBack::Contradicted, 1),
+    ];
     assert_eq!(lacking_by_cause(&directory, &targets(2)), BTreeMap::from(expected));
 }
 
@@ -183,6 +197,61 @@
     }
 }
 
+const PATIENCE: u64 = 3_000;
+
+/// Every history of what six looks find: the order done or a newer one, a heartbeat that tells the version or an older one, and time that
+/// passes. A backend is in doubt just when it tells an older version although it had told this one since the order was done, or although
+/// its heartbeats have had their time; it is told of once.
+#[test]
+fn a_backend_is_in_doubt_once_its_heartbeats_contradict_its_order_in_every_history() {
+    const LOOKS: u32 = 6;
+    // Of each look: whether a newer order is done by then, whether the backend tells its version, whether time has passed.
+    for history in 0..8_u32.pow(LOOKS) {
+        let mut directory = directory([("b", backend(1))]);
+        let mut confirmations = Confirmations::new(PATIENCE);
+        let (mut version, mut now, mut since) = (2, 0, None);
+        let (mut was_confirmed, mut was_doubted) = (false, false);
+        for look in 0..LOOKS {
+            let what = history / 8_u32.pow(look) % 8;
+            let (is_newer, tells, passes) = (what & 1 == 1, what & 2 == 2, what & 4 == 4);
+            if is_newer || since.is_none() {
+                version += 1;
+                let order =
+                    Order { fence: 1, number: version, model: "m".into(), version, phase: OrderPhase::Done };
+                directory.put(Key::Order("b".into()), Value::Order(order));
+                (since, was_confirmed, was_doubted) = (None, false, false);
+            }
+            now += if passes { PATIENCE } else { 1 };
+            let told = Backend { sequence: u64::from(look) + 2, ..backend(if tells { version } else { 1 }) };
+            directory.put(Key::Backend("b".into()), Value::Backend(told));
+            let doubts = confirmations.look(&directory, now);
+            let first = *since.get_or_insert(now);
+            let is_doubted = !tells && (was_confirmed || was_doubted || now >= first + PATIENCE);
+            assert_eq!(confirmations.is_doubted("b"), is_doubted, "{history:o} at look {look}");
+            assert_eq!(doubts.len(), usize::from(is_doubted && !was_doubted), "{history:o} at look {look}");
+            was_confirmed |= tells;
+            was_doubted = is_doubted;
+        }
+    }
+}
+
+#[test]
+fn who_has_left_or_gets_another_order_is_in_doubt_no_more() {
+    let mut directory = directory([("b", backend(1)), ("c", backend(1))]);
+    let mut confirmations = Confirmations::new(PATIENCE);
+    let order =
+        |number, phase| Value::Order(Order { fence: 1, number, model: "m".into(), version: 2, phase });
+    for id in ["b", "c"] {
+        directory.put(Key::Order(id.into()), order(1, OrderPhase::Done));
+    }
+    confirmations.look(&directory, 0);
+    assert_eq!(confirmations.look(&directory, PATIENCE).len(), 2);
+    directory.put(Key::Order("b".into()), order(2, OrderPhase::UnderWay));
+    directory.forget(&Key::Order("c".into()));
+    assert!(confirmations.look(&directory, PATIENCE).is_empty());
+    assert_eq!(["b", "c"].map(|id| confirmations.is_doubted(id)), [false, false]);
+}
+
 fn next(queue: &OrderQueue, directory: &Directory, version: u64) -> Vec<String> {
     let mut lacking = Rollout::of(directory, &targets(version)).lacking;
     queue.sort(&mut lacking);
--- a/router/src/weights/backend_calls.rs
+++ b/router/src/weights/backend_calls.rs
@@ -5,20 +5,34 @@
 use control::rollout::Lacking;
 use control::view::Epoch;
 use serde::Deserialize;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Patience for an order or a report.
 const CALL_PATIENCE: Duration = Duration::from_millis(600);
 
-#[derive(Debug, Deserialize)]
-struct Report {
+/// What a backend reports of its weights.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(super) struct Report {
     #[serde(default)]
     models: Vec<ReportedModel>,
+    /// Whether an order is under way.
     #[serde(default)]
-    busy: bool,
+    pub(super) busy: bool,
+    /// How many orders it has taken.
+    #[serde(default)]
+    pub(super) sequence: u64,
+}
+
+impl Report {
+    /// The version of a model's weights; 0 where it has none.
+    pub(super) fn version(&self, model: &str) -> u64 {
+        let told = self.models.iter().find(|told| told.name == model);
+        told.map_or(0, |told| told.version)
+    }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 struct ReportedModel {
     name: CompactString,
     version: u64,
@@ -74,12 +88,10 @@
         }
     }
 
-    /// Whether a backend has the version, by its own report; none where none comes.
-    pub(super) async fn has_version(&self, backend: &Lacking) -> Option<bool> {
-        let url = format!("http://{}/v1/report", backend.address);
+    /// What a backend reports; none where no report comes.
+    pub(super) async fn report(&self, address: SocketAddrV4) -> Option<Report> {
+        let url = format!("http://{address}/v1/report");
         let answer = self.client.get(url).timeout(CALL_PATIENCE).send().await.ok()?;
-        let report: Report = serde_json::from_slice(&answer.bytes().await.ok()?).ok()?;
-        let has = |model: &ReportedModel| model.name == backend.model && model.version >= backend.version;
-        Some(!report.busy && report.models.iter().any(has))
+        serde_json::from_slice(&answer.bytes().await.ok()?).ok()
     }
 }
--- a/router/src/weights/mod.rs
+++ b/router/src/weights/mod.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use control::changes::Change;
 use control::directory::{Key, Order, OrderPhase, Value};
-use control::rollout::{Lacking, OrderQueue, OrderTurn, RefusedFences, Rollout};
+use control::rollout::{Confirmations, Doubt, Lacking, OrderQueue, OrderTurn, RefusedFences, Rollout};
 use control::view::Epoch;
 use overdue::OverdueVersions;
 use std::collections::HashMap;
@@ -33,6 +33,8 @@
 const UNANSWERED_PATIENCE: Duration = Duration::from_millis(600);
 /// So many reports in a row that do not come end the wait for a version.
 const MOST_UNANSWERED: u32 = 2;
+/// So many heartbeats have time to confirm that an order is done.
+const CONFIRMING_HEARTBEATS: u64 = 3;
 
 /// Gives orders while this node holds the lease.
 pub struct Orders {
@@ -43,6 +45,7 @@
     refused: Mutex<RefusedFences>,
     queue: Mutex<OrderQueue>,
     turn: Mutex<OrderTurn>,
+    confirmations: Mutex<Confirmations>,
 }
 
 impl Orders {
@@ -50,7 +53,10 @@
     pub fn new(fleet: Arc<Fleet>, replica: ReplicaHandle, client: reqwest::Client) -> Arc<Self> {
         let (refused, queue, turn) = (Mutex::default(), Mutex::default(), Mutex::default());
         let backends = BackendCalls::new(client);
-        Arc::new(Orders { fleet, replica, backends, number: AtomicU64::new(1), refused, queue, turn })
+        let patience = CONFIRMING_HEARTBEATS * fleet.settings.heartbeat_interval_ms;
+        let confirmations = Mutex::new(Confirmations::new(patience));
+        let number = AtomicU64::new(1);
+        Arc::new(Orders { fleet, replica, backends, number, refused, queue, turn, confirmations })
     }
 
     /// Keeps looking for backends that lack weights.
@@ -61,6 +67,7 @@
             tokio::time::sleep(LOOK).await;
             under_way.retain(|_, task| !task.is_finished());
             overdue.look(&self.fleet);
+            self.look_for_doubts();
             let turn = self.replica.order_turn();
             self.enter(turn);
             if turn == OrderTurn::NotLeading {
@@ -81,6 +88,40 @@
         }
     }
 
+    /// Follows whether backends bear out that their orders are done, and tells of each one that does not.
+    fn look_for_doubts(self: &Arc<Self>) {
+        let doubts = lock(&self.confirmations).look(&lock(&self.fleet.directory), clock::now());
+        if !self.replica.leads() {
+            return;
+        }
+        for doubt in doubts {
+            tokio::spawn(Arc::clone(self).tell_of(doubt));
+        }
+    }
+
+    /// Tells of a backend whose heartbeats don't bear out that its order is done, and what it says itself.
+    async fn tell_of(self: Arc<Self>, doubt: Doubt) {
+        let Doubt { backend, order, told } = doubt;
+        let address = match lock(&self.fleet.directory).get(&Key::Backend(backend.clone())) {
+            Some(Value::Backend(backend)) => backend.address,
+            _ => return,
+        };
+        let reported = match self.backends.report(address).await {
+            Some(report) => format!(
+                "reports version {} after {} orders{}",
+                report.version(&order.model),
+                report.sequence,
+                if report.busy { ", one of them under way" } else { "" }
+            ),
+            None => "gives no report".to_owned(),
+        };
+        log::warn!(
+            "backend {backend} told version {told} of {} after its order for version {} was done, and {reported}",
+            order.model,
+            order.version
+        );
+    }
+
     /// Whether orders may be given here, for which the control state has to name this node.
     async fn take_turn(&self, turn: OrderTurn) -> bool {
         if turn.may_take(self.fleet.settings.bounds.lease_ms, clock::now()) {
@@ -167,9 +208,12 @@
         let mut unanswered = 0;
         while begun.elapsed() < patience && unanswered < MOST_UNANSWERED {
             tokio::time::sleep(REPORT).await;
-            match self.backends.has_version(backend).await {
-                Some(true) => return true,
-                Some(false) => unanswered = 0,
+            match self.backends.report(backend.address).await {
+                Some(report) if !report.busy && report.version(&backend.model) >= backend.version => {
+                    log::debug!("backend {} has taken {} orders", backend.id, report.sequence);
+                    return true;
+                }
+                Some(_) => unanswered = 0,
                 None => unanswered += 1,
             }
         }
--- a/router/tests/metrics.rs
+++ b/router/tests/metrics.rs
@@ -66,6 +66,7 @@
         ("backends_lacking_weights{cause=\"under_way\"}", 0),
         ("backends_lacking_weights{cause=\"silent\"}", 0),
         ("backends_lacking_weights{cause=\"draining\"}", 0),
+        ("backends_lacking_weights{cause=\"contradicted\"}", 0),
     ] {
         assert_eq!(figure(&text, name), Some(expected), "{name}\n{text}");
     }
