--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A router's interface for clients on loopback, before stand-ins of backends that speak the published protocol.
 #![allow(dead_code)] // each test program uses its share
 
+pub mod model_backend;
+
 use control::configuration::Configuration;
 use control::directory::{Backend, BackendPhase, Key, Value};
 use control::history::News;
@@ -257,22 +259,28 @@
 }
 
 pub fn register(fleet: &Fleet, at: usize, backend: &StandIn, sequence: u64, phase: BackendPhase) {
-    put(fleet, at, Backend { sequence, phase, ..registered(backend) });
+    put(fleet, at, Backend { sequence, phase, ..registered(backend.address) });
 }
 
 /// Registers a backend with some version of its weights.
 pub fn register_version(fleet: &Fleet, at: usize, backend: &StandIn, version: u64) {
-    put(fleet, at, Backend { models: vec![("m".into(), version)], ..registered(backend) });
+    put(fleet, at, Backend { models: vec![("m".into(), version)], ..registered(backend.address) });
+}
+
+/// A heartbeat of a backend, as a node with a replica takes it. False where it is not acknowledged.
+pub async fn heartbeat(fleet: &Fleet, at: usize, address: SocketAddrV4, sequence: u64, version: u64) -> bool {
+    let backend = Backend { sequence, models: vec![("m".into(), version)], ..registered(address) };
+    fleet.register(format!("i-{at}").into(), backend).await.is_some()
 }
 
 fn put(fleet: &Fleet, at: usize, backend: Backend) {
     fleet.put(Key::Backend(format!("i-{at}").into()), Value::Backend(backend));
 }
 
-fn registered(backend: &StandIn) -> Backend {
+fn registered(address: SocketAddrV4) -> Backend {
     Backend {
         service: "s".into(),
-        address: backend.address,
+        address,
         zone: "a".into(),
         slots: 4,
         phase: BackendPhase::Ready,
--- /dev/null
+++ b/router/tests/common/model_backend.rs
@@ -0,0 +1,151 @@
+//! A stand-in of a model backend that takes orders as the published protocol says: a fencing token that is lower than one it has seen is
+//! refused, and so is an order that expects another count of taken orders. Whatever else comes is done, also an order for an older
+//! version. The way to it can lose the answer to an order and bring the order itself later.
+
+use super::{answer, header, read_request, success};
+use serde_json::Value;
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+
+/// What a backend remembers.
+#[derive(Debug)]
+struct State {
+    version: u64,
+    taken_orders: u64,
+    highest_fence: u64,
+    /// So many of the next orders are held up on their way.
+    holds_up: usize,
+    held_up: Vec<String>,
+    requests: Vec<String>,
+}
+
+/// The stand-in. All clones are the same one.
+#[derive(Debug, Clone)]
+pub struct ModelBackend {
+    pub address: SocketAddrV4,
+    state: Arc<Mutex<State>>,
+}
+
+impl ModelBackend {
+    /// A backend with a version of the weights of model `m`.
+    pub async fn start(version: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+        let (held_up, requests) = (Vec::new(), Vec::new());
+        let state = State { version, taken_orders: 0, highest_fence: 0, holds_up: 0, held_up, requests };
+        let backend = ModelBackend { address, state: Arc::new(Mutex::new(state)) };
+        let serving = backend.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        backend
+    }
+
+    pub fn version(&self) -> u64 {
+        self.state.lock().unwrap().version
+    }
+
+    pub fn taken_orders(&self) -> u64 {
+        self.state.lock().unwrap().taken_orders
+    }
+
+    /// Paths of requests that were neither orders nor reports.
+    pub fn requests(&self) -> Vec<String> {
+        self.state.lock().unwrap().requests.clone()
+    }
+
+    /// It has another version of its weights from now on, whatever the cause.
+    pub fn has_version(&self, version: u64) {
+        self.state.lock().unwrap().version = version;
+    }
+
+    /// The next orders are held up on their way.
+    pub fn hold_up_orders(&self, count: usize) {
+        self.state.lock().unwrap().holds_up = count;
+    }
+
+    /// How many orders are held up now.
+    pub fn held_up_orders(&self) -> usize {
+        self.state.lock().unwrap().held_up.len()
+    }
+
+    /// What was held up arrives. Returns how each order was answered.
+    pub fn deliver_late_orders(&self) -> Vec<u16> {
+        let mut state = self.state.lock().unwrap();
+        let late = std::mem::take(&mut state.held_up);
+        late.iter().map(|order| state.take_order(order)).collect()
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(request) = read_request(&mut stream).await {
+            let Some(answer) = self.answer(&request) else {
+                // Its caller gets nothing, and closes.
+                let _ = read_request(&mut stream).await;
+                return;
+            };
+            let id = header(&request, "x-request-id").unwrap_or_default();
+            if stream.write_all(answer.replace("{id}", &id).as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &str) -> Option<String> {
+        let mut state = self.state.lock().unwrap();
+        let path = request.split(' ').nth(1).unwrap_or_default();
+        match path {
+            "/v1/order" if state.holds_up > 0 => {
+                state.holds_up -= 1;
+                state.held_up.push(request.to_owned());
+                None
+            }
+            "/v1/order" => {
+                let status = state.take_order(request);
+                Some(answer(&format!("{status} X"), "", "{}"))
+            }
+            "/v1/report" => Some(answer("200 OK", "", &state.report())),
+            _ => Some(state.run(path.to_owned(), request)),
+        }
+    }
+}
+
+impl State {
+    fn take_order(&mut self, request: &str) -> u16 {
+        let body = request.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        let order: Value = serde_json::from_str(body).unwrap();
+        let (Some(fence), Some(version)) = (order["fenceToken"].as_u64(), order["version"].as_u64()) else {
+            return 400;
+        };
+        if fence < self.highest_fence {
+            return 412;
+        }
+        self.highest_fence = fence;
+        if order["ifRevision"].as_u64().is_some_and(|expected| expected != self.taken_orders) {
+            return 409;
+        }
+        if version == self.version {
+            return 200;
+        }
+        self.version = version;
+        self.taken_orders += 1;
+        202
+    }
+
+    fn report(&self) -> String {
+        let models = serde_json::json!([{"name": "m", "version": self.version, "adapters": []}]);
+        serde_json::json!({"models": models, "busy": false, "sequence": self.taken_orders}).to_string()
+    }
+
+    fn run(&mut self, path: String, request: &str) -> String {
+        self.requests.push(path);
+        let expected = header(request, "expect-version").and_then(|text| text.parse().ok());
+        if expected.is_some_and(|expected: u64| expected != self.version) {
+            return answer("421 Misdirected Request", "X-Not-Executed: 1\r\n", "");
+        }
+        success("ok")
+    }
+}
