Orders hold only for the state they were decided on; done ones are doubted

Cause: an order that was given up may arrive when a newer one is done, and took its backend back, as nothing but the fencing token, which both share, tells them apart; and a record that an order was done outranked the backend's heartbeats for good, so nobody ordered it anew. Now the giver asks for the report first and names the count of taken orders in the order (compare and set): one that was overtaken is refused. An order that got no answer and left nothing under way is taken back at once. A done order counts until three heartbeats pass without confirming it, or one contradicts it after another had confirmed it; then the backend is asked again.

Tests of orders that took the first call for the order now answer reports as backends do, with one case more.

--- a/control/src/rollout/mod.rs
+++ b/control/src/rollout/mod.rs
@@ -1,10 +1,12 @@
 //! Bringing new weights to backends: which ones lack a version, what keeps them from an order, how many may load at a time, and
 //! when the holder of the lease may give orders.
 
+mod conditional;
 mod confirmations;
 mod queue;
 mod turn;
 
+pub use conditional::{ConditionalOrder, Need, Progress, Reported};
 pub use confirmations::{Confirmations, Doubt};
 pub use queue::{OrderQueue, RefusedFences};
 pub use turn::{FormerHolder, OrderTurn};
@@ -95,7 +97,7 @@
     let mut counts: BTreeMap<HeldBack, u64> = HeldBack::ALL.map(|cause| (cause, 0)).into();
     for (id, backend) in directory.backends() {
         let order = directory.order(id);
-        for lacking in lacking(id, backend, order, targets) {
+        for lacking in lacking(id, backend, done_version(order), targets) {
             if let Some(cause) = HeldBack::of(backend, order, &lacking) {
                 *counts.entry(cause).or_default() += 1;
             }
@@ -108,36 +110,47 @@
 }
 
 /// Whether a backend that takes orders tells an older version than its order, which is done, should have brought.
-fn is_contradicted(backend: &Backend, order: &Order) -> bool {
+pub fn is_contradicted(backend: &Backend, order: &Order) -> bool {
     let is_there = backend.phase == BackendPhase::Ready && !backend.silent;
     is_there && order.phase == OrderPhase::Done && confirmations::told_version(backend, order) < order.version
 }
 
 impl Rollout {
-    /// What is to be done for these versions. Backends that drain, are silent, or have no models are left alone.
-    pub fn of(directory: &Directory, targets: &BTreeMap<CompactString, WeightsTarget>) -> Self {
+    /// What is to be done for these versions. Backends that drain, are silent, or have no models are left alone. An order that is done
+    /// counts for what heartbeats tell only until they contradict it.
+    pub fn of(
+        directory: &Directory,
+        targets: &BTreeMap<CompactString, WeightsTarget>,
+        confirmations: &Confirmations,
+    ) -> Self {
         let takes_orders = |backend: &Backend| {
             backend.phase == BackendPhase::Ready && !backend.silent && !backend.models.is_empty()
         };
         let backends = directory.backends().filter(|(_, backend)| takes_orders(backend));
         let backends: Vec<(&CompactString, &Backend)> = backends.collect();
-        let lacking =
-            backends.iter().flat_map(|(id, backend)| lacking(id, backend, directory.order(id), targets));
+        let lacking = backends.iter().flat_map(|(id, backend)| {
+            let believed = directory.order(id).filter(|_| !confirmations.is_doubted(id));
+            lacking(id, backend, done_version(believed), targets)
+        });
         Rollout { lacking: lacking.collect(), most_at_once: backends.len().div_ceil(LOADING_SHARE).max(1) }
     }
 }
 
+/// The model and version that an order has brought, where it is done.
+fn done_version(order: Option<&Order>) -> Option<(&CompactString, u64)> {
+    let done = order.filter(|order| order.phase == OrderPhase::Done);
+    done.map(|order| (&order.model, order.version))
+}
+
 fn lacking<'a>(
     id: &'a CompactString,
     backend: &'a Backend,
-    order: Option<&'a Order>,
+    done: Option<(&'a CompactString, u64)>,
     targets: &'a BTreeMap<CompactString, WeightsTarget>,
 ) -> impl Iterator<Item = Lacking> + 'a {
     backend.models.iter().filter_map(move |(model, version)| {
         let target = targets.get(model)?;
-        let is_done = order.is_some_and(|order| {
-            order.model == *model && order.version >= target.version && order.phase == OrderPhase::Done
-        });
+        let is_done = done.is_some_and(|(of, version)| of == model && version >= target.version);
         let lacks = *version < target.version && !is_done;
         lacks.then(|| Lacking {
             id: id.clone(),
--- a/control/tests/rollout.rs
+++ b/control/tests/rollout.rs
@@ -39,7 +39,7 @@
 }
 
 fn lacking(directory: &Directory, version: u64) -> Vec<String> {
-    let rollout = Rollout::of(directory, &targets(version));
+    let rollout = Rollout::of(directory, &targets(version), &Confirmations::new(PATIENCE));
     rollout.lacking.into_iter().map(|lacking| lacking.id.to_string()).collect()
 }
 
@@ -111,7 +111,11 @@
         for number in 0..count {
             directory.put(Key::Backend(format!("b{number}").into()), Value::Backend(backend(1)));
         }
-        assert_eq!(Rollout::of(&directory, &targets(2)).most_at_once, most, "{count} backends");
+        assert_eq!(
+            Rollout::of(&directory, &targets(2), &Confirmations::new(PATIENCE)).most_at_once,
+            most,
+            "{count} backends"
+        );
     }
 }
 
@@ -253,7 +257,7 @@
 }
 
 fn next(queue: &OrderQueue, directory: &Directory, version: u64) -> Vec<String> {
-    let mut lacking = Rollout::of(directory, &targets(version)).lacking;
+    let mut lacking = Rollout::of(directory, &targets(version), &Confirmations::new(PATIENCE)).lacking;
     queue.sort(&mut lacking);
     lacking.into_iter().map(|lacking| lacking.id.to_string()).collect()
 }
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -44,11 +44,13 @@
     OrderUnanswered,
     /// An order was refused for a lower fencing token.
     OrderFenced,
+    /// An order was refused as another one was under way, or taken in its place.
+    OrderOvertaken,
 }
 
 impl Event {
     /// Every event, in the order of its counters, with its name.
-    pub const ALL: [(Event, &'static str); 14] = [
+    pub const ALL: [(Event, &'static str); 15] = [
         (Event::RequestBegun, "requests_begun"),
         (Event::AnswerBegun, "answers_begun"),
         (Event::RefusedUnrun, "requests_refused_unrun"),
@@ -63,6 +65,7 @@
         (Event::OrderTaken, "orders_taken"),
         (Event::OrderUnanswered, "orders_unanswered"),
         (Event::OrderFenced, "orders_fenced"),
+        (Event::OrderOvertaken, "orders_overtaken"),
     ];
 }
 
--- a/router/src/weights/backend_calls.rs
+++ b/router/src/weights/backend_calls.rs
@@ -2,37 +2,25 @@
 
 use crate::proxy::headers::EXPECT_INSTANCE;
 use compact_str::CompactString;
-use control::rollout::Lacking;
+use control::rollout::{ConditionalOrder, Lacking, Reported};
 use control::view::Epoch;
 use serde::Deserialize;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Patience for an order or a report.
 const CALL_PATIENCE: Duration = Duration::from_millis(600);
 
-/// What a backend reports of its weights.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub(super) struct Report {
+#[derive(Debug, Deserialize)]
+struct Report {
     #[serde(default)]
     models: Vec<ReportedModel>,
-    /// Whether an order is under way.
     #[serde(default)]
-    pub(super) busy: bool,
-    /// How many orders it has taken.
+    busy: bool,
     #[serde(default)]
-    pub(super) sequence: u64,
+    sequence: u64,
 }
 
-impl Report {
-    /// The version of a model's weights; 0 where it has none.
-    pub(super) fn version(&self, model: &str) -> u64 {
-        let told = self.models.iter().find(|told| told.name == model);
-        told.map_or(0, |told| told.version)
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Deserialize)]
 struct ReportedModel {
     name: CompactString,
     version: u64,
@@ -43,8 +31,10 @@
 pub(super) enum OrderAnswer {
     /// It has the version already.
     Holds,
-    /// It is being done, or another order is.
-    UnderWay,
+    /// It is being done.
+    Taken,
+    /// Another order is being done, or was taken in its place.
+    Overtaken,
     /// Another holder has used a higher fencing token.
     Fenced,
     /// It was not given, as this node does not hold the lease any more.
@@ -64,10 +54,16 @@
     }
 
     /// Gives an order under a fencing token.
-    pub(super) async fn order(&self, backend: &Lacking, holder: &str, fence: Epoch) -> OrderAnswer {
+    pub(super) async fn order(
+        &self,
+        backend: &Lacking,
+        order: ConditionalOrder,
+        holder: &str,
+        fence: Epoch,
+    ) -> OrderAnswer {
         let body = serde_json::json!({
-            "operation": "version", "model": backend.model.as_str(), "version": backend.version, "method": "retain",
-            "holder": holder, "fenceToken": fence,
+            "operation": "version", "model": backend.model.as_str(), "version": order.version, "method": "retain",
+            "holder": holder, "fenceToken": fence, "ifRevision": order.if_taken_orders,
         });
         let url = format!("http://{}/v1/order", backend.address);
         let call = self.client.post(url).header("content-type", "application/json");
@@ -76,7 +72,8 @@
         let Ok(answer) = call.timeout(CALL_PATIENCE).send().await else { return OrderAnswer::Unknown };
         match answer.status().as_u16() {
             200 => OrderAnswer::Holds,
-            202 | 409 => OrderAnswer::UnderWay,
+            202 => OrderAnswer::Taken,
+            409 => OrderAnswer::Overtaken,
             412 => {
                 log::warn!("backend {} has seen a higher fencing token than {fence}", backend.id);
                 OrderAnswer::Fenced
@@ -88,10 +85,14 @@
         }
     }
 
-    /// What a backend reports; none where no report comes.
-    pub(super) async fn report(&self, address: SocketAddrV4) -> Option<Report> {
-        let url = format!("http://{address}/v1/report");
-        let answer = self.client.get(url).timeout(CALL_PATIENCE).send().await.ok()?;
-        serde_json::from_slice(&answer.bytes().await.ok()?).ok()
+    /// What a backend reports of the model's weights; none where no report comes.
+    pub(super) async fn report(&self, backend: &Lacking) -> Option<Reported> {
+        let url = format!("http://{}/v1/report", backend.address);
+        let call = self.client.get(url).header(EXPECT_INSTANCE.as_str(), backend.id.as_str());
+        let answer = call.timeout(CALL_PATIENCE).send().await.ok()?.error_for_status().ok()?;
+        let report: Report = serde_json::from_slice(&answer.bytes().await.ok()?).ok()?;
+        let model = report.models.iter().find(|model| model.name == backend.model);
+        let version = model.map_or(0, |model| model.version);
+        Some(Reported { version, is_busy: report.busy, taken_orders: report.sequence })
     }
 }
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -259,7 +259,11 @@
 }
 
 pub fn register(fleet: &Fleet, at: usize, backend: &StandIn, sequence: u64, phase: BackendPhase) {
-    put(fleet, at, Backend { sequence, phase, ..registered(backend.address) });
+    register_at(fleet, at, backend.address, sequence, phase);
+}
+
+pub fn register_at(fleet: &Fleet, at: usize, address: SocketAddrV4, sequence: u64, phase: BackendPhase) {
+    put(fleet, at, Backend { sequence, phase, ..registered(address) });
 }
 
 /// Registers a backend with some version of its weights.
--- a/router/tests/orders.rs
+++ b/router/tests/orders.rs
@@ -9,6 +9,7 @@
 
 mod common;
 
+use common::model_backend::ModelBackend;
 use common::*;
 use control::directory::{BackendPhase, OrderPhase};
 use control::rollout::OrderTurn;
@@ -19,6 +20,7 @@
 use router::replica::{ReplicaHandle, Shown};
 use router::weights::Orders;
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,13 +28,13 @@
 const SOON: Duration = Duration::from_millis(3_200);
 
 /// A node that holds the lease, with these backends, as version 2 is named.
-fn leader(backends: &[StandIn]) -> (Arc<Fleet>, ReplicaHandle) {
+fn leader(backends: &[SocketAddrV4]) -> (Arc<Fleet>, ReplicaHandle) {
     let id = ReplicaId { disk: 1, node: "n1".into(), address: "127.0.0.1:7560".parse().unwrap() };
     let (handle, _) = ReplicaHandle::new(id);
     handle.show(Shown { lease: Some((1, u64::MAX)), order_turn: OrderTurn::Held, ..Shown::default() });
     let fleet = Fleet::new(Arc::new(Router::settings()), Some(handle.clone()), 1);
-    for (at, backend) in backends.iter().enumerate() {
-        register(&fleet, at, backend, 1, BackendPhase::Ready);
+    for (at, address) in backends.iter().enumerate() {
+        register_at(&fleet, at, *address, 1, BackendPhase::Ready);
     }
     let weights = BTreeMap::from([("m".into(), WeightsTarget { version: 2, index: 1 })]);
     let named = PublishedState { position: Position { index: 1, epoch: 1 }, configuration: None, weights };
@@ -50,7 +52,8 @@
     for _ in 0..3 {
         backends.push(StandIn::start(vec![holds.clone()]).await);
     }
-    let (fleet, handle) = leader(&backends);
+    let addresses: Vec<SocketAddrV4> = backends.iter().map(|backend| backend.address).collect();
+    let (fleet, handle) = leader(&addresses);
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     let orders = tokio::spawn(Orders::new(fleet, handle, client).run());
     let reached = async {
@@ -65,13 +68,15 @@
 
 #[tokio::test]
 async fn backends_that_do_not_answer_leave_their_places_to_others() {
-    let silent = others_are_reached(&[Act::Hang]).await;
+    let report = Act::Say(answer("200 OK", "", r#"{"models":[{"name":"m","version":1}],"sequence":0}"#));
     let taken = Act::SayAndClose(answer("202 Accepted", "", "{}"));
-    let crashed = others_are_reached(&[taken, Act::Hang]).await;
+    let silent = others_are_reached(&[Act::Hang]).await;
+    let silent_to_orders = others_are_reached(&[report.clone(), Act::Hang]).await;
+    let crashed = others_are_reached(&[report, taken, Act::Hang]).await;
     assert_eq!(
-        (silent, crashed),
-        (true, true),
-        "with backends that are silent, and that crash after an order"
+        (silent, silent_to_orders, crashed),
+        (true, true, true),
+        "with backends that are silent, that report and are silent to orders, and that crash after an order"
     );
 }
 
@@ -85,8 +90,8 @@
 /// were about to load, and the order was not given any more as the lease was lost in between.
 #[tokio::test]
 async fn a_backend_whose_order_was_not_given_gets_requests_again_at_once() {
-    let backend = StandIn::start(vec![Act::Hang]).await;
-    let (fleet, handle) = leader(std::slice::from_ref(&backend));
+    let backend = ModelBackend::start(1).await;
+    let (fleet, handle) = leader(&[backend.address]);
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     let orders = tokio::spawn(Orders::new(fleet.clone(), handle.clone(), client).run());
     let becomes = async |phase| {
@@ -97,6 +102,6 @@
     tokio::time::timeout(PATIENCE, becomes(OrderPhase::UnderWay)).await.expect("it is announced");
     handle.show(Shown::default());
     tokio::time::timeout(PATIENCE, becomes(OrderPhase::Withdrawn)).await.expect("it is taken back");
-    assert_eq!(backend.count(), 0, "no order was given");
+    assert_eq!((backend.taken_orders(), backend.version()), (0, 1), "no order was given");
     orders.abort();
 }
