Routers take a backend's last word on its weights, also where it is older

Cause: a router's record of a backend's version could only rise, so a backend with older weights again was asked for the newest version for as long as it lived and turned all of that away; being idle it drew ever more requests. Now numbered words count in their order (heartbeats, orders that are done), an answer that was served can only raise the version, and one that turned a request away for its version refutes it until something new is told. A heartbeat that contradicts a done order is passed on even if it only counts up.

--- a/router/src/fleet/registration.rs
+++ b/router/src/fleet/registration.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use control::Millis;
 use control::directory::{Backend, BackendPhase, Key, Member, MemberStatus, Value};
+use control::rollout::is_contradicted;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -72,7 +73,8 @@
         Some(address)
     }
 
-    /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on.
+    /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on, unless it contradicts
+    /// an order that is said to be done: only its number tells others that it is newer than that.
     fn put_backend(&self, key: Key, mut backend: Backend) -> bool {
         let mut directory = lock(&self.directory);
         if let Some(Value::Backend(held)) = directory.get(&key) {
@@ -80,7 +82,11 @@
                 return false;
             }
             let counts_up = Backend { sequence: held.sequence, ..backend.clone() };
-            if counts_up == *held {
+            let is_contradiction = match &key {
+                Key::Backend(id) => directory.order(id).is_some_and(|order| is_contradicted(&backend, order)),
+                _ => false,
+            };
+            if counts_up == *held && !is_contradiction {
                 return false;
             }
             // A deregistration carries nothing but the id.
--- a/router/src/proxy/answer.rs
+++ b/router/src/proxy/answer.rs
@@ -23,6 +23,8 @@
     pub(super) outstanding: Outstanding,
     pub(super) connection: Connection,
     pub(super) begun: Instant,
+    /// The version of weights that the backend was expected to have.
+    pub(super) expected_version: Option<u64>,
 }
 
 impl Answer {
@@ -73,15 +75,17 @@
     async fn reject(self, status: StatusCode, head: &HeaderMap, body: Incoming) -> Result {
         let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
         let retry_after = head.get("retry-after").and_then(|value| value.to_str().ok()?.parse().ok());
-        if let (Some(prompt), Some(version)) = (&self.call.prompt, headers::number(head, &headers::VERSIONS))
-        {
-            self.backend.learn_version(&prompt.model, version);
-        }
-        if misdirected {
-            let other = headers::text(head, &INSTANCE_ID);
-            if other.is_some_and(|id| id != self.backend.id) {
-                self.backend.failed();
+        let told = headers::number(head, &headers::VERSIONS);
+        let other = headers::text(head, &INSTANCE_ID).filter(|id| *id != self.backend.id);
+        match (&self.call.prompt, self.expected_version) {
+            _ if misdirected && other.is_some() => self.backend.failed(),
+            (Some(prompt), Some(expected)) if misdirected => {
+                self.backend.refuted_version(&prompt.model, expected, told);
+            }
+            (Some(prompt), _) => {
+                told.into_iter().for_each(|told| self.backend.learn_version(&prompt.model, told));
             }
+            (None, _) => {}
         }
         let (backend, closes, keep_alive) = (self.backend.clone(), headers::closes(head), keep_alive(head));
         if Limited::new(body, LONGEST_BUFFERED).collect().await.is_ok() {
--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -180,7 +180,8 @@
             return Err(if failure == Failure::NotWritten { Ended::NotSent } else { Ended::Broken });
         }
     };
-    let answer = Answer { call, backend, outstanding, connection, begun };
+    let expected_version = variant.version;
+    let answer = Answer { call, backend, outstanding, connection, begun, expected_version };
     let result = answer.judge(response).await;
     if matches!(result, Err(Ended::Rejected { .. })) {
         sent.set(false);
--- a/router/src/proxy/backend.rs
+++ b/router/src/proxy/backend.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use super::fault_log::FaultLog;
+use super::known_weights::KnownWeights;
 use crate::clock;
 use crate::links::lock;
 use compact_str::CompactString;
@@ -50,7 +51,7 @@
     phase: BackendPhase,
     silent: bool,
     order: Option<(Order, Millis)>,
-    versions: HashMap<CompactString, u64>,
+    weights: KnownWeights,
     outstanding: u32,
     unread_tokens: u64,
     told: Option<Told>,
@@ -130,7 +131,7 @@
             phase: registered.phase,
             silent: registered.silent,
             order: None,
-            versions: HashMap::new(),
+            weights: KnownWeights::default(),
             outstanding: 0,
             unread_tokens: 0,
             told: None,
@@ -161,17 +162,13 @@
         }
         live.phase = registered.phase;
         live.silent = registered.silent;
-        for (model, version) in &registered.models {
-            live.learn_version(model, *version);
-        }
+        live.weights.take_heartbeat(registered);
         if let Some(order) = order {
             let news = live.order.as_ref().is_none_or(|(known, _)| known != order);
             if news {
                 live.order = Some((order.clone(), clock::now()));
             }
-            if order.phase == OrderPhase::Done {
-                live.learn_version(&order.model, order.version);
-            }
+            live.weights.take_order(order);
         }
         if live.phase == BackendPhase::Gone {
             live.idle.clear();
@@ -186,10 +183,10 @@
             return Fitness::Unfit;
         }
         if let Some((model, least)) = model {
-            if live.is_loading(model, now) {
+            if live.is_loading(model, now) || live.weights.is_refuted(model, now) {
                 return Fitness::Unfit;
             }
-            if least.is_some_and(|least| live.versions.get(model).is_none_or(|version| *version < least)) {
+            if least.is_some_and(|least| live.weights.version(model).is_none_or(|version| version < least)) {
                 return Fitness::Unfit;
             }
         }
@@ -203,17 +200,22 @@
 
     /// The version of a model's weights that it has, as far as is known.
     pub fn version(&self, model: &str) -> Option<u64> {
-        lock(&self.live).versions.get(model).copied()
+        lock(&self.live).weights.version(model)
     }
 
     /// The versions of weights that it has, as far as is known, by model.
     pub fn versions(&self) -> HashMap<CompactString, u64> {
-        lock(&self.live).versions.clone()
+        lock(&self.live).weights.versions()
     }
 
-    /// An answer told the version of a model's weights.
+    /// An answer that was served told the version of a model's weights.
     pub fn learn_version(&self, model: &str, version: u64) {
-        lock(&self.live).learn_version(&CompactString::from(model), version);
+        lock(&self.live).weights.take_answer(model, version);
+    }
+
+    /// It turned a request away that expected a version of a model's weights, and may have told its own.
+    pub fn refuted_version(&self, model: &str, expected: u64, told: Option<u64>) {
+        lock(&self.live).weights.was_turned_away(model, expected, told, clock::now());
     }
 
     /// A look at its load.
@@ -295,17 +297,12 @@
 }
 
 impl Live {
-    fn learn_version(&mut self, model: &CompactString, version: u64) {
-        let known = self.versions.entry(model.clone()).or_default();
-        *known = version.max(*known);
-    }
-
     fn is_loading(&self, model: &str, now: Millis) -> bool {
         self.order.as_ref().is_some_and(|(order, since)| {
             order.phase == OrderPhase::UnderWay
                 && order.model == model
                 && now < since + LOADING
-                && self.versions.get(model).is_none_or(|version| *version < order.version)
+                && self.weights.version(model).is_none_or(|version| version < order.version)
         })
     }
 }
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 pub mod headers;
 pub mod ingress;
 pub mod kept;
+pub mod known_weights;
 pub mod locator;
 pub mod pending;
 pub mod pick;
