Failing tests: requests given up on their way, late heartbeats

The same class beside the incident's cause: what is given up or overtaken arrives later and counts. A request whose client left while the way to its backend was cut is delivered once the way heals; a heartbeat that comes late counts as the newest where newer ones said nothing new.

--- a/router/tests/registration.rs
+++ b/router/tests/registration.rs
@@ -238,3 +238,25 @@
     assert!(marks_silent(&fleet()), "in touch it does, also for a node that is down");
     assert!(!marks_silent(&fleet_in_touch_at(None)), "cut off it can't tell");
 }
+
+/// Found by reading, beside backends that had older weights again; not seen in service. A backend has other weights for a moment, or takes back
+/// that it will leave; a heartbeat of that moment comes late, and until the next one the fleet holds for true what it says. Cause: heartbeats that only count up are not written down, so a late one with a lower
+/// number than these was taken for newer than what was written.
+#[tokio::test]
+async fn a_late_heartbeat_is_known_by_newer_ones_that_said_nothing_new() {
+    let fleet = fleet();
+    let told = |sequence, version| Backend {
+        models: vec![("m".into(), version)],
+        ..backend("a", sequence, BackendPhase::Ready)
+    };
+    let held = || match fleet.directory.lock().expect("sound").get(&Key::Backend("i".into())) {
+        Some(Value::Backend(backend)) => backend.models.clone(),
+        other => panic!("{other:?}"),
+    };
+    assert!(fleet.register("i".into(), told(1, 1)).await.is_some());
+    assert!(fleet.register("i".into(), told(4, 1)).await.is_some());
+    assert!(fleet.register("i".into(), told(3, 2)).await.is_some(), "late, and acknowledged all the same");
+    assert_eq!(held(), [("m".into(), 1)]);
+    assert!(fleet.register("i".into(), told(5, 2)).await.is_some());
+    assert_eq!(held(), [("m".into(), 2)]);
+}
--- /dev/null
+++ b/router/tests/withdrawn_requests.rs
@@ -0,0 +1,96 @@
+//! Requests that are given up while they are held up on their way to a backend.
+//!
+//! Story: a backend began a request, seconds after its client had left. The way to the backend had been cut when the request was sent; once it
+//! had healed, the system of the router's machine sent on what it still held, and the end of the connection behind it. Seen before as
+//! "a backend begins what its caller has withdrawn"; the same cause as late orders for weights: what is given up here is not thereby
+//! taken back.
+//!
+//! Evidence: a way that holds bytes up, and drops them only where their sender has reset the connection, delivered the whole request.
+
+mod common;
+
+use common::*;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+/// A way to a backend that is cut. Once it heals, what was sent arrives, unless its sender has reset the connection meanwhile.
+struct HeldUp {
+    address: SocketAddrV4,
+    /// A permit for each connection on which something was sent.
+    sent: Arc<Semaphore>,
+    /// A permit for each connection that its sender has ended.
+    ended: Arc<Semaphore>,
+    heals: Arc<Semaphore>,
+    /// A permit for each connection that was carried to its end after the way had healed.
+    carried: Arc<Semaphore>,
+}
+
+impl HeldUp {
+    async fn before(backend: &StandIn) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+        let permits = || Arc::new(Semaphore::new(0));
+        let way = HeldUp { address, sent: permits(), ended: permits(), heals: permits(), carried: permits() };
+        let (sent, ended) = (way.sent.clone(), way.ended.clone());
+        let (heals, carried, target) = (way.heals.clone(), way.carried.clone(), backend.address);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (sent, ended, heals, carried) =
+                    (sent.clone(), ended.clone(), heals.clone(), carried.clone());
+                tokio::spawn(async move {
+                    stream.readable().await.unwrap();
+                    sent.add_permits(1);
+                    has_ended(&stream).await;
+                    ended.add_permits(1);
+                    heals.acquire().await.unwrap().forget();
+                    deliver(stream, target).await;
+                    carried.add_permits(1);
+                });
+            }
+        });
+        way
+    }
+}
+
+/// Waits until the other side has closed or reset the connection, and reads nothing.
+async fn has_ended(stream: &TcpStream) {
+    while !stream.ready(Interest::READABLE).await.unwrap().is_read_closed() {
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn deliver(mut stream: TcpStream, target: SocketAddrV4) {
+    let mut bytes = Vec::new();
+    if stream.read_to_end(&mut bytes).await.is_err() {
+        return;
+    }
+    let mut backend = TcpStream::connect(target).await.unwrap();
+    backend.write_all(&bytes).await.unwrap();
+    backend.shutdown().await.unwrap();
+    let mut answer = Vec::new();
+    // The backend may break off, as its caller has gone.
+    let _ = backend.read_to_end(&mut answer).await;
+}
+
+async fn wait_for(permits: &Semaphore) {
+    tokio::time::timeout(PATIENCE, permits.acquire()).await.expect("in time").unwrap().forget();
+}
+
+#[tokio::test]
+async fn a_request_whose_client_left_while_it_was_held_up_never_reaches_its_backend() {
+    let backend = StandIn::start(vec![Act::Say(success("ok"))]).await;
+    let way = HeldUp::before(&backend).await;
+    let router = Router::start(&[]).await;
+    register_at(&router.fleet, 0, way.address, 1, control::directory::BackendPhase::Ready);
+    router.table.refresh(&router.fleet);
+    let client = router.send("/unsafe/", KEY).await;
+    wait_for(&way.sent).await;
+    drop(client);
+    wait_for(&way.ended).await;
+    way.heals.add_permits(1);
+    wait_for(&way.carried).await;
+    assert_eq!(backend.count(), 0, "requests that reached the backend");
+}
