Requests that are given up are taken back: their connection is reset

Cause: dropping a send closed its connection in order, so the system sent on what it still held of the request, and a backend behind a cut began work that its caller had withdrawn. Connections to backends are now reset when they are dropped; calls for orders and reports end in the system as well when nothing acknowledges them for 1.5 s.

--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -20,7 +20,7 @@
 /// sends that again only after a second.
 const CONNECT_PATIENCE: Duration = Duration::from_millis(250);
 /// Unacknowledged bytes break a connection after this.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Frames that wait for a connection; more are dropped.
 const QUEUE: usize = 256;
 
--- a/router/src/proxy/connection.rs
+++ b/router/src/proxy/connection.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::io;
 use std::net::SocketAddrV4;
 use std::pin::Pin;
@@ -67,7 +68,8 @@
     }
 }
 
-/// A connection to a backend. It is closed when it is dropped.
+/// A connection to a backend. It is reset when it is dropped, so that what is held up on its way to the backend is not sent on:
+/// a request that was given up does not begin there later.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     written: Arc<AtomicU64>,
@@ -91,6 +93,8 @@
         let late = || io::Error::from(io::ErrorKind::TimedOut);
         let stream = timeout(patience, TcpStream::connect(address)).await.map_err(|_| late())??;
         prepare(&stream)?;
+        // A close would have the system send on what it still holds, for as long as that takes.
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         let written = Arc::new(AtomicU64::new(0));
         let counting = Counting { stream, written: written.clone() };
         let (sender, connection) =
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -137,7 +137,12 @@
     let failed = |address: SocketAddrV4| move |problem| ServeError::Listen { address, problem };
     let listener = tokio::net::TcpListener::bind(internal).await.map_err(failed(internal))?;
     let socket = UdpSocket::bind(internal).await.map_err(failed(internal))?;
-    let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    // Orders that are given up are not to be sent on for minutes.
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .tcp_user_timeout(links::USER_TIMEOUT)
+        .build()?;
     let table = Arc::new(Table::default());
     let locator = Locator::new(fleet.clone());
     let exchanges = Exchanges::new(fleet.clone(), table.clone(), locator.clone());
