Heartbeats that say nothing new still tell late ones apart

Cause: heartbeats that only count up were not written down, so a late one with a lower number than these could count as the newest, until the next one came. Each node now keeps the highest number that it heard of a backend, and does not acknowledge an end that a newer heartbeat has taken back.

--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 use routing::faults::FaultEvidence;
 use routing::locations::Locations;
 use routing::version_floor::VersionFloors;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -67,6 +68,8 @@
     /// Members whose heartbeats this node receives.
     pub monitored: Mutex<Silence<MonitoredLife>>,
     heard_backends: Mutex<Silence<CompactString>>,
+    /// The highest number of a heartbeat that was heard of each backend, also of those that said nothing new.
+    heartbeat_numbers: Mutex<BTreeMap<CompactString, u64>>,
     leader: Mutex<Option<(Epoch, ReplicaId)>>,
     /// When the control state, as pulled from others, was last known to be the newest.
     pulled_current_at: Mutex<Option<Millis>>,
@@ -95,6 +98,7 @@
             life,
             monitored: Mutex::new(Silence::new(now)),
             heard_backends: Mutex::new(Silence::new(now)),
+            heartbeat_numbers: Mutex::default(),
             leader: Mutex::new(None),
             pulled_current_at: Mutex::new(None),
             begun: now,
--- a/router/src/fleet/registration.rs
+++ b/router/src/fleet/registration.rs
@@ -66,13 +66,32 @@
         }
         let zone = backend.zone.clone();
         let address = self.address_for(&id, &zone);
-        self.put_backend(key.clone(), backend);
-        if leaves && !self.reaches_majority(&key, DRAIN_SPREAD).await {
+        if self.is_newest(&id, &backend) {
+            self.put_backend(key.clone(), backend);
+        }
+        // An end that a newer heartbeat has taken back is not acknowledged: that would bind all routers.
+        if leaves && !(self.takes_no_more_requests(&key) && self.reaches_majority(&key, DRAIN_SPREAD).await) {
             return None;
         }
         Some(address)
     }
 
+    fn takes_no_more_requests(&self, key: &Key) -> bool {
+        let directory = lock(&self.directory);
+        matches!(directory.get(key), Some(Value::Backend(backend)) if backend.phase != BackendPhase::Ready)
+    }
+
+    /// Whether no heartbeat of a higher number was heard here. An end counts whenever it comes.
+    fn is_newest(&self, id: &CompactString, backend: &Backend) -> bool {
+        if backend.phase == BackendPhase::Gone {
+            return true;
+        }
+        let mut numbers = lock(&self.heartbeat_numbers);
+        let newest = numbers.entry(id.clone()).or_default();
+        *newest = backend.sequence.max(*newest);
+        *newest == backend.sequence
+    }
+
     /// Writes a backend's record where it says something new. A heartbeat that only counts up is not passed on, unless it contradicts
     /// an order that is said to be done: only its number tells others that it is newer than that.
     fn put_backend(&self, key: Key, mut backend: Backend) -> bool {
@@ -128,6 +147,7 @@
             return;
         }
         let patience = 5 * self.settings.heartbeat_interval_ms / 2;
+        self.forget_heartbeat_numbers();
         let orphans = self.orphaned_backends();
         let silent = {
             let mut heard = lock(&self.heard_backends);
@@ -145,6 +165,13 @@
         }
     }
 
+    /// Forgets the numbers of backends that nobody knows any more.
+    fn forget_heartbeat_numbers(&self) {
+        let directory = lock(&self.directory);
+        let is_known = |id: &CompactString| directory.get(&Key::Backend(id.clone())).is_some();
+        lock(&self.heartbeat_numbers).retain(|id, _| is_known(id));
+    }
+
     /// Backends whose heartbeats went to a node that is not there any more.
     fn orphaned_backends(&self) -> Vec<CompactString> {
         let directory = lock(&self.directory);
--- a/router/tests/registration.rs
+++ b/router/tests/registration.rs
@@ -259,4 +259,6 @@
     assert_eq!(held(), [("m".into(), 1)]);
     assert!(fleet.register("i".into(), told(5, 2)).await.is_some());
     assert_eq!(held(), [("m".into(), 2)]);
+    let late_end = Backend { phase: BackendPhase::Draining, ..told(4, 2) };
+    assert_eq!(fleet.register("i".into(), late_end).await, None, "it has been taken back");
 }
