Soak: ways to backends that are cut and bring later what was sent

The soak had no cut links, and its backends answered 200 to orders for older versions, so no run could show that a late order takes a backend back. Ways to backends are now relays that hold up what is sent while they are cut, and lose it only where its sender has reset; backends take orders as the published protocol says.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::history::{OrderSeen, Recorder, Run, Stage, Staged};
 use crate::settings::HEARTBEAT_MS;
+use crate::way::Way;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -69,6 +70,7 @@
 /// One incarnation of a backend.
 pub struct Backend {
     state: Arc<State>,
+    way: Way,
     serving: JoinHandle<()>,
     beating: JoinHandle<()>,
 }
@@ -92,7 +94,8 @@
     /// Starts an incarnation with the newest weights.
     pub async fn start(around: Arc<Surroundings>) -> std::io::Result<Self> {
         let listener = TcpListener::bind((around.address, 0)).await?;
-        let address = SocketAddrV4::new(around.address, listener.local_addr()?.port());
+        let way = Way::to(SocketAddrV4::new(around.address, listener.local_addr()?.port())).await?;
+        let address = way.address;
         let state = Arc::new(State {
             number: around.next.fetch_add(1, Ordering::Relaxed),
             address,
@@ -110,7 +113,7 @@
         state.note(Stage::Started { version: state.version.load(Ordering::Relaxed) });
         let serving = tokio::spawn(serve(listener, state.clone()));
         let beating = tokio::spawn(beat(state.clone()));
-        Ok(Backend { state, serving, beating })
+        Ok(Backend { state, way, serving, beating })
     }
 
     /// The version of its weights.
@@ -124,6 +127,12 @@
         self.state.note(if hangs { Stage::Hanging } else { Stage::Answering });
     }
 
+    /// The way to it is cut, or heals.
+    pub fn cut(&self, is_cut: bool) {
+        self.way.cut(is_cut);
+        self.state.note(if is_cut { Stage::Cut } else { Stage::Healed });
+    }
+
     /// It ends at once, with everything that it does.
     pub fn crash(self) {
         self.state.has_crashed.store(true, Ordering::Relaxed);
@@ -223,7 +232,6 @@
     request: u64,
     work_ms: u64,
     events: u64,
-    expected_instance: Option<String>,
     expected_version: Option<u64>,
     last_event: u64,
 }
@@ -236,7 +244,6 @@
             request: u64::from_str_radix(text("x-request-id")?, 16).ok()?,
             work_ms: work_ms.parse().ok()?,
             events: events.parse().ok()?,
-            expected_instance: text("x-expect-instance").map(str::to_owned),
             expected_version: text("expect-version").and_then(|text| text.parse().ok()),
             last_event: text("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0),
         })
@@ -269,8 +276,12 @@
         }
     }
 
+    /// Takes an order as the published protocol says: also one for an older version, unless it expects another state of this backend.
     async fn take_order(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         self.hang().await;
+        if self.is_misdirected(&request) {
+            return answer(421, Bytes::new());
+        }
         let Ok(body) = request.into_body().collect().await else { return answer(400, Bytes::new()) };
         let order: serde_json::Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
         let (Some(holder), Some(fence), Some(version)) =
@@ -288,12 +299,17 @@
             }
             *highest = fence;
         }
-        if self.version.load(Ordering::Relaxed) >= version {
-            return answer(200, Bytes::new());
+        let expected = order["ifRevision"].as_u64();
+        if expected.is_some_and(|expected| expected != self.orders.load(Ordering::Relaxed)) {
+            return answer(409, Bytes::new());
         }
-        if self.is_loading.swap(true, Ordering::Relaxed) {
+        if self.is_loading.load(Ordering::Relaxed) {
             return answer(409, Bytes::new());
         }
+        if self.version.load(Ordering::Relaxed) == version {
+            return answer(200, Bytes::new());
+        }
+        self.is_loading.store(true, Ordering::Relaxed);
         self.orders.fetch_add(1, Ordering::Relaxed);
         let state = self.clone();
         tokio::spawn(async move {
@@ -315,9 +331,15 @@
         answer(200, report.to_string().into())
     }
 
+    /// Whether a call is meant for another incarnation.
+    fn is_misdirected(&self, request: &Request<Incoming>) -> bool {
+        let expected = request.headers().get("x-expect-instance");
+        expected.is_some_and(|expected| expected.as_bytes() != self.id().as_bytes())
+    }
+
     async fn run(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let Some(asked) = Asked::read(&request) else { return answer(400, Bytes::new()) };
-        if asked.expected_instance.as_ref().is_some_and(|expected| *expected != self.id()) {
+        if self.is_misdirected(&request) {
             return answer(421, Bytes::new());
         }
         let running = Running::arrive(&self, asked.request);
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -187,6 +187,10 @@
     Hanging,
     /// It answers again.
     Answering,
+    /// The way to it is cut.
+    Cut,
+    /// The way to it has healed.
+    Healed,
     /// It is about to leave, or has crashed.
     Leaving,
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod run;
 pub mod schedule;
 pub mod settings;
+pub mod way;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -47,6 +47,9 @@
     /// The primary is struck again and again while versions of the weights are named.
     #[arg(long)]
     strike_primary: bool,
+    /// Ways to backends are cut again and again while versions of the weights are named; what was sent meanwhile arrives later.
+    #[arg(long)]
+    cut_ways: bool,
     /// Where logs of runs with a broken rule are kept.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -64,6 +67,7 @@
             pause: Duration::from_millis(self.pause_ms),
             trouble_ms: self.trouble_s * 1_000,
             strikes_primary: self.strike_primary,
+            cuts_ways: self.cut_ways,
             folder: self.keep.as_ref().map_or(folder, |keep| keep.join(format!("seed-{seed}"))),
         }
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -55,6 +55,8 @@
     pub trouble_ms: Millis,
     /// Whether the primary is struck again and again while versions of the weights are named.
     pub strikes_primary: bool,
+    /// Whether ways to backends are cut again and again while versions of the weights are named.
+    pub cuts_ways: bool,
     /// Where settings, data and logs go.
     pub folder: PathBuf,
 }
@@ -226,8 +228,8 @@
     }
 
     async fn play_schedule(self: Arc<Self>) {
-        let Plan { size, backends, trouble_ms, strikes_primary, .. } = self.plan;
-        let scope = Scope { size, backends, lasts: trouble_ms, strikes_primary };
+        let Plan { size, backends, trouble_ms, strikes_primary, cuts_ways, .. } = self.plan;
+        let scope = Scope { size, backends, lasts: trouble_ms, strikes_primary, cuts_ways };
         let begun = tokio::time::Instant::now();
         let mut under_way = JoinSet::new();
         for Step { at, action } in schedule::draw(scope, self.plan.seed) {
@@ -259,6 +261,11 @@
                 tokio::time::sleep(lasts).await;
                 self.hang(number, false).await;
             }
+            Action::CutBackend(number, lasts) => {
+                self.cut(number, true).await;
+                tokio::time::sleep(lasts).await;
+                self.cut(number, false).await;
+            }
             Action::ReplaceBackend(number) => {
                 let new = Backend::start(self.around.clone()).await.ok();
                 let old = std::mem::replace(&mut *self.backends[number].lock().await, new);
@@ -275,6 +282,12 @@
         }
     }
 
+    async fn cut(&self, number: usize, is_cut: bool) {
+        if let Some(backend) = self.backends[number].lock().await.as_ref() {
+            backend.cut(is_cut);
+        }
+    }
+
     async fn configure(&self, race: bool) {
         let Some(base) = self.operator.read_back(READ_PATIENCE).await else { return };
         let version = base + fastrand::u64(1..4);
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -25,6 +25,8 @@
     CrashBackend(usize),
     /// A backend answers nothing for so long.
     HangBackend(usize, Duration),
+    /// The way to a backend is cut for so long; what was sent meanwhile arrives then.
+    CutBackend(usize, Duration),
     /// A backend leaves in order, and another one starts in its place.
     ReplaceBackend(usize),
 }
@@ -49,6 +51,8 @@
     pub lasts: Millis,
     /// Whether the primary is struck again and again while versions of the weights are named.
     pub strikes_primary: bool,
+    /// Whether ways to backends are cut again and again while versions of the weights are named.
+    pub cuts_ways: bool,
 }
 
 /// Series that overlap, sorted by time. A seed always draws the same.
@@ -73,10 +77,28 @@
     if scope.strikes_primary {
         steps.extend(primary_series(scope, &mut rng));
     }
+    if scope.cuts_ways {
+        steps.extend(way_series(scope, &mut rng));
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+/// Ways to backends are cut for some seconds, several at a time, and versions of the weights are named meanwhile.
+fn way_series(scope: Scope, rng: &mut Rng) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let gap = rng.u64(300..1_500);
+    let longest = rng.u64(1_000..6_000);
+    for at in (0..scope.lasts / gap).map(|number| number * gap) {
+        let lasts = Duration::from_millis(rng.u64(200..longest));
+        steps.push(Step { at, action: Action::CutBackend(rng.usize(..scope.backends), lasts) });
+    }
+    let gap = rng.u64(500..2_500);
+    let names = (0..scope.lasts / gap).map(|number| Step { at: number * gap, action: Action::NameWeights });
+    steps.extend(names);
+    steps
+}
+
 /// The primary is struck every few seconds, and versions of the weights are named meanwhile.
 fn primary_series(scope: Scope, rng: &mut Rng) -> Vec<Step> {
     let mut steps = Vec::new();
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -163,6 +163,31 @@
     assert_eq!(work_on(3, None), NONE, "a few are permitted");
 }
 
+/// Four clients left at 20.1 s; their requests had arrived at a backend at `arrived`, to which the way was cut for a while.
+fn left_behind_a_cut(arrived: u64, stages: &[(u64, Stage)]) -> Vec<&'static str> {
+    broken(|history| {
+        history.requests.clear();
+        history.runs.clear();
+        for id in 1..=4 {
+            history.requests.push(request(id, Kind::Safe, 20_000, 20_100, Outcome::Left));
+            history.runs.push(Run { ended_at: None, ..run(id, 1, arrived, 0) });
+        }
+        let staged = |(at, stage): &(u64, Stage)| Staged { backend: 1, at: *at, stage: *stage };
+        history.backends.extend(stages.iter().map(staged));
+    })
+}
+
+#[test]
+fn an_end_counts_once_the_way_lets_it_through_and_what_was_withdrawn_never_arrives() {
+    let cut_then = [(20_050, Stage::Cut), (25_000, Stage::Healed)];
+    assert_eq!(left_behind_a_cut(20_010, &cut_then), NONE, "the backend can't know");
+    assert_eq!(left_behind_a_cut(25_010, &cut_then), ["GONE"], "it arrived after all");
+    let cut_before = [(12_000, Stage::Cut), (15_000, Stage::Healed)];
+    assert_eq!(left_behind_a_cut(20_010, &cut_before), ["GONE"]);
+    let cut_after = [(21_500, Stage::Cut), (25_000, Stage::Healed)];
+    assert_eq!(left_behind_a_cut(20_010, &cut_after), ["GONE"]);
+}
+
 #[test]
 fn requests_begin_on_weights_that_are_not_too_old() {
     let begins = |at: u64, blow: Option<Struck>| {
@@ -237,6 +262,33 @@
         history.struck.push(struck(1, 11_900, Blow::Continued));
     };
     assert_eq!(broken(thawed), NONE, "it may have been on its way before its sender stood still");
+    let healed = |backend: u64| {
+        move |history: &mut History| {
+            orders(11_999, 12_500)(history);
+            history.backends.push(Staged { backend, at: 11_900, stage: Stage::Healed });
+        }
+    };
+    assert_eq!(broken(healed(11_999)), NONE, "it may have been held up on its way");
+    assert_eq!(broken(healed(3)), ["ONE"], "the way to another backend has healed");
+}
+
+#[test]
+fn no_backend_gets_older_weights_than_it_has() {
+    let loads = |versions: &'static [(u64, u64)]| {
+        broken(move |history| {
+            history.backends.push(Staged { backend: 7, at: 1_000, stage: Stage::Started { version: 2 } });
+            let loaded = |(backend, version): &(u64, u64)| Staged {
+                backend: *backend,
+                at: 2_000,
+                stage: Stage::Loaded { version: *version },
+            };
+            history.backends.extend(versions.iter().map(loaded));
+        })
+    };
+    assert_eq!(loads(&[(7, 3), (7, 5)]), NONE);
+    assert_eq!(loads(&[(7, 3), (8, 2)]), NONE, "another backend");
+    assert_eq!(loads(&[(7, 1)]), ["VERSION"]);
+    assert_eq!(loads(&[(7, 4), (7, 3)]), ["VERSION"]);
 }
 
 /// A history of 40 s in which version 2 was acknowledged at 10 s, and a backend started with version 1 before.
@@ -263,6 +315,11 @@
     assert_eq!(behind(&[(19_000, Stage::Leaving)], &[]), NONE, "it left before");
     let hung = [(11_000, Stage::Hanging), (15_000, Stage::Answering), (26_000, loaded)];
     assert_eq!(behind(&hung, &[]), NONE, "it answered nothing for a while");
+    let cut =
+        [(11_000, Stage::Cut), (12_000, Stage::Hanging), (12_500, Stage::Answering), (15_000, Stage::Healed)];
+    let cut: Vec<(u64, Stage)> = cut.into_iter().chain([(26_000, loaded)]).collect();
+    assert_eq!(behind(&cut, &[]), NONE, "the way to it was cut, and within that time it answered nothing");
+    assert_eq!(behind(&[(11_000, Stage::Cut), (12_000, Stage::Healed), (26_000, loaded)], &[]), ["VERSION"]);
 }
 
 #[test]
