--- a/soak/src/check/weights.rs
+++ b/soak/src/check/weights.rs
@@ -62,7 +62,7 @@
             Blow::Stopped | Blow::Terminated | Blow::Killed => {
                 open.entry(struck.router).or_insert(struck.at);
             }
-            Blow::Continued | Blow::Ended { .. } | Blow::Started => {
+            Blow::Continued | Blow::Ended(_) | Blow::Started => {
                 let begun = open.remove(&struck.router).unwrap_or(struck.at);
                 spans.push((begun, struck.at + CONTACT_MS));
             }
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -121,7 +121,7 @@
         loop {
             tokio::select! {
                 ended = child.wait() => {
-                    self.note(Blow::Ended { in_order: ended?.success() });
+                    self.note(Blow::Ended(ended?.into()));
                     if std::mem::take(&mut wipes) {
                         empty(&self.data())?;
                     }
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -1,6 +1,8 @@
 //! What clients, backends, the operator and the signals' sender saw during a run.
 
 use crate::clock::Millis;
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// What a request may suffer.
@@ -86,11 +88,29 @@
     HungUp,
     /// It has started.
     Started,
-    /// It has ended, with whether that was in order.
-    Ended {
-        /// It ended with success.
-        in_order: bool,
-    },
+    /// It has ended.
+    Ended(Ending),
+}
+
+/// How a process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// With success.
+    InOrder,
+    /// With another code.
+    Failed(i32),
+    /// By a signal.
+    BySignal(i32),
+}
+
+impl From<ExitStatus> for Ending {
+    fn from(status: ExitStatus) -> Self {
+        match (status.code(), status.signal()) {
+            (Some(0), _) => Ending::InOrder,
+            (Some(code), _) => Ending::Failed(code),
+            (None, signal) => Ending::BySignal(signal.unwrap_or_default()),
+        }
+    }
 }
 
 /// A blow to one router.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -132,7 +132,11 @@
 
 /// Makes a run.
 pub async fn run(plan: Plan) -> Result<Report, RunError> {
-    fs::create_dir_all(&plan.folder)?;
+    // What another run has left there would be taken for this one's: its disks name addresses that may be in use now.
+    match fs::remove_dir_all(&plan.folder) {
+        Err(problem) if problem.kind() != io::ErrorKind::NotFound => return Err(problem.into()),
+        _ => fs::create_dir_all(&plan.folder)?,
+    }
     let network = Network::claim()?;
     let addresses = network.addresses;
     let (clock, recorder) = (Clock::start(), Arc::new(Recorder::default()));
