Records of equal rank are told apart by content; silent backends are asked

Causes: whoever wrote a record last replaced one of equal rank, whoever heard of one kept the higher origin's, so holders differed until a repair; and silence of heartbeats was taken for silence to orders. Now every holder ranks two records alike, by rank and then by what they say. Backends whose heartbeats have stopped are asked for their report, behind all others, on a quarter of the places and each two seconds at the most; one that answers gets its order. Having the control state name the giver has a limit of 2 s within the loop that gives orders.

--- a/control/src/directory/mod.rs
+++ b/control/src/directory/mod.rs
@@ -90,7 +90,7 @@
     /// Writes a record of this node's own. False where what is held ranks higher or says the same.
     pub fn put(&mut self, key: Key, value: Value) -> bool {
         if let Some((_, held)) = self.records.get(&key)
-            && (held.rank() > value.rank() || *held == value)
+            && !value.outranks(held)
         {
             return false;
         }
@@ -143,13 +143,7 @@
         let mut changed = BTreeSet::new();
         for record in news {
             let held = self.records.get(&record.key);
-            let wins = held.is_none_or(|(stamp, held)| {
-                let (ours, theirs) = (held.rank(), record.value.rank());
-                theirs > ours
-                    || theirs == ours
-                        && (record.stamp.origin, record.stamp.counter) > (stamp.origin, stamp.counter)
-            });
-            if wins {
+            if held.is_none_or(|(_, held)| record.value.outranks(held)) {
                 changed.insert(record.key.clone());
                 self.hold(record.key, record.stamp, record.value);
             }
--- a/control/src/directory/records.rs
+++ b/control/src/directory/records.rs
@@ -36,7 +36,7 @@
 }
 
 /// How a backend stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum BackendPhase {
     /// Takes requests.
     Ready,
@@ -47,7 +47,7 @@
 }
 
 /// A backend as it registered.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Backend {
     /// Its service.
     pub service: CompactString,
@@ -70,7 +70,7 @@
 }
 
 /// Whether a member is there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum MemberStatus {
     /// It is.
     Up,
@@ -81,7 +81,7 @@
 }
 
 /// A member of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     /// Its zone.
     pub zone: CompactString,
@@ -100,7 +100,7 @@
 }
 
 /// How far an order has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum OrderPhase {
     /// The backend is about to load weights: send it nothing.
     UnderWay,
@@ -111,7 +111,7 @@
 }
 
 /// An order to a backend.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Order {
     /// The fencing token under which it is given.
     pub fence: u64,
@@ -126,7 +126,7 @@
 }
 
 /// Several routers saw a backend fail requests: it is to be avoided for a while, counted from when this becomes known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Suspicion {
     /// Rises with each suspicion of this backend.
     pub number: u64,
@@ -135,7 +135,7 @@
 }
 
 /// The content of a record.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Value {
     /// A backend.
     Backend(Backend),
@@ -148,8 +148,14 @@
 }
 
 impl Value {
+    /// Whether this holds where another record of the same thing is held. All holders decide alike, whatever they heard first: two of equal
+    /// rank, as of one heartbeat that two nodes have taken, are told apart by what they say.
+    pub(super) fn outranks(&self, other: &Value) -> bool {
+        (self.rank(), self) > (other.rank(), other)
+    }
+
     /// Of two records of one thing, the one of the higher rank holds.
-    pub(super) fn rank(&self) -> (u64, u64) {
+    fn rank(&self) -> (u64, u64) {
         match self {
             Value::Backend(backend) if backend.phase == BackendPhase::Gone => (u64::MAX, 0),
             Value::Backend(backend) => (backend.sequence, u64::from(backend.silent)),
--- a/control/src/rollout/mod.rs
+++ b/control/src/rollout/mod.rs
@@ -19,6 +19,8 @@
 
 /// One in so many backends with models may load at the same time.
 const LOADING_SHARE: usize = 4;
+/// One in so many of the places may be taken by backends whose heartbeats have stopped.
+const SILENT_SHARE: usize = 4;
 
 /// A backend that lacks a version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +33,8 @@
     pub model: CompactString,
     /// The version that it lacks.
     pub version: u64,
+    /// Its heartbeats have stopped coming. It may take an order all the same.
+    pub is_silent: bool,
 }
 
 /// What is to be done.
@@ -40,6 +44,8 @@
     pub lacking: Vec<Lacking>,
     /// How many of them may load at the same time.
     pub most_at_once: usize,
+    /// Of these, how many whose heartbeats have stopped.
+    pub most_silent_at_once: usize,
 }
 
 /// What keeps a backend that lacks a version from getting an order.
@@ -49,7 +55,7 @@
     Due,
     /// An order was given, and it is not known to be done.
     UnderWay,
-    /// Its heartbeats have stopped coming.
+    /// Its heartbeats have stopped coming; it is asked now and then.
     Silent,
     /// It is about to leave.
     Draining,
@@ -116,23 +122,28 @@
 }
 
 impl Rollout {
-    /// What is to be done for these versions. Backends that drain, are silent, or have no models are left alone. An order that is done
+    /// What is to be done for these versions. Backends that drain or have no models are left alone. An order that is done
     /// counts for what heartbeats tell only until they contradict it.
     pub fn of(
         directory: &Directory,
         targets: &BTreeMap<CompactString, WeightsTarget>,
         confirmations: &Confirmations,
     ) -> Self {
-        let takes_orders = |backend: &Backend| {
-            backend.phase == BackendPhase::Ready && !backend.silent && !backend.models.is_empty()
-        };
+        let takes_orders =
+            |backend: &Backend| backend.phase == BackendPhase::Ready && !backend.models.is_empty();
         let backends = directory.backends().filter(|(_, backend)| takes_orders(backend));
         let backends: Vec<(&CompactString, &Backend)> = backends.collect();
+        let heard = backends.iter().filter(|(_, backend)| !backend.silent).count();
+        let most_at_once = heard.div_ceil(LOADING_SHARE).max(1);
         let lacking = backends.iter().flat_map(|(id, backend)| {
             let believed = directory.order(id).filter(|_| !confirmations.is_doubted(id));
             lacking(id, backend, done_version(believed), targets)
         });
-        Rollout { lacking: lacking.collect(), most_at_once: backends.len().div_ceil(LOADING_SHARE).max(1) }
+        Rollout {
+            lacking: lacking.collect(),
+            most_at_once,
+            most_silent_at_once: most_at_once.div_ceil(SILENT_SHARE),
+        }
     }
 }
 
@@ -157,6 +168,7 @@
             address: backend.address,
             model: model.clone(),
             version: target.version,
+            is_silent: backend.silent,
         })
     })
 }
--- a/control/src/rollout/queue.rs
+++ b/control/src/rollout/queue.rs
@@ -1,12 +1,16 @@
 //! Which backend gets the next order, and which ones refuse the present fencing token.
 
 use super::Lacking;
+use crate::Millis;
 use crate::view::Epoch;
 use compact_str::CompactString;
 use std::collections::BTreeMap;
 
-/// Whom to give the next order: those whose last orders were answered first, and of these the one that has waited for longest. So
-/// neither backends that do not answer nor ever newer versions keep an order from others.
+/// A backend whose heartbeats have stopped is asked again after this.
+const SILENT_PAUSE: Millis = 2_000;
+
+/// Whom to give the next order: those whose heartbeats come first, then those whose last orders were answered, and of these the one that
+/// has waited for longest. So neither backends that do not answer nor ever newer versions keep an order from others.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OrderQueue {
     orders: u64,
@@ -18,6 +22,7 @@
 struct Tried {
     unanswered: u32,
     last_order: u64,
+    last_at: Millis,
 }
 
 impl OrderQueue {
@@ -25,14 +30,21 @@
     pub fn sort(&self, lacking: &mut [Lacking]) {
         lacking.sort_by_key(|backend| {
             let tried = self.tried.get(&backend.id).copied().unwrap_or_default();
-            (tried.unanswered, tried.last_order)
+            (backend.is_silent, tried.unanswered, tried.last_order)
         });
     }
 
+    /// Whether a backend may be asked now.
+    pub fn is_due(&self, backend: &Lacking, now: Millis) -> bool {
+        let tried = self.tried.get(&backend.id);
+        !backend.is_silent || tried.is_none_or(|tried| now >= tried.last_at + SILENT_PAUSE)
+    }
+
     /// A backend is given an order.
-    pub fn ordered(&mut self, backend: &CompactString) {
+    pub fn ordered(&mut self, backend: &CompactString, now: Millis) {
         self.orders += 1;
-        self.tried.entry(backend.clone()).or_default().last_order = self.orders;
+        let tried = self.tried.entry(backend.clone()).or_default();
+        (tried.last_order, tried.last_at) = (self.orders, now);
     }
 
     /// Whether a backend's order came to its end.
--- a/router/src/weights/bringing.rs
+++ b/router/src/weights/bringing.rs
@@ -2,6 +2,7 @@
 
 use super::Orders;
 use super::backend_calls::OrderAnswer;
+use crate::clock;
 use crate::links::lock;
 use crate::metrics::Event;
 use control::directory::{Key, Order, OrderPhase, Value};
@@ -40,7 +41,7 @@
     /// Brings one backend to a version.
     pub(super) async fn bring(self: Arc<Self>, backend: Lacking) {
         let Some(fence) = self.replica.order_fence() else { return };
-        lock(&self.queue).ordered(&backend.id);
+        lock(&self.queue).ordered(&backend.id, clock::now());
         let attempt = self.attempt(&backend, fence).await;
         let was_answered = matches!(attempt, Attempt::Done | Attempt::NotDone { was_answered: true });
         lock(&self.queue).ended(&backend.id, was_answered);
--- a/router/src/weights/mod.rs
+++ b/router/src/weights/mod.rs
@@ -20,9 +20,17 @@
 
 /// Time between two looks at what has to be done.
 const LOOK: Duration = Duration::from_millis(100);
+/// How long the control state may take to name this node.
+const TURN_PATIENCE: Duration = Duration::from_secs(2);
 /// So many heartbeats have time to confirm that an order is done.
 const CONFIRMING_HEARTBEATS: u64 = 3;
 
+/// An attempt to bring a backend to a version.
+struct UnderWay {
+    is_silent: bool,
+    task: tokio::task::JoinHandle<()>,
+}
+
 /// Gives orders while this node holds the lease.
 pub struct Orders {
     fleet: Arc<Fleet>,
@@ -47,10 +55,10 @@
     /// Keeps looking for backends that lack weights.
     pub async fn run(self: Arc<Self>) {
         let mut overdue = OverdueVersions::default();
-        let mut under_way: HashMap<CompactString, tokio::task::JoinHandle<()>> = HashMap::new();
+        let mut under_way: HashMap<CompactString, UnderWay> = HashMap::new();
         loop {
             tokio::time::sleep(LOOK).await;
-            under_way.retain(|_, task| !task.is_finished());
+            under_way.retain(|_, attempt| !attempt.task.is_finished());
             overdue.look(&self.fleet);
             self.look_for_doubts();
             let turn = self.replica.order_turn();
@@ -58,18 +66,28 @@
             if turn == OrderTurn::NotLeading {
                 continue;
             }
-            let Rollout { lacking, most_at_once } = self.rollout();
-            if lacking.is_empty() || !self.take_turn(turn).await {
-                continue;
+            let rollout = self.rollout();
+            if !rollout.lacking.is_empty() && self.take_turn(turn).await {
+                self.begin_attempts(rollout, &mut under_way);
+            }
+        }
+    }
+
+    /// Begins to bring as many backends to their versions as there are places.
+    fn begin_attempts(self: &Arc<Self>, rollout: Rollout, under_way: &mut HashMap<CompactString, UnderWay>) {
+        for backend in rollout.lacking {
+            if under_way.len() >= rollout.most_at_once {
+                return;
             }
-            for backend in lacking {
-                if under_way.len() >= most_at_once {
-                    break;
-                }
-                under_way
-                    .entry(backend.id.clone())
-                    .or_insert_with(|| tokio::spawn(Arc::clone(&self).bring(backend)));
+            let is_silent = backend.is_silent;
+            let silent = under_way.values().filter(|attempt| attempt.is_silent).count();
+            if is_silent && silent >= rollout.most_silent_at_once {
+                return;
             }
+            under_way.entry(backend.id.clone()).or_insert_with(|| UnderWay {
+                is_silent,
+                task: tokio::spawn(Arc::clone(self).bring(backend)),
+            });
         }
     }
 
@@ -93,7 +111,7 @@
         if turn.may_take(self.fleet.settings.bounds.lease_ms, clock::now()) {
             // Where nobody can tell what became of it, it is asked for again at the next look.
             let change = Change::OrderHolder { replica: self.replica.id.clone() };
-            let outcome = self.replica.submit(change).await;
+            let outcome = tokio::time::timeout(TURN_PATIENCE, self.replica.submit(change)).await;
             log::debug!("orders: this node asked to give them: {outcome:?}");
         }
         self.replica.order_fence().is_some()
@@ -129,6 +147,7 @@
         queue.retain(is_there);
         let fence = self.replica.fence();
         rollout.lacking.retain(|backend| fence.is_some_and(|fence| refused.allow(&backend.id, fence)));
+        rollout.lacking.retain(|backend| queue.is_due(backend, clock::now()));
         queue.sort(&mut rollout.lacking);
         rollout
     }
