Only the holder of the lease follows whether done orders are borne out

Every node with a replica looked at all backends ten times a second for it; only the one that gives orders acts on it. Locks are taken in the order in which the rollout takes them.

--- a/router/src/weights/mod.rs
+++ b/router/src/weights/mod.rs
@@ -60,12 +60,12 @@
             tokio::time::sleep(LOOK).await;
             under_way.retain(|_, attempt| !attempt.task.is_finished());
             overdue.look(&self.fleet);
-            self.look_for_doubts();
             let turn = self.replica.order_turn();
             self.enter(turn);
             if turn == OrderTurn::NotLeading {
                 continue;
             }
+            self.look_for_doubts();
             let rollout = self.rollout();
             if !rollout.lacking.is_empty() && self.take_turn(turn).await {
                 self.begin_attempts(rollout, &mut under_way);
@@ -93,10 +93,10 @@
 
     /// Follows whether backends bear out that their orders are done, and tells of each one that does not.
     fn look_for_doubts(&self) {
-        let doubts = lock(&self.confirmations).look(&lock(&self.fleet.directory), clock::now());
-        if !self.replica.leads() {
-            return;
-        }
+        let doubts = {
+            let directory = lock(&self.fleet.directory);
+            lock(&self.confirmations).look(&directory, clock::now())
+        };
         for Doubt { backend, order, told } in doubts {
             log::warn!(
                 "backend {backend} told version {told} of {} after its order for version {} was done; it is asked again",
