--- a/soak/src/check/requests.rs
+++ b/soak/src/check/requests.rs
@@ -3,12 +3,15 @@
 use super::{SLACK_MS, Violation, violation, was_struck_hard};
 use crate::clock::Millis;
 use crate::history::{History, Kind, Outcome, Request, Run, Stage};
+use crate::settings::ROUTE_TIMEOUT_MS;
 use std::collections::HashMap;
 
 /// Backends may work on for so long for a client that has left.
 const GONE_MS: Millis = 500;
 /// More work than a few requests' for clients that have left breaks the rule.
 const MOST_GONE: usize = 3;
+/// A router ends an answer so long before the time of its route is over, at the most.
+const TIME_OUT_MARGIN_MS: Millis = 50;
 /// A connection that ends without an answer has to do so soon after its request.
 const UNANSWERED_MS: Millis = 200;
 
@@ -78,10 +81,11 @@
         let runs = runs.get(&request.id).map_or(&[][..], Vec::as_slice);
         // A cut way holds the answer up until the time of the route is over, or its backend is gone.
         let was_out_of_reach = |run: &&Run| was_cut(history, run.backend, request.sent_at, request.ended_at);
-        if runs.iter().any(|run| run.broke_off || was_out_of_reach(run)) {
+        let took = request.ended_at - request.sent_at;
+        let is_over = took + TIME_OUT_MARGIN_MS >= ROUTE_TIMEOUT_MS;
+        if is_over || runs.iter().any(|run| run.broke_off || was_out_of_reach(run)) {
             continue;
         }
-        let took = request.ended_at - request.sent_at;
         if runs.iter().any(|run| run.begun_at.is_some()) {
             let what = format!(
                 "it was passed on, and its connection ended without a whole answer after {took} ms: {runs:?}"
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::history::{Change, Changed, Recorder, Reply};
+use crate::settings::ROUTE_TIMEOUT_MS;
 use serde_json::json;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -96,7 +97,7 @@
 /// A configuration with a route of every kind, and one by which two of one version differ.
 fn configuration(version: u64, variant: u64) -> String {
     let route = |name: &str, kind: &str, attempts: u64, resumable: bool| {
-        json!({"name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind, "timeoutMs": 3_000,
+        json!({"name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind, "timeoutMs": ROUTE_TIMEOUT_MS,
                "targetLatencyMs": 300, "service": "s", "attempts": attempts, "resumable": resumable})
     };
     json!({
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -14,6 +14,8 @@
 pub const VERSION_MS: u64 = 6_000;
 /// Time between orders of two holders of the lease.
 pub const LEASE_MS: u64 = 3_000;
+/// The time of every route.
+pub const ROUTE_TIMEOUT_MS: u64 = 3_000;
 /// Time without trouble after which a router is in touch again.
 pub const CONTACT_MS: u64 = 3_000;
 
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -131,6 +131,14 @@
         history.runs[0].broke_off = true;
     };
     assert_eq!(broken(by_the_backend), NONE);
+    let after = |took: u64| {
+        broken(move |history| {
+            lost(history);
+            history.requests[0].ended_at = history.requests[0].sent_at + took;
+        })
+    };
+    assert_eq!(after(2_981), NONE, "the time of its route was over");
+    assert_eq!(after(2_900), ["LOST"]);
     let behind_a_cut = |backend: u64, healed_at: u64| {
         broken(|history| {
             lost(history);
