--- a/control/tests/order_turns.rs
+++ b/control/tests/order_turns.rs
@@ -13,116 +13,13 @@
 
 mod world;
 
-use control::Millis;
-use control::changes::Change;
-use control::rollout::RolloutOwnership;
-use world::{World, configuration};
-
-/// The time that lies between orders of two holders.
-const LEASE: Millis = 3_000;
-/// Time between two looks whether orders may be given.
-const LOOK: Millis = 100;
-/// Time between two changes of the configuration.
-const CHANGE: Millis = 250;
-
-/// A group of five that bears two losses, whose nodes would give orders whenever they may.
-struct Group {
-    world: World,
-    version: u64,
-    /// Who might have given an order, and when: at each look.
-    orders: Vec<(Millis, String)>,
-}
-
-impl Group {
-    fn founded(seed: u64) -> Self {
-        let world = World::founded(seed, 5, 2);
-        Group {
-            world,
-            version: 0,
-            orders: Vec::new(),
-        }
-    }
-
-    /// Lets time pass with changes under way.
-    fn run(&mut self, time: Millis) {
-        for _ in 0..time {
-            self.world.run(1);
-            if self.world.now % CHANGE == 0 {
-                self.change();
-            }
-            if self.world.now % LOOK == 0 {
-                self.observe();
-            }
-        }
-    }
-
-    fn change(&mut self) {
-        let Some(primary) = self.world.primary() else {
-            return;
-        };
-        let node = self.world.machines[&primary]
-            .node
-            .as_ref()
-            .expect("it leads");
-        let base = node.state().version();
-        self.version = base.max(self.version) + 1;
-        self.world
-            .submit(&primary, configuration(base, self.version, "m"));
-    }
-
-    fn observe(&mut self) {
-        let now = self.world.now;
-        for name in self.world.names() {
-            let machine = &self.world.machines[&name];
-            let Some(node) = machine
-                .node
-                .as_ref()
-                .filter(|_| machine.frozen_until <= now)
-            else {
-                continue;
-            };
-            let turn = node.rollout_ownership(now);
-            if turn == RolloutOwnership::Owned {
-                self.orders.push((now, name));
-            } else if turn.may_claim(LEASE, now) {
-                let change = Change::RolloutOwner {
-                    replica: node.id().clone(),
-                };
-                self.world.submit(&name, change);
-            }
-        }
-    }
-
-    fn strike_primary(&mut self, strike: impl Fn(&mut World, &str)) {
-        if let Some(primary) = self.world.primary() {
-            strike(&mut self.world, &primary);
-        }
-    }
-
-    /// For how long orders might have been given since a moment.
-    fn ordered_since(&self, since: Millis) -> Millis {
-        self.orders.iter().filter(|(at, _)| *at >= since).count() as Millis * LOOK
-    }
-
-    /// Orders of two machines lie further apart than a lease.
-    fn assert_apart(&self) {
-        for pair in self.orders.windows(2) {
-            let [(before, one), (after, other)] = pair else {
-                unreachable!()
-            };
-            assert!(
-                one == other || after - before > LEASE,
-                "{one} at {before}, {other} at {after}"
-            );
-        }
-    }
-}
+use world::orders::Orders;
 
 /// The primary is killed every 6.6 s, and the disk of the next one hangs for a moment in between.
 #[test]
 fn orders_go_on_between_troubles_that_change_the_primary_again_and_again() {
     for seed in 1..=5 {
-        let mut group = Group::founded(seed);
+        let mut group = Orders::founded(seed);
         group.run(5_000);
         for cycle in 0..6 {
             let started_at = group.world.now;
@@ -149,7 +46,7 @@
 #[test]
 fn views_of_the_same_primary_hold_no_order_back() {
     for seed in 1..=5 {
-        let mut group = Group::founded(seed);
+        let mut group = Orders::founded(seed);
         let primary = group.world.primary().expect("a primary");
         // Another primary than the first one, which waits for nobody.
         group.world.kill(&primary, 400, false);
@@ -185,7 +82,7 @@
 fn no_two_machines_give_orders_within_a_lease_whatever_happens() {
     let mut takeovers = 0;
     for seed in 1..=60 {
-        let mut group = Group::founded(seed);
+        let mut group = Orders::founded(seed);
         group.world.loss = 0.02;
         group.world.late = 0.02;
         group.run(1_000);
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! and wiped; power lost.
 #![allow(dead_code)] // each test program uses its share
 
+pub mod orders;
+
 use control::Millis;
 use control::changes::{Change, Outcome, ReadOutcome};
 use control::configuration::Configuration;
