A router whose upstreams fail asks further nodes at once

Cause: two upstreams at a time, and failed ones tried anew after 3 s whether or not others had been reached. Change: a failed node is tried again beside the two, at growing times, and takes the place of neither before it has answered; while the state is older than the pauses between pulls explain, one more node is asked each 150 ms.

--- a/router/src/upstreams.rs
+++ b/router/src/upstreams.rs
@@ -164,7 +164,7 @@
     };
     let is_any_usable = selected
         .keys()
-        .any(|address| !selector.is_avoided(*address, now));
+        .any(|address| !selector.has_failed(*address));
     if !is_any_usable || is_starting && fleet.replica.is_some() {
         let seeds = settings
             .seeds
--- a/router/src/upstreams/selector.rs
+++ b/router/src/upstreams/selector.rs
@@ -4,8 +4,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-/// A node that failed or is stale is avoided for this long if there is another one.
-const AVOID_DURATION: Millis = 3_000;
+/// A node that failed or is stale is tried again after this time, which doubles with each further
+/// failure, up to a maximum.
+const MIN_RETRY_TIME: Millis = 3_000;
+const MAX_RETRY_TIME: Millis = 24_000;
+/// A state that is older is not caused by the pauses between pulls: further nodes are asked.
+const WIDEN_STALENESS: Millis = 1_500;
+/// One more node is asked for each such time beyond that.
+const WIDEN_INTERVAL: Millis = 150;
 
 /// How a node is pulled from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,38 +46,99 @@
     pub distance: usize,
 }
 
+/// The last failures of a node.
+#[derive(Debug, Clone, Copy)]
+struct Failures {
+    count: u32,
+    retry_at: Millis,
+}
+
+impl Failures {
+    fn next(former: Option<&Self>, now: Millis) -> Self {
+        let count = former.map_or(0, |former| former.count);
+        let retry_time = (MIN_RETRY_TIME << count.min(8)).min(MAX_RETRY_TIME);
+        Failures {
+            count: count + 1,
+            retry_at: now + retry_time,
+        }
+    }
+}
+
 /// Selects the upstreams of a router without a replica.
+///
+/// Two nodes are enough while nothing is wrong. One that has failed is tried again beside them, and
+/// takes the place of neither before it has answered. While the state here is older than the pauses
+/// between pulls explain, more and more nodes are asked at once: it depends on how many nodes are
+/// cut off, not on which, how long it takes to find a current one.
 #[derive(Debug, Default)]
 pub struct UpstreamSelector {
-    avoided: BTreeMap<SocketAddrV4, Millis>,
+    failures: BTreeMap<SocketAddrV4, Failures>,
 }
 
 impl UpstreamSelector {
     /// Records what the pulls from a node bring at present.
     pub fn observe(&mut self, address: SocketAddrV4, health: Health, now: Millis) {
-        if health == Health::Failing {
-            self.avoided.insert(address, now + AVOID_DURATION);
+        match health {
+            Health::Unknown => {}
+            Health::Current => {
+                self.failures.remove(&address);
+            }
+            Health::Failing => {
+                let former = self.failures.get(&address);
+                if former.is_none_or(|former| now >= former.retry_at) {
+                    let failures = Failures::next(former, now);
+                    self.failures.insert(address, failures);
+                }
+            }
         }
     }
 
-    /// Whether a node is avoided.
-    pub fn is_avoided(&self, address: SocketAddrV4, now: Millis) -> bool {
-        self.avoided.get(&address).is_some_and(|until| *until > now)
+    /// Whether a node has failed, and has not answered since.
+    pub fn has_failed(&self, address: SocketAddrV4) -> bool {
+        self.failures.contains_key(&address)
     }
 
-    /// The nodes to pull from: it follows one and polls another, preferably in its own zone.
+    /// The nodes to pull from: it follows one and polls another, preferably in its own zone; others
+    /// are polled beside them. `staleness` is the age of the state here, where there is any.
     pub fn select(
         &self,
         candidates: &[Candidate],
-        _staleness: Option<Millis>,
+        staleness: Option<Millis>,
         now: Millis,
     ) -> BTreeMap<SocketAddrV4, Mode> {
         let mut candidates: Vec<&Candidate> = candidates.iter().collect();
         candidates.sort_by_key(|candidate| {
-            let is_down = !candidate.is_up || self.is_avoided(candidate.address, now);
+            let is_down = !candidate.is_up || self.has_failed(candidate.address);
             (is_down, !candidate.is_near, candidate.distance)
         });
         let addresses = candidates.iter().map(|candidate| candidate.address);
-        addresses.zip([Mode::Follow, Mode::Poll]).collect()
+        let mut selected: BTreeMap<SocketAddrV4, Mode> =
+            addresses.zip([Mode::Follow, Mode::Poll]).collect();
+        let mut others: Vec<(Millis, SocketAddrV4)> = candidates
+            .iter()
+            .map(|candidate| (self.retry_at(candidate.address), candidate.address))
+            .filter(|(_, address)| !selected.contains_key(address))
+            .collect();
+        others.sort();
+        let is_due = |retry_at: Millis| 0 < retry_at && retry_at <= now;
+        let further = further_upstreams(staleness);
+        for (number, (retry_at, address)) in others.into_iter().enumerate() {
+            if number < further || is_due(retry_at) {
+                selected.insert(address, Mode::Poll);
+            }
+        }
+        selected
+    }
+
+    /// When a node that has failed is to be tried again; 0 for one that has not.
+    fn retry_at(&self, address: SocketAddrV4) -> Millis {
+        let failures = self.failures.get(&address);
+        failures.map_or(0, |failures| failures.retry_at)
     }
 }
+
+/// How many nodes are asked beside the two. A router that has no state yet asks its seeds instead.
+fn further_upstreams(staleness: Option<Millis>) -> usize {
+    let beyond = staleness.and_then(|staleness| staleness.checked_sub(WIDEN_STALENESS));
+    beyond.map_or(0, |beyond| 1 + (beyond / WIDEN_INTERVAL) as usize)
+}
