--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod cli;
+pub mod client_server;
 pub mod clock;
 pub mod control_api;
 pub mod counters;
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,17 +1,16 @@
 //! Runs a router: starts its parts, answers readiness checks, and shuts down gracefully.
 
+use crate::client_server::{CLIENT_IDLE, serve_clients};
 use crate::control_api::ControlApi;
 use crate::disk::{self, Disk, DiskError};
 use crate::fleet::Fleet;
 use crate::links;
-use crate::listener::{ClientAcceptor, ClientConnections};
 use crate::membership;
 use crate::metrics::MetricsPage;
 use crate::proxy::backend_table::{self, BackendTable};
 use crate::proxy::cache_watcher;
 use crate::proxy::failure_log;
 use crate::proxy::forwarder::Forwarder;
-use crate::proxy::ingress::Ingress;
 use crate::proxy::kv_store_monitor;
 use crate::proxy::prefix_locator::PrefixLocator;
 use crate::readiness::Readiness;
@@ -31,14 +30,10 @@
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
-/// Idle client connections are closed after this time.
-const CLIENT_IDLE: Duration = Duration::from_secs(20);
-
 /// Why a router can't run.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -253,24 +248,3 @@
         }
     });
 }
-
-/// Serves clients until told to stop, and returns once every response is sent.
-async fn serve_clients(
-    listener: tokio::net::TcpListener,
-    forwarder: Arc<Forwarder>,
-    mut stopped: tokio::sync::watch::Receiver<bool>,
-) {
-    let connections = ClientConnections::default();
-    let acceptor = ClientAcceptor::new(listener, connections.clone());
-    let stop = async move {
-        // The sender lives until the process ends.
-        let _ = stopped.wait_for(|stopped| *stopped).await;
-    };
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(CLIENT_IDLE);
-    let closed = server
-        .run_with_graceful_shutdown(Ingress::new(forwarder, connections), stop, None)
-        .await;
-    if let Err(error) = closed {
-        log::error!("clients are taken no more: {error}");
-    }
-}
--- a/router/tests/client_disconnects.rs
+++ b/router/tests/client_disconnects.rs
@@ -18,7 +18,7 @@
 use tokio::net::TcpStream;
 
 /// Far below the time-outs used here: whatever only ends by a time-out is too late.
-const SOON: Duration = Duration::from_secs(1);
+const SOON: Duration = Duration::from_millis(500);
 
 /// The usual routes, with time-outs that no test waits for.
 fn patient_configuration() -> String {
@@ -76,6 +76,19 @@
     is_given_up(&backend).await
 }
 
+/// Disconnects a client that has sent the beginning of its next request, or all of it, while its
+/// first one waits for the head of a response.
+async fn disconnects_behind_further_bytes(further: &str) -> bool {
+    let backend = FakeBackend::start(vec![Action::Hang]).await;
+    let router = Router::start_with(&patient_configuration(), &[&backend]).await;
+    let mut client = connect(&router).await;
+    let sent = plain_request("/unsafe/") + further;
+    client.write_all(sent.as_bytes()).await.unwrap();
+    until(|| backend.count() == 1).await;
+    drop(client);
+    is_given_up(&backend).await
+}
+
 /// Disconnects a client while its request has a hedge in flight: both attempts have to end.
 async fn disconnects_with_hedge_in_flight() -> bool {
     let (first, second) = (
@@ -150,6 +163,18 @@
             "it is a later request of its connection",
             disconnects_before_response(&plain, Some(&plain)).await,
         ),
+        (
+            "it has begun another request",
+            disconnects_behind_further_bytes("POST /uns").await,
+        ),
+        (
+            "it has sent another request",
+            disconnects_behind_further_bytes(&plain).await,
+        ),
+        (
+            "it has sent more than is read ahead",
+            disconnects_behind_further_bytes(&"x".repeat(100_000)).await,
+        ),
         (
             "a copy is pending",
             disconnects_with_hedge_in_flight().await,
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -7,12 +7,11 @@
 use control::directory::{Backend, BackendPhase, Key, Value};
 use control::history::TextUpdate;
 use control::state::Position;
+use router::client_server::serve_clients;
 use router::fleet::Fleet;
-use router::listener::{ClientAcceptor, ClientConnections};
 use router::protocol::PublishedState;
 use router::proxy::backend_table::BackendTable;
 use router::proxy::forwarder::Forwarder;
-use router::proxy::ingress::Ingress;
 use router::proxy::prefix_locator::PrefixLocator;
 use router::settings::Settings;
 use std::collections::BTreeMap;
@@ -235,10 +234,11 @@
         );
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let connections = ClientConnections::default();
-        let acceptor = ClientAcceptor::new(listener, connections.clone());
-        let ingress = Ingress::new(forwarder, connections);
-        tokio::spawn(async move { poem::Server::new_with_acceptor(acceptor).run(ingress).await });
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        tokio::spawn(async move {
+            serve_clients(listener, forwarder, stopped).await;
+            drop(stop);
+        });
         Router {
             address,
             fleet,
