Idle clients as the configuration says; ends noticed behind further bytes

Cause: the server library closed connections after 20 s, and read only so much of what follows a request, so the end behind it stayed unread. Change: the stream of a client ends when it was idle for limits.idleTimeoutMs of the configuration in force, looked up anew when the timer expires, and never while a request is in flight; whoever waits for a client's end watches the socket for it beside the reader.

--- a/router/src/client_server.rs
+++ b/router/src/client_server.rs
@@ -1,15 +1,15 @@
 //! The server of the clients' interface.
 
-use crate::listener::{ClientAcceptor, ClientConnections};
+use crate::fleet::Fleet;
+use crate::listener::{ClientAcceptor, ClientConnections, IdleTimeout};
 use crate::proxy::forwarder::Forwarder;
 use crate::proxy::ingress::Ingress;
+use crate::sync::lock;
+use control::configuration::Limits;
 use poem::Server;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Idle client connections are closed after this time.
-pub(crate) const CLIENT_IDLE: Duration = Duration::from_secs(20);
-
 /// Serves clients until told to stop, and returns once every response is sent.
 pub async fn serve_clients(
     listener: tokio::net::TcpListener,
@@ -17,16 +17,26 @@
     mut stopped: tokio::sync::watch::Receiver<bool>,
 ) {
     let connections = ClientConnections::default();
-    let acceptor = ClientAcceptor::new(listener, connections.clone());
+    let idle_timeout = idle_timeout(forwarder.fleet.clone());
+    let acceptor = ClientAcceptor::new(listener, connections.clone(), idle_timeout);
     let stop = async move {
         // The sender lives until the process ends.
         let _ = stopped.wait_for(|stopped| *stopped).await;
     };
-    let server = Server::new_with_acceptor(acceptor).idle_timeout(CLIENT_IDLE);
-    let closed = server
+    let closed = Server::new_with_acceptor(acceptor)
         .run_with_graceful_shutdown(Ingress::new(forwarder, connections), stop, None)
         .await;
     if let Err(error) = closed {
         log::error!("clients are taken no more: {error}");
     }
 }
+
+/// `limits.idleTimeoutMs` of the configuration in force, or its default.
+fn idle_timeout(fleet: Arc<Fleet>) -> IdleTimeout {
+    Arc::new(move || {
+        let published = lock(&fleet.published);
+        let configuration = published.configuration();
+        let limits = configuration.map_or_else(Limits::default, |current| current.limits);
+        Duration::from_millis(limits.idle_timeout_ms)
+    })
+}
--- a/router/src/listener.rs
+++ b/router/src/listener.rs
@@ -1,5 +1,5 @@
-//! Client connections: detects that a client has disconnected, and aborts a connection in the
-//! middle of a response.
+//! Client connections: detects that a client has disconnected, aborts a connection in the middle of
+//! a response, and closes idle ones.
 //!
 //! The HTTP server library polls a connection again after it has failed. The request of a
 //! disconnected client would then continue, and a failed body would end as if it were complete.
@@ -11,13 +11,16 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// State of a client's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,29 +33,78 @@
     Aborted,
 }
 
+#[derive(Debug)]
+struct Shared {
+    state: watch::Sender<ConnectionState>,
+    requests_in_flight: AtomicUsize,
+    /// `None` for a connection that was not accepted by [`ClientAcceptor`].
+    stream: Option<Arc<TcpStream>>,
+}
+
 /// A client's connection, as the handlers of its requests see it.
 #[derive(Debug, Clone)]
-pub struct ClientConnection(Arc<watch::Sender<ConnectionState>>);
+pub struct ClientConnection(Arc<Shared>);
 
 impl Default for ClientConnection {
     fn default() -> Self {
-        ClientConnection(Arc::new(watch::Sender::new(ConnectionState::Open)))
+        ClientConnection::new(None)
+    }
+}
+
+/// A request in flight on a connection, which is not idle until this is dropped.
+#[derive(Debug)]
+pub struct RequestInFlight(ClientConnection);
+
+impl Drop for RequestInFlight {
+    fn drop(&mut self) {
+        self.0.0.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl ClientConnection {
+    fn new(stream: Option<Arc<TcpStream>>) -> Self {
+        ClientConnection(Arc::new(Shared {
+            state: watch::Sender::new(ConnectionState::Open),
+            requests_in_flight: AtomicUsize::new(0),
+            stream,
+        }))
+    }
+
     /// Current state.
     pub fn state(&self) -> ConnectionState {
-        *self.0.borrow()
+        *self.0.state.borrow()
+    }
+
+    /// Marks the connection as busy until the returned value is dropped.
+    pub fn begin_request(&self) -> RequestInFlight {
+        self.0.requests_in_flight.fetch_add(1, Ordering::Relaxed);
+        RequestInFlight(self.clone())
+    }
+
+    fn has_requests_in_flight(&self) -> bool {
+        self.0.requests_in_flight.load(Ordering::Relaxed) > 0
     }
 
     /// Completes when the connection has ended, by the client or by this router.
     pub async fn closed(&self) {
-        let mut state = self.0.subscribe();
-        // The sender is held here, so the wait ends only by the state.
-        let _ = state
-            .wait_for(|state| *state != ConnectionState::Open)
-            .await;
+        let mut state = self.0.state.subscribe();
+        let ended = state.wait_for(|state| *state != ConnectionState::Open);
+        tokio::select! {
+            // The sender is held here, so the wait ends only by the state.
+            _ = ended => {}
+            () = self.client_closed() => self.enter(ConnectionState::ClientDisconnected),
+        }
+    }
+
+    /// Completes when the client has closed the connection, also if bytes that it sent before are
+    /// unread: while a request is in flight, the HTTP server reads only so much of what follows it.
+    async fn client_closed(&self) {
+        let Some(stream) = &self.0.stream else {
+            return std::future::pending().await;
+        };
+        // Readiness to read would complete at once while there are unread bytes. Waiting for
+        // urgent data, which clients do not send, also completes when the client has closed.
+        let _ = stream.ready(Interest::PRIORITY).await;
     }
 
     /// Aborts the connection: nothing is read or written any more.
@@ -63,7 +115,7 @@
     /// The only transition: an open connection ends once. The client's disconnect and an abort may
     /// race, and the first one wins.
     fn enter(&self, state: ConnectionState) {
-        self.0.send_if_modified(|current| {
+        self.0.state.send_if_modified(|current| {
             let is_open = *current == ConnectionState::Open;
             if is_open {
                 *current = state;
@@ -107,18 +159,27 @@
     }
 }
 
+/// For how long a connection may be idle, by the configuration in force at the moment of the call.
+pub type IdleTimeout = Arc<dyn Fn() -> Duration + Send + Sync>;
+
 /// Accepts client connections.
 pub struct ClientAcceptor {
     listener: TcpListener,
     connections: ClientConnections,
+    idle_timeout: IdleTimeout,
 }
 
 impl ClientAcceptor {
     /// Accepts connections from a listener.
-    pub fn new(listener: TcpListener, connections: ClientConnections) -> Self {
+    pub fn new(
+        listener: TcpListener,
+        connections: ClientConnections,
+        idle_timeout: IdleTimeout,
+    ) -> Self {
         ClientAcceptor {
             listener,
             connections,
+            idle_timeout,
         }
     }
 }
@@ -140,13 +201,17 @@
         let local = self.listener.local_addr()?;
         let (stream, remote) = self.listener.accept().await?;
         stream.set_nodelay(true)?;
-        let connection = ClientConnection::default();
+        let stream = Arc::new(stream);
+        let connection = ClientConnection::new(Some(stream.clone()));
         lock(&self.connections.0).insert(remote, connection.clone());
         let io = ClientStream {
             stream,
             connection,
             remote,
             connections: self.connections.clone(),
+            idle_timeout: self.idle_timeout.clone(),
+            last_activity: Instant::now(),
+            idle_timer: None,
         };
         Ok((
             io,
@@ -159,17 +224,59 @@
 
 /// The byte stream of a client's connection.
 pub struct ClientStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     connection: ClientConnection,
     remote: SocketAddr,
     connections: ClientConnections,
+    idle_timeout: IdleTimeout,
+    last_activity: Instant,
+    idle_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClientStream {
-    /// Records that a read or write failed: the client has disconnected.
-    fn record_io_failure<T>(&self, result: &Poll<io::Result<T>>) {
-        if let Poll::Ready(Err(_)) = result {
-            self.connection.enter(ConnectionState::ClientDisconnected);
+    /// Records the outcome of a read or write. If it failed, the client has disconnected.
+    fn record<T>(&mut self, result: &io::Result<T>) {
+        match result {
+            Ok(_) => self.last_activity = Instant::now(),
+            Err(_) => self.connection.enter(ConnectionState::ClientDisconnected),
+        }
+    }
+
+    /// Reads what is there; pending while there is nothing.
+    fn poll_read_available(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read_buf(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// Ready once the connection has been idle for as long as it may. The limit is looked up again
+    /// whenever the timer expires.
+    fn poll_idle_timeout(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            // The server reads on once the response is written.
+            if self.connection.has_requests_in_flight() {
+                self.last_activity = Instant::now();
+                return Poll::Pending;
+            }
+            let deadline = self.last_activity + (self.idle_timeout)();
+            if Instant::now() >= deadline {
+                return Poll::Ready(());
+            }
+            let timer = self
+                .idle_timer
+                .get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+            if timer.deadline() < Instant::now() || timer.deadline() > deadline {
+                timer.as_mut().reset(deadline);
+            }
+            ready!(timer.as_mut().poll(context));
         }
     }
 }
@@ -187,28 +294,26 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         self.connection.check()?;
-        let (before, room) = (buffer.filled().len(), buffer.remaining());
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.record_io_failure(&read);
-        let is_end =
-            room > 0 && matches!(read, Poll::Ready(Ok(()))) && buffer.filled().len() == before;
-        if is_end {
+        let room = buffer.remaining();
+        let Poll::Ready(read) = self.poll_read_available(context, buffer) else {
+            // The server takes an end of input for the client's wish to close the connection.
+            return self.poll_idle_timeout(context).map(Ok);
+        };
+        self.record(&read);
+        if read? == 0 && room > 0 {
             self.connection.enter(ConnectionState::ClientDisconnected);
         }
-        read
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for ClientStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.connection.check()?;
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_io_failure(&written);
-        written
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
     }
 
     fn poll_write_vectored(
@@ -217,22 +322,29 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.connection.check()?;
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        self.record_io_failure(&written);
-        written
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write_vectored(parts) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    self.record(&written);
+                    return Poll::Ready(written);
+                }
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.connection.check()?;
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A socket has no buffer of its own here.
+        Poll::Ready(self.connection.check())
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.connection.check()?;
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -3,9 +3,9 @@
 use super::attempt::{ResponseBody, ResponseStart, UpstreamRequest};
 use super::forwarder::{AttemptHistory, ForwardError, ForwardRequest, Forwarder};
 use super::headers;
-use super::relay::Relay;
+use super::relay::{Client, Relay};
 use crate::counters::Event;
-use crate::listener::{ClientConnection, ClientConnections};
+use crate::listener::{ClientConnection, ClientConnections, RequestInFlight};
 use crate::sync::lock;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -72,6 +72,7 @@
     async fn handle(&self, request: Request) -> Response {
         self.forwarder.count(Event::RequestReceived);
         let connection = self.connections.get(request.remote_addr().as_socket_addr());
+        let in_flight = connection.begin_request();
         // The HTTP server keeps running a request whose client has disconnected. Dropping the
         // future here cancels it with all its attempts.
         let outcome = tokio::select! {
@@ -80,7 +81,7 @@
                 self.forwarder.count(Event::DisconnectedWaiting);
                 return undeliverable_response();
             }
-            outcome = self.serve(request, &connection) => outcome,
+            outcome = self.serve(request, &connection, in_flight) => outcome,
         };
         let mut response = match outcome {
             Ok(response) => response,
@@ -98,6 +99,7 @@
         &self,
         mut request: Request,
         connection: &ClientConnection,
+        in_flight: RequestInFlight,
     ) -> std::result::Result<Response, Rejection> {
         let arrived = Instant::now();
         let configuration = self
@@ -117,7 +119,11 @@
         let request = self.request(&configuration, route, tenant, request, body, arrived)?;
         match self.forwarder.run(&request).await {
             Ok((response, history)) => {
-                Ok(self.answer(request, response, history, connection.clone()))
+                let client = Client {
+                    connection: connection.clone(),
+                    _in_flight: in_flight,
+                };
+                Ok(self.answer(request, response, history, client))
             }
             Err(error) => Err(self.refuse(error)),
         }
@@ -180,7 +186,7 @@
         request: ForwardRequest,
         response: ResponseStart,
         history: AttemptHistory,
-        connection: ClientConnection,
+        client: Client,
     ) -> Response {
         self.forwarder.count(Event::ResponseStarted);
         let ResponseStart {
@@ -203,7 +209,7 @@
                     history,
                     backend,
                     events,
-                    connection,
+                    client,
                 );
                 Body::from_bytes_stream(relay.into_stream())
             }
--- a/router/src/proxy/relay.rs
+++ b/router/src/proxy/relay.rs
@@ -4,7 +4,7 @@
 use super::backend::Backend;
 use super::forwarder::{AttemptHistory, ForwardRequest, Forwarder};
 use crate::counters::Event;
-use crate::listener::{ClientConnection, ConnectionState};
+use crate::listener::{ClientConnection, ConnectionState, RequestInFlight};
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use futures_util::stream;
@@ -15,6 +15,14 @@
 /// Terminates an event.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// The client that a stream is relayed to.
+pub struct Client {
+    /// Its connection.
+    pub connection: ClientConnection,
+    /// Keeps the connection from being idle until the stream ends.
+    pub _in_flight: RequestInFlight,
+}
+
 /// A stream that is being relayed.
 pub struct Relay {
     forwarder: Arc<Forwarder>,
@@ -24,7 +32,7 @@
     events: Option<Box<EventStream>>,
     buffer: BytesMut,
     last_event_id: Option<String>,
-    connection: ClientConnection,
+    client: Client,
 }
 
 impl Relay {
@@ -35,7 +43,7 @@
         history: AttemptHistory,
         backend: Arc<Backend>,
         mut events: Box<EventStream>,
-        connection: ClientConnection,
+        client: Client,
     ) -> Self {
         let buffer = BytesMut::from(&std::mem::take(&mut events.first)[..]);
         Relay {
@@ -46,7 +54,7 @@
             events: Some(events),
             buffer,
             last_event_id: None,
-            connection,
+            client,
         }
     }
 
@@ -54,7 +62,7 @@
     pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
         stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            let connection = relay.connection.clone();
+            let connection = relay.client.connection.clone();
             // Without a write, the server does not notice that the client has disconnected.
             let next = tokio::select! {
                 biased;
@@ -65,7 +73,7 @@
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
                 Err(error) => {
-                    relay.connection.abort();
+                    relay.client.connection.abort();
                     Some((Err(error), None))
                 }
             }
@@ -162,7 +170,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         let is_unfinished = self.events.is_some();
-        if is_unfinished && self.connection.state() == ConnectionState::ClientDisconnected {
+        if is_unfinished && self.client.connection.state() == ConnectionState::ClientDisconnected {
             self.forwarder.count(Event::DisconnectedStreaming);
         }
     }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,6 +1,6 @@
 //! Runs a router: starts its parts, answers readiness checks, and shuts down gracefully.
 
-use crate::client_server::{CLIENT_IDLE, serve_clients};
+use crate::client_server::serve_clients;
 use crate::control_api::ControlApi;
 use crate::disk::{self, Disk, DiskError};
 use crate::fleet::Fleet;
@@ -30,10 +30,14 @@
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+/// Idle connections to interfaces other than the clients' are closed after this time.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Why a router can't run.
 #[derive(Debug, Error)]
 pub enum ServeError {
@@ -242,7 +246,7 @@
 fn listen(address: Option<SocketAddrV4>, endpoint: impl Endpoint<Output = Response> + 'static) {
     let Some(address) = address else { return };
     tokio::spawn(async move {
-        let server = Server::new(TcpListener::bind(address.to_string())).idle_timeout(CLIENT_IDLE);
+        let server = Server::new(TcpListener::bind(address.to_string())).idle_timeout(IDLE_TIMEOUT);
         if let Err(error) = server.run(endpoint).await {
             log::error!("{address}: {error}; check that no other process has the address");
         }
--- a/router/tests/response_isolation.rs
+++ b/router/tests/response_isolation.rs
@@ -248,7 +248,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let server = listener.local_addr().unwrap();
     let connections = ClientConnections::default();
-    let mut acceptor = ClientAcceptor::new(listener, connections.clone());
+    let mut acceptor = ClientAcceptor::new(listener, connections.clone(), Arc::new(|| PATIENCE));
     let connect = |port: u16| async move {
         let socket = tokio::net::TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
