A delayed state takes no later change of its epoch back; the view model goes deeper

Cause: an installed state was refused only where it is older than what its receiver knows to be committed, so a delayed one overwrote a stored and acknowledged change. Change: within an epoch the primary's log only grows, so a state that ends before an update of that epoch was sent earlier and is not installed; its sender is told what is stored. The model drops messages that can't change anything any more (sound by rising epochs and numbers that are used once; no symmetry, as ids decide between attempts), has joint changes and the delayed state as scenarios, and random walks from each scenario with wide bounds.

--- a/control/src/node/replica_log.rs
+++ b/control/src/node/replica_log.rs
@@ -74,6 +74,10 @@
         if !self.is_primary_of(&from.replica, epoch) || is_older {
             return;
         }
+        let last = tail.as_ref().map_or(state.position, |tail| tail.position);
+        if self.has_later_update_of(epoch, last) {
+            return self.report_stored_positions(from);
+        }
         let is_newer = state.position.index > self.state.position.index;
         (self.state, self.tail) = (state, tail);
         self.track_rollout_owner(now);
@@ -89,6 +93,17 @@
         }
     }
 
+    /// Whether this replica stores an update that the primary of `epoch` ordered after the update at
+    /// `position`.
+    ///
+    /// Within an epoch the primary's log only grows. A state that ends before such an update was
+    /// sent earlier and delayed on its way: the update may have been acknowledged since. An update
+    /// of an earlier epoch proves nothing, as the primary may lack it.
+    fn has_later_update_of(&self, epoch: Epoch, position: Position) -> bool {
+        let last = self.last_position();
+        last.epoch == epoch && position.index < last.index
+    }
+
     pub(super) fn on_replicate(
         &mut self,
         from: Requester,
--- a/control/tests/view_model/bounds.rs
+++ b/control/tests/view_model/bounds.rs
@@ -1,5 +1,6 @@
 //! Which states follow on a state, within bounds.
 
+use crate::reduction::drop_ineffective;
 use crate::scenarios::Pattern;
 use crate::state::{
     LEASE, Leading, Message, REPLICATION_FACTOR, Replica, Shared, Stage, State, held_until, id,
@@ -56,6 +57,8 @@
     pub tells_decided: bool,
     /// Whether what a replica asks of itself takes its time like a message, as its disk does.
     pub is_own_disk_slow: bool,
+    /// Whether messages that can't change anything any more are dropped.
+    pub drops_ineffective: bool,
     /// Steps that come first, one way only, so that the check begins where it is interesting.
     pub prefix: Vec<Step>,
 }
@@ -237,6 +240,7 @@
                 round: 0,
                 incarnation: 1,
                 log: 0,
+                log_epoch: 0,
                 leading,
                 is_lost: false,
             }
@@ -325,6 +329,9 @@
             Act::Tick => {}
         }
         turn.end();
+        if self.drops_ineffective {
+            drop_ineffective(&mut state);
+        }
         (state != *last).then_some(state)
     }
 
--- a/control/tests/view_model/main.rs
+++ b/control/tests/view_model/main.rs
@@ -3,23 +3,32 @@
 //! lost, within bounds on epochs, attempts and changes. Rules that are left out on purpose show
 //! that the check finds what they keep off.
 //!
+//! Where the states of a scenario are too many, and with far wider bounds, random walks of great
+//! depth sample them: a walk begins where a scenario does, and goes on until nothing can happen.
+//!
 //! `VIEW_MODEL=full cargo test --release -p bitternsill-control --test view_model -- --nocapture`
 //! goes further, in some minutes; without it the checks stop after so many states as a test may
-//! take.
+//! take. `VIEW_WALKS` says how many walks are taken from each scenario.
 
 mod bounds;
+mod reduction;
 mod scenarios;
 mod state;
 mod turn;
+mod walk;
 
 use bounds::{Bounds, NOTHING_LOST, ONE_HOLDER, ONE_VIEW};
 use scenarios::{
-    joiners, lagging, leases, leases_of_new_witnesses, replaced_proposal, restarts, second_life,
-    takeovers,
+    delayed_state, joiners, joint_changes, lagging, leases, leases_of_new_witnesses,
+    replaced_proposal, restarts, second_life, takeovers, widened,
 };
 use stateright::{Checker, HasDiscoveries, Model};
 use turn::Fault;
 
+/// Walks from the beginning of each scenario, and the steps of each at the most.
+const WALKS: u64 = 100;
+const WALK_STEPS: usize = 600;
+
 type Scenario = fn(Fault) -> Bounds;
 
 /// So many states of each scenario are seen in a test, and in the full check.
@@ -28,7 +37,7 @@
 /// A rule that is left out has to be found within so many states.
 const STATES_TO_FIND: usize = 3_000_000;
 
-const SCENARIOS: [(&str, Scenario); 8] = [
+const SCENARIOS: [(&str, Scenario); 10] = [
     ("takeovers", takeovers),
     ("restarts", restarts),
     ("second life", second_life),
@@ -37,10 +46,12 @@
     ("replaced proposal", replaced_proposal),
     ("leases", leases),
     ("leases of new witnesses", leases_of_new_witnesses),
+    ("joint changes", joint_changes),
+    ("delayed state", delayed_state),
 ];
 
 /// Rules that are left out, the scenario that shows each, and what is broken without it.
-const FAULTS: [(Fault, Scenario, &str); 9] = [
+const FAULTS: [(Fault, Scenario, &str); 10] = [
     (Fault::PromiseOverwritten, takeovers, ONE_VIEW),
     (Fault::FoundIgnored, takeovers, ONE_VIEW),
     (Fault::PromiseNotStored, restarts, ONE_VIEW),
@@ -54,6 +65,7 @@
         ONE_HOLDER,
     ),
     (Fault::GrantNotHeeded, leases, ONE_HOLDER),
+    (Fault::DelayedStateInstalled, delayed_state, NOTHING_LOST),
 ];
 
 /// What a check has found.
@@ -108,3 +120,28 @@
         assert_eq!(broken, Some(expected), "{fault:?}");
     }
 }
+
+#[test]
+fn random_walks_break_nothing() {
+    let walks = std::env::var("VIEW_WALKS").ok();
+    let walks = walks.and_then(|text| text.parse().ok()).unwrap_or(WALKS);
+    for (name, scenario) in SCENARIOS {
+        let bounds = widened(scenario(Fault::None));
+        let walked = walk::walk(&bounds, 0..walks, WALK_STEPS);
+        println!("{name}: {walked:?}");
+        assert_eq!(walked.broken, None, "{name}");
+        assert!(walked.epoch > 1, "{name}: the walks came to no view");
+    }
+}
+
+/// Walks are worth something only if they find a rule that is left out.
+#[test]
+fn random_walks_find_rules_that_are_left_out() {
+    const WALKS_TO_FIND: u64 = 1_500;
+    for fault in [Fault::PromiseOverwritten, Fault::FoundIgnored] {
+        let bounds = widened(joint_changes(fault));
+        let walked = walk::walk(&bounds, 0..WALKS_TO_FIND, WALK_STEPS);
+        println!("{fault:?}: {walked:?}");
+        assert!(walked.broken.is_some(), "{fault:?}");
+    }
+}
--- a/control/tests/view_model/scenarios.rs
+++ b/control/tests/view_model/scenarios.rs
@@ -2,6 +2,7 @@
 //! which much may go wrong.
 
 use crate::bounds::{Act, Bounds, Step};
+use crate::reduction;
 use crate::state::{Message, id, ids};
 use crate::turn::Fault;
 use control::view::View;
@@ -23,6 +24,7 @@
         in_sync: 3,
         tells_decided: false,
         is_own_disk_slow: false,
+        drops_ineffective: reduction::is_sound_with(fault),
         prefix: Vec::new(),
     }
 }
@@ -221,6 +223,55 @@
     }
 }
 
+/// Two changes of members at the same time as two replicas that try to take over, while a change is
+/// ordered: replicas 0 to 3, of which two are in sync at first.
+pub fn joint_changes(fault: Fault) -> Bounds {
+    Bounds {
+        epochs: 3,
+        changes: 1,
+        candidates: BTreeSet::from([1]),
+        changes_members: true,
+        replicas: 4,
+        in_sync: 2,
+        tells_decided: true,
+        ..takeovers(fault)
+    }
+}
+
+/// A backup was sent a state, which is delayed, and has stored a change since that is acknowledged.
+pub fn delayed_state(fault: Fault) -> Bounds {
+    let prefix = vec![
+        Step::Do(Act::BringUp(0, 1)),
+        Step::Do(Act::Order(0)),
+        deliver(Kind::Replicate, 1),
+        deliver(Kind::Stored, 0).from(1).storing(1),
+    ];
+    Bounds {
+        changes: 1,
+        losses: 1,
+        in_sync: 2,
+        candidates: BTreeSet::from([1]),
+        prefix,
+        ..takeovers(fault)
+    }
+}
+
+/// The same beginning with bounds so wide that most of what follows can only be sampled.
+pub fn widened(scenario: Bounds) -> Bounds {
+    Bounds {
+        epochs: scenario.epochs + 5,
+        rounds: scenario.rounds + 4,
+        changes: scenario.changes + 3,
+        ticks: scenario.ticks + 8,
+        restarts: scenario.restarts + 3,
+        losses: 1,
+        candidates: (0..scenario.replicas).collect(),
+        changes_members: true,
+        tells_decided: true,
+        ..scenario
+    }
+}
+
 /// The kind of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- a/control/tests/view_model/state.rs
+++ b/control/tests/view_model/state.rs
@@ -89,6 +89,8 @@
     pub incarnation: u64,
     /// Changes that are stored.
     pub log: u8,
+    /// The epoch in which the last one was ordered; 0 where that is not known.
+    pub log_epoch: u64,
     pub leading: Option<Leading>,
     pub is_lost: bool,
 }
--- a/control/tests/view_model/turn.rs
+++ b/control/tests/view_model/turn.rs
@@ -33,6 +33,8 @@
     LeaseKeptWithNewWitnesses,
     /// A witness votes for another replica while its grant holds.
     GrantNotHeeded,
+    /// A state that was delayed replaces changes that were stored since.
+    DelayedStateInstalled,
 }
 
 /// One step of one replica.
@@ -244,6 +246,11 @@
 
     pub fn order(&mut self) {
         self.replica.log += 1;
+        self.replica.log_epoch = self
+            .replica
+            .leading
+            .as_ref()
+            .map_or(0, |leading| leading.epoch);
         let log = self.replica.log;
         let Some(leading) = &mut self.replica.leading else {
             return;
@@ -355,16 +362,23 @@
             Message::Install {
                 from, epoch, log, ..
             } => {
-                if self.follows(from, epoch) {
-                    self.keep(from, epoch, log);
+                let is_delayed = self.replica.log_epoch == epoch && log < self.replica.log;
+                if !self.follows(from, epoch) {
+                    return;
+                }
+                if is_delayed && self.fault != Fault::DelayedStateInstalled {
+                    return self.report(from, epoch);
                 }
+                self.replica.log = log;
+                self.report(from, epoch);
             }
             Message::Replicate { from, epoch, log } => {
                 self.hear(from, epoch);
                 if self.follows(from, epoch)
                     && (self.replica.log == log || self.replica.log + 1 == log)
                 {
-                    self.keep(from, epoch, log);
+                    (self.replica.log, self.replica.log_epoch) = (log, epoch);
+                    self.report(from, epoch);
                 }
             }
             Message::Stored {
@@ -423,8 +437,9 @@
         }
     }
 
-    fn keep(&mut self, primary: usize, epoch: u64, log: u8) {
-        self.replica.log = log;
+    /// Tells the primary which changes are stored.
+    fn report(&mut self, primary: usize, epoch: u64) {
+        let log = self.replica.log;
         self.send(Message::Stored {
             from: self.at,
             to: primary,
