Versions of unknown age bind once machines are in contact; ages are saved at once

Cause: after a loss of all processes and of the saved ages (disks that take nothing more, or the second before the next save) every router let requests start on old weights for another full period, as none knew how much of it had passed. Change: an announced version is saved at once, and one that was recovered and whose age neither a file nor another router tells within half of contactMs counts as if only contactMs of its time were left, as no time counts before that. Two tests, the first of which fails without it (the age is then 0).

--- a/router/src/fleet/announced_weights.rs
+++ b/router/src/fleet/announced_weights.rs
@@ -117,7 +117,33 @@
             age_ms,
         } in announced
         {
-            floors.record(&model, version, now.saturating_sub(age_ms));
+            // Earlier than this start, which distinguishes it from what is recorded from now on.
+            floors.record(&model, version, now.saturating_sub(age_ms.max(1)));
+        }
+    }
+
+    /// Assumes an age for each version that this node has recovered and whose age nobody has told
+    /// since it started at `started_at`: the other nodes have lost it as well.
+    ///
+    /// How much of its time had passed is unknown, so all of it counts as passed. No time counts
+    /// until the machines have been in contact for a while, however, and for so long requests may
+    /// still start on older versions.
+    pub fn assume_announcements(
+        &self,
+        recovered: &BTreeMap<CompactString, WeightsTarget>,
+        started_at: Millis,
+    ) {
+        let bounds = &self.settings.bounds;
+        let passed = bounds.version_ms.saturating_sub(bounds.contact_ms);
+        let mut floors = lock(&self.version_floors);
+        for (model, WeightsTarget { version, .. }) in recovered {
+            let is_unknown = floors
+                .announced_at(model, *version)
+                .is_some_and(|announced_at| announced_at >= started_at);
+            if is_unknown {
+                log::info!("the age of version {version} of {model} is lost");
+                floors.record(model, *version, started_at.saturating_sub(passed));
+            }
         }
     }
 
--- a/router/src/replica/task.rs
+++ b/router/src/replica/task.rs
@@ -7,6 +7,7 @@
 use crate::fleet::Fleet;
 use crate::protocol::Request;
 use crate::sync::lock;
+use compact_str::CompactString;
 use control::Millis;
 use control::changes::{Outcome, ReadOutcome};
 use control::node::{ControlNode, Effect};
@@ -30,6 +31,7 @@
     callers: HashMap<u64, oneshot::Sender<Outcome>>,
     readers: HashMap<u64, oneshot::Sender<ReadOutcome>>,
     saved: u64,
+    saved_versions: BTreeSet<(CompactString, u64)>,
     save_at: Millis,
 }
 
@@ -52,6 +54,7 @@
         callers,
         readers,
         saved: 0,
+        saved_versions: BTreeSet::new(),
         save_at,
     };
     task.fleet.publish_committed(task.node.state());
@@ -102,20 +105,28 @@
         self.save_fleet();
     }
 
-    /// Saves the known state of the fleet if it has changed.
+    /// Saves the known state of the fleet if it has changed: every now and then, and at once when a
+    /// version of weights was announced, as its age is known nowhere else.
     fn save_fleet(&mut self) {
         let now = clock::now();
-        if now < self.save_at {
+        let announced_weights = self.fleet.announced_weights();
+        let announced = announced_weights
+            .iter()
+            .map(|announced| (announced.model.clone(), announced.version));
+        let announced: BTreeSet<(CompactString, u64)> = announced.collect();
+        let has_new_version = !announced.is_subset(&self.saved_versions);
+        if now < self.save_at && !has_new_version {
             return;
         }
         self.save_at = now + SAVE;
         let version = self.fleet.change_count();
-        if version != self.saved || !self.fleet.all_weights_effective() {
+        if version != self.saved || has_new_version || !self.fleet.all_weights_effective() {
             self.saved = version;
+            self.saved_versions = announced;
             let records = lock(&self.fleet.directory).persistent_records();
             self.disk.save_fleet(&PersistedFleet {
                 records,
-                announced_weights: self.fleet.announced_weights(),
+                announced_weights,
             });
         }
     }
--- a/router/src/serve.rs
+++ b/router/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs a router: starts its parts, answers readiness checks, and shuts down gracefully.
 
 use crate::client_server::serve_clients;
+use crate::clock;
 use crate::control_api::ControlApi;
 use crate::disk::{self, Disk, DiskError};
 use crate::fleet::Fleet;
@@ -21,11 +22,14 @@
 use crate::socket;
 use crate::upstreams;
 use crate::weights::RolloutController;
+use compact_str::CompactString;
 use control::node::{ControlNode, Identity, Timing};
+use control::state::WeightsTarget;
 use control::storage::Recovered;
 use control::view::{Incarnation, ReplicaId};
 use poem::listener::TcpListener;
 use poem::{Endpoint, Response, Server};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
@@ -109,7 +113,7 @@
         incarnation,
         may_bootstrap: settings.bootstrap,
     };
-    let node = ControlNode::new(identity, recovered, timing, crate::clock::now());
+    let node = ControlNode::new(identity, recovered, timing, clock::now());
     let (handle, inputs) = ReplicaHandle::new(id);
     Ok(Some(Replica {
         node,
@@ -237,11 +241,27 @@
         inputs,
     } = replica;
     let orders = RolloutController::new(fleet.clone(), handle.clone(), client.clone());
+    tokio::spawn(assume_announcements(
+        fleet.clone(),
+        node.state().weights.clone(),
+    ));
     tokio::spawn(task::run(node, disk, stored, fleet.clone(), handle, inputs));
     tokio::spawn(orders.clone().run());
     orders
 }
 
+/// Gives other nodes time to tell the ages of the recovered versions of weights, and assumes those
+/// that nobody knows.
+async fn assume_announcements(
+    fleet: Arc<Fleet>,
+    recovered: BTreeMap<CompactString, WeightsTarget>,
+) {
+    let started_at = clock::now();
+    let contact = Duration::from_millis(fleet.settings.bounds.contact_ms);
+    tokio::time::sleep(contact / 2).await;
+    fleet.assume_announcements(&recovered, started_at);
+}
+
 /// Serves an interface for as long as the process lives.
 fn listen(address: Option<SocketAddrV4>, endpoint: impl Endpoint<Output = Response> + 'static) {
     let Some(address) = address else { return };
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -72,6 +72,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Bounds {
+    /// Time for which a machine has to be undisturbed before bounds apply to it, in milliseconds.
+    pub contact_ms: u64,
     /// Time for a configuration to be in force everywhere, in milliseconds.
     pub config_apply_ms: u64,
     /// Time for an operator's call to be acknowledged, in milliseconds.
@@ -95,6 +97,7 @@
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
+            contact_ms: 3_000,
             config_apply_ms: 2_000,
             ack_timeout_ms: 4_000,
             drain_timeout_ms: 2_000,
--- a/router/tests/weights_deadline.rs
+++ b/router/tests/weights_deadline.rs
@@ -10,11 +10,13 @@
 mod common;
 
 use common::*;
-use control::state::{Position, WeightsTarget};
+use compact_str::CompactString;
+use control::state::{ControlState, Position, WeightsTarget};
 use router::disk::PersistedFleet;
 use router::fleet::{Fleet, Pull};
 use router::links;
 use router::protocol::PublishedState;
+use routing::version_floor::AnnouncedVersion;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -30,6 +32,7 @@
     let mut settings = Router::settings();
     settings.node_name = format!("n{incarnation}").into();
     settings.bounds.version_ms = VERSION_MS;
+    settings.bounds.contact_ms = VERSION_MS / 3;
     Fleet::new(Arc::new(settings), None, incarnation)
 }
 
@@ -168,3 +171,55 @@
         "it may have run, so it is not repeated"
     );
 }
+
+/// A node whose disk has the announced version, and no age of it.
+fn restarted(incarnation: u64) -> (Arc<Fleet>, BTreeMap<CompactString, WeightsTarget>) {
+    let fleet = fleet(incarnation);
+    let recovered = BTreeMap::from([(
+        "m".into(),
+        WeightsTarget {
+            version: 2,
+            index: 2,
+        },
+    )]);
+    let mut state = ControlState::default();
+    state.position = Position { index: 2, epoch: 1 };
+    state.weights = recovered.clone();
+    fleet.publish_committed(&state);
+    (fleet, recovered)
+}
+
+/// All processes and all ages are lost: full disks take no ages, then everything is killed. Each
+/// router would let requests start on old weights for another full period. Found in review.
+#[tokio::test]
+async fn version_of_unknown_age_binds_once_machines_are_in_contact() {
+    let started_at = router::clock::now();
+    let (fleet, recovered) = restarted(4);
+    fleet.assume_announcements(&recovered, started_at);
+    let [announced] = &fleet.announced_weights()[..] else {
+        panic!("one version")
+    };
+    let bounds = &fleet.settings.bounds;
+    let left = bounds.version_ms - announced.age_ms.min(bounds.version_ms);
+    assert!(left <= bounds.contact_ms, "{left} ms are left");
+    assert!(left + 100 > bounds.contact_ms, "{left} ms are left");
+}
+
+/// Where another router knows the age, or a file, that age counts.
+#[tokio::test]
+async fn known_age_is_not_replaced_by_assumption() {
+    let started_at = router::clock::now();
+    let (fleet, recovered) = restarted(5);
+    let known = PersistedFleet {
+        records: Vec::new(),
+        announced_weights: vec![AnnouncedVersion {
+            model: "m".into(),
+            version: 2,
+            age_ms: 0,
+        }],
+    };
+    fleet.restore(known);
+    fleet.assume_announcements(&recovered, started_at);
+    let age = fleet.announced_weights()[0].age_ms;
+    assert!(age < fleet.settings.bounds.contact_ms / 2, "{age} ms");
+}
--- a/routing/src/version_floor.rs
+++ b/routing/src/version_floor.rs
@@ -80,6 +80,12 @@
             .is_some_and(|versions| versions.announced.contains_key(&version))
     }
 
+    /// When a version was announced; `None` if it is unknown or superseded.
+    pub fn announced_at(&self, model: &str, version: u64) -> Option<Millis> {
+        let versions = self.models.get(model)?;
+        versions.announced.get(&version).copied()
+    }
+
     /// The versions that are not superseded, with their ages.
     pub fn announced(&self, now: Millis) -> Vec<AnnouncedVersion> {
         let of_model = |(model, versions): (&CompactString, &Versions)| {
