Admission by the wait that a standing queue predicts, not by late answers

Change: each router estimates a request's wait by Little's law (work sent and not begun, by the rate at which it begins) and rejects it where that exceeds 0.6 of its target and the queue has stood for a quarter of it; the estimate stays below twice what was waited of late. Late answers are no input any more.

--- a/router/src/proxy/forwarder.rs
+++ b/router/src/proxy/forwarder.rs
@@ -194,12 +194,11 @@
         request: &ForwardRequest,
         planned: &SelectedBackend,
     ) -> bool {
-        let rejection_ratio = self.with_admission(&request.service, |admission| {
-            admission.rejection_ratio(clock::now())
+        let latency_target = request.route.target_latency_ms;
+        let would_be_late = self.with_admission(&request.service, |admission| {
+            admission.should_reject(planned.work(), latency_target, clock::now())
         });
-        rejection_ratio > 0.0
-            && planned.backend.load().is_busy()
-            && fastrand::f64() < rejection_ratio
+        would_be_late && planned.backend.load().is_busy()
     }
 
     /// Withdraws a retry from the service's budget. `reserved` is the part of the budget to leave
--- a/router/src/proxy/in_flight.rs
+++ b/router/src/proxy/in_flight.rs
@@ -109,11 +109,12 @@
             });
         }
         let selected = self.look_up(planned).await;
+        let work = selected.work();
         self.send(selected);
         self.admission_id = Some(
             self.forwarder
                 .with_admission(&self.request.service, |admission| {
-                    admission.record_sent(self.request.route.target_latency_ms, clock::now())
+                    admission.record_sent(work, clock::now())
                 }),
         );
         self.forwarder
--- a/router/src/proxy/selection.rs
+++ b/router/src/proxy/selection.rs
@@ -47,6 +47,16 @@
     pub prefill_tokens: u64,
 }
 
+/// Work of any request beside its prompt, in prompt tokens: it takes a step of the engine at least.
+const BASE_WORK_TOKENS: u64 = 300;
+
+impl SelectedBackend {
+    /// The work that the request is there, in prompt tokens.
+    pub fn work(&self) -> u64 {
+        BASE_WORK_TOKENS + self.prefill_tokens
+    }
+}
+
 /// Selects the least-loaded eligible backend that is not in `attempted`; `None` if there is none.
 pub fn select_backend(
     backends: &[Arc<Backend>],
--- a/routing/src/admission.rs
+++ b/routing/src/admission.rs
@@ -1,35 +1,37 @@
-//! Admission control: rejects requests early when a service is overloaded.
+//! Admission control: rejects requests early when their service is overloaded.
 //!
-//! Routers detect overload by the time to the first byte of responses, relative to the latency
-//! target of their route. While the median response is too late, a growing ratio of new requests is
-//! rejected, whatever their kind; the ratio falls as responses get faster. All routers observe the
-//! same backends, so they converge without coordination.
+//! A router estimates by Little's law how long a request would wait at the service: the work that
+//! was sent there and whose response has not begun, by the rate at which such work began of late.
+//! That follows a surge as soon as more is sent than begins, before any response is late.
+//!
+//! A queue that comes and goes with a short burst is served. Requests are rejected only while a
+//! queue stands, that is while the shortest wait of the last moments is long too, as in CoDel
+//! (Nichols and Jacobson, "Controlling Queue Delay", 2012). All routers observe the same backends,
+//! so they converge without coordination.
 
 use crate::Millis;
 use std::collections::{HashMap, VecDeque};
 
-/// Responses that began within this time are considered.
-const WINDOW: Millis = 400;
-/// Time between two adjustments of the rejection ratio.
-const ADJUSTMENT_INTERVAL: Millis = 100;
-/// Minimum number of samples for a decision.
-const MIN_SAMPLES: usize = 3;
-/// Median latency, as a ratio of the target, above which a service counts as late. Short bursts are
-/// better served late than rejected, so lateness has to be sustained.
-const LATE_RATIO: f64 = 0.8;
-/// A service that is late for this long is overloaded.
-const SUSTAINED_FOR: Millis = 2_000;
-/// While a service is overloaded, the controller steers the median latency to this ratio of the
-/// target.
-const SETPOINT_RATIO: f64 = 0.25;
-/// An overload ends once nothing had to be rejected for this long.
-const RECOVERY_TIME: Millis = 3_000;
-/// Smoothing factor: how far the rejection ratio moves to its new value with each adjustment.
-const SMOOTHING: f64 = 0.5;
-/// A smaller rejection ratio counts as zero.
-const NEGLIGIBLE_RATIO: f64 = 0.01;
-/// At least one request in ten is admitted, so that the end of the overload is noticed.
-const MAX_REJECTION_RATIO: f64 = 0.9;
+/// Responses that began within this time determine the rate.
+const RATE_WINDOW: Millis = 1_000;
+/// The highest rate fades with this time constant: after a lull the rate is low as little was sent,
+/// not as the service became slower.
+const RATE_MEMORY: Millis = 4_000;
+/// Fewer requests in flight are no queue.
+const MIN_QUEUE: usize = 4;
+/// A request whose wait would be longer than this ratio of its latency target is rejected, if the
+/// queue stands. The rest of the target is for the work itself and for errors of the estimate.
+const MAX_WAIT_RATIO: f64 = 0.6;
+/// The wait is not estimated to be longer than what was waited of late, times this: the rate of a
+/// router that sent little says little about what the service can do.
+const MAX_GROWTH: f64 = 2.0;
+/// A queue stands while the wait does not fall below this ratio of the latency target.
+const STANDING_RATIO: f64 = MAX_WAIT_RATIO / 3.0;
+/// It has stood for long enough after the latency target divided by this: what is to be rejected
+/// should learn so within that time.
+const STANDING_DIVISOR: Millis = 4;
+/// Waits are remembered for this long.
+const WAIT_MEMORY: Millis = 1_000;
 
 /// Identifies a request in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -39,144 +41,126 @@
 #[derive(Debug, Clone, Copy)]
 struct InFlight {
     sent_at: Millis,
-    latency_target: Millis,
+    work: u64,
 }
 
-/// Load of a service, as one router observes it.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-enum LoadState {
-    /// Responses are in time.
-    #[default]
-    Normal,
-    /// Responses have been late since the given time.
-    Late { since: Millis },
-    /// A ratio of new requests is rejected; `last_needed` is when that was last necessary.
-    Overloaded {
-        rejection_ratio: f64,
-        last_needed: Millis,
-    },
+/// A sample at a moment.
+#[derive(Debug, Clone, Copy)]
+struct Sample<T> {
+    at: Millis,
+    value: T,
 }
 
-/// Decides which ratio of a service's requests one router rejects.
+/// Decides which requests for a service one router rejects.
+///
+/// Work is measured in any unit that is the same for all requests of the service.
 #[derive(Debug, Default)]
 pub struct AdmissionController {
-    /// When recent responses began, each with its latency as a ratio of the target.
-    samples: VecDeque<(Millis, f64)>,
     in_flight: HashMap<InFlightId, InFlight>,
     next_id: u64,
-    state: LoadState,
-    adjusted_at: Millis,
+    /// The work of the requests in flight.
+    pending_work: u64,
+    /// Work whose responses began recently.
+    begun: VecDeque<Sample<u64>>,
+    /// How long the last response took to begin.
+    last_latency: Millis,
+    /// The highest recent rate, in work per millisecond.
+    highest_rate: Option<Sample<f64>>,
+    /// The estimated waits of the last moments, in milliseconds.
+    waits: VecDeque<Sample<f64>>,
 }
 
 impl AdmissionController {
-    /// Records a request that was sent and whose response is to begin within `latency_target`.
-    pub fn record_sent(&mut self, latency_target: Millis, now: Millis) -> InFlightId {
+    /// Records a request with this much work that was sent.
+    pub fn record_sent(&mut self, work: u64, now: Millis) -> InFlightId {
         let id = InFlightId(self.next_id);
         self.next_id += 1;
-        self.in_flight.insert(
-            id,
-            InFlight {
-                sent_at: now,
-                latency_target: latency_target.max(1),
-            },
-        );
+        self.in_flight.insert(id, InFlight { sent_at: now, work });
+        self.pending_work += work;
         id
     }
 
     /// Records that the response of a request began.
     pub fn record_response(&mut self, id: InFlightId, now: Millis) {
-        if let Some(request) = self.in_flight.remove(&id) {
-            self.samples.push_back((now, request.latency_ratio(now)));
+        if let Some(InFlight { work, sent_at }) = self.remove(id) {
+            self.last_latency = now.saturating_sub(sent_at);
+            self.begun.push_back(Sample {
+                at: now,
+                value: work,
+            });
+            self.record_wait(now);
         }
     }
 
     /// Removes a request that ended without a response that says anything about the load.
     pub fn discard(&mut self, id: InFlightId) {
-        self.in_flight.remove(&id);
+        self.remove(id);
     }
 
-    /// Returns the ratio of new requests to reject now, from 0 to 1.
-    pub fn rejection_ratio(&mut self, now: Millis) -> f64 {
-        if now >= self.adjusted_at + ADJUSTMENT_INTERVAL {
-            self.adjusted_at = now;
-            let latency_ratio = self.median_latency_ratio(now);
-            self.state = self.state.after(latency_ratio, now);
-        }
-        match self.state {
-            LoadState::Overloaded {
-                rejection_ratio, ..
-            } => rejection_ratio,
-            LoadState::Normal | LoadState::Late { .. } => 0.0,
-        }
+    fn remove(&mut self, id: InFlightId) -> Option<InFlight> {
+        let request = self.in_flight.remove(&id)?;
+        self.pending_work -= request.work;
+        Some(request)
+    }
+
+    /// Whether to reject a request with this much work and latency target: it would wait for too
+    /// long, and the queue stands.
+    pub fn should_reject(&mut self, work: u64, latency_target: Millis, now: Millis) -> bool {
+        self.record_wait(now);
+        let target = latency_target as f64;
+        let stands_since = now.saturating_sub(latency_target / STANDING_DIVISOR);
+        let recent = self.waits.iter().filter(|wait| wait.at >= stands_since);
+        let shortest = recent.map(|wait| wait.value).fold(f64::INFINITY, f64::min);
+        shortest > STANDING_RATIO * target && self.wait(work, now) > MAX_WAIT_RATIO * target
     }
 
-    /// The median latency as a ratio of the target, over recent responses and those requests in
-    /// flight that have already missed the setpoint.
-    fn median_latency_ratio(&mut self, now: Millis) -> f64 {
-        while self
-            .samples
-            .front()
-            .is_some_and(|(at, _)| at + WINDOW < now)
-        {
-            self.samples.pop_front();
+    fn record_wait(&mut self, now: Millis) {
+        let oldest = now.saturating_sub(WAIT_MEMORY);
+        while self.waits.front().is_some_and(|wait| wait.at < oldest) {
+            self.waits.pop_front();
         }
-        let mut ratios: Vec<f64> = self.samples.iter().map(|(_, ratio)| *ratio).collect();
-        let late = self
-            .in_flight
-            .values()
-            .map(|request| request.latency_ratio(now))
-            .filter(|ratio| *ratio > SETPOINT_RATIO);
-        ratios.extend(late);
-        if ratios.len() < MIN_SAMPLES {
+        let value = self.wait(0, now);
+        self.waits.push_back(Sample { at: now, value });
+    }
+
+    /// The estimated wait of a request with this much work, in milliseconds.
+    fn wait(&mut self, work: u64, now: Millis) -> f64 {
+        if self.in_flight.len() < MIN_QUEUE {
             return 0.0;
         }
-        let median_index = ratios.len() / 2;
-        let (_, median, _) = ratios.select_nth_unstable_by(median_index, f64::total_cmp);
-        *median
+        let longest = self.longest_age(now) as f64;
+        let rate = self.rate(now);
+        if rate == 0.0 {
+            return longest;
+        }
+        let by_rate = (self.pending_work + work) as f64 / rate;
+        by_rate.min(MAX_GROWTH * longest.max(self.last_latency as f64))
     }
-}
 
-impl LoadState {
-    /// The only transition function. The rejection ratio grows steeply with the latency, so that
-    /// a backlog is worked off quickly.
-    fn after(self, latency_ratio: f64, now: Millis) -> LoadState {
-        match self {
-            LoadState::Normal | LoadState::Late { .. } if latency_ratio <= LATE_RATIO => {
-                LoadState::Normal
-            }
-            LoadState::Normal => LoadState::Late { since: now },
-            LoadState::Late { since } if now < since + SUSTAINED_FOR => self,
-            LoadState::Late { .. } => LoadState::Overloaded {
-                rejection_ratio: 0.0,
-                last_needed: now,
-            },
-            LoadState::Overloaded { last_needed, .. } if now > last_needed + RECOVERY_TIME => {
-                LoadState::Normal
-            }
-            LoadState::Overloaded {
-                rejection_ratio,
-                last_needed,
-            } => {
-                let target = if latency_ratio > SETPOINT_RATIO {
-                    1.0 - (SETPOINT_RATIO / latency_ratio).powi(2)
-                } else {
-                    0.0
-                };
-                let next = rejection_ratio
-                    + SMOOTHING * (target.min(MAX_REJECTION_RATIO) - rejection_ratio);
-                let is_needed = next > NEGLIGIBLE_RATIO;
-                let rejection_ratio = if is_needed { next } else { 0.0 };
-                LoadState::Overloaded {
-                    rejection_ratio,
-                    last_needed: if is_needed { now } else { last_needed },
-                }
-            }
+    /// How much work begins per millisecond.
+    fn rate(&mut self, now: Millis) -> f64 {
+        let oldest = now.saturating_sub(RATE_WINDOW);
+        while self.begun.front().is_some_and(|begun| begun.at < oldest) {
+            self.begun.pop_front();
+        }
+        let begun: u64 = self.begun.iter().map(|begun| begun.value).sum();
+        let current = begun as f64 / RATE_WINDOW as f64;
+        let faded = self.highest_rate.map_or(0.0, |highest| {
+            let age = now.saturating_sub(highest.at) as f64;
+            highest.value * (-age / RATE_MEMORY as f64).exp()
+        });
+        if current >= faded {
+            self.highest_rate = Some(Sample {
+                at: now,
+                value: current,
+            });
         }
+        current.max(faded)
     }
-}
 
-impl InFlight {
-    fn latency_ratio(&self, now: Millis) -> f64 {
-        now.saturating_sub(self.sent_at) as f64 / self.latency_target as f64
+    /// The age of the oldest request in flight.
+    fn longest_age(&self, now: Millis) -> Millis {
+        let sent = self.in_flight.values().map(|request| request.sent_at);
+        sent.min().map_or(0, |sent_at| now.saturating_sub(sent_at))
     }
 }
