Two tests that failed beside load wait for what they mean

Cause, traced on a clone with twelve at a time: 'a client that never reads' compared the process's descriptors with a count taken before one of its own was open (1 of 24 runs; both of the deaf clients were gone after 2.0 s, the count stayed one too high until idle links closed after 21 s); 'a search that lost to its copy' waited for the slow host to be asked although on average one of forty searches begins there (none in 10 of 24 runs when it began to wait). Change: the first looks for the connections of these two clients in the system's table, and that they are held before; the second searches on until the slow host has been asked. Bounds are as before.

--- a/bitternsill/tests/catalogue_faults.rs
+++ b/bitternsill/tests/catalogue_faults.rs
@@ -531,14 +531,17 @@
     };
     let searches = |n: usize| count(&catalogue.scripts[n].searches);
     let (before, slow) = (connections(), searches(1));
-    for _ in 0..40 {
+    // Which host is asked first is chance: on average one of forty searches begins at the slow one.
+    let mut searched = 0;
+    eventually("the slow host has answered", || {
         assert_eq!(catalogue.titles("/comics?query=moon"), EVERYTHING);
-    }
-    eventually("the slow host has answered", || searches(1) > slow);
+        searched += 1;
+        searched >= 40 && searches(1) > slow
+    });
     let more = connections() - before;
     // Sessions are opened while others outlive a search, up to the pool's bound, and none is opened
     // in place of another.
-    assert!(more <= 16, "{more} connections for 40 searches");
+    assert!(more <= 16, "{more} connections for {searched} searches");
     assert!(
         catalogue
             .scripts
--- a/bitternsill/tests/operations.rs
+++ b/bitternsill/tests/operations.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -680,15 +681,36 @@
     });
 }
 
+/// The ports of the other ends of a process's connections, by the system's tables.
+fn connected_ports(process: u32) -> BTreeSet<u16> {
+    let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap();
+    let links = descriptors
+        .flatten()
+        .filter_map(|entry| std::fs::read_link(entry.path()).ok());
+    let inode = |link: std::path::PathBuf| {
+        let name = link.to_string_lossy().into_owned();
+        let inode = name.strip_prefix("socket:[")?.strip_suffix(']')?;
+        Some(inode.to_owned())
+    };
+    let inodes: BTreeSet<String> = links.filter_map(inode).collect();
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote_port = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (remote, inode) = (*fields.get(2)?, *fields.get(9)?);
+        let (_, port) = remote.split_once(':')?;
+        let port = u16::from_str_radix(port, 16).ok()?;
+        inodes.contains(inode).then_some(port)
+    };
+    table.lines().skip(1).filter_map(remote_port).collect()
+}
+
 #[test]
 fn a_client_that_never_reads_does_not_hold_a_drain_and_sigterm_ends_it_in_order() {
     // Values so large that an answer does not fit what the system buffers for a client that reads
     // nothing.
     let large = |score| FrameHost::start(move |_| Say::Good(score, "x".repeat(60_000)));
     let mut served = start(settings(), (1..=3).map(large).collect(), 256);
-    let folder = format!("/proc/{}/fd", served.platform.program.child.id());
-    let open = || std::fs::read_dir(&folder).unwrap().count();
-    let idle = open();
+    let process = served.platform.program.child.id();
     let mut deaf: Vec<TcpStream> = (0..2).map(|_| served.platform.connect()).collect();
     for (n, socket) in deaf.iter_mut().enumerate() {
         for m in 0..200 {
@@ -711,6 +733,11 @@
         last.1.elapsed() > Duration::from_millis(700)
     });
     assert!(last.0 < 2 * 200 * 3 / 2, "{} parts asked", last.0);
+    let is_held = |socket: &TcpStream| {
+        let port = socket.local_addr().unwrap().port();
+        connected_ports(process).contains(&port)
+    };
+    assert!(deaf.iter().all(is_held));
     let began = Instant::now();
     assert!(call(served.door, "POST", "evacuate", "").starts_with("HTTP/1.1 200"));
     assert!(
@@ -719,9 +746,8 @@
             .ask("beside", "page", &[0])
             .starts_with("HTTP/1.1 200")
     );
-    // With links to its hosts it may hold a few descriptors more than at its start, but not one for
-    // each of the deaf.
-    eventually("the deaf are let go", || open() <= idle + 3);
+    // It may hold connections to its hosts, but none of the deaf.
+    eventually("the deaf are let go", || !deaf.iter().any(is_held));
     assert!(
         began.elapsed() < Duration::from_secs(4),
         "held for {:?}",
