Failing test: a router that starts learns what backends cache

Cause: after a loss of power everywhere half of what comes in the first seconds is late, as prompts go elsewhere than where their prefixes are still cached.

--- a/router/tests/prefixes.rs
+++ b/router/tests/prefixes.rs
@@ -4,9 +4,11 @@
 
 use common::*;
 use control::configuration::KvStore;
+use control::directory::{BackendPhase, Key, Member, MemberStatus, Value};
 use router::fleet::PrefixLookup;
 use router::protocol::{Request, Response};
 use router::proxy::cache_salt::{CacheSalt, salt};
+use router::proxy::cache_watcher;
 use router::proxy::kv_events::KvEvent;
 use router::proxy::prefix_locator::PrefixLocator;
 use routing::prefix_index::{Placement, PrefixKey};
@@ -181,6 +183,67 @@
     assert!(!router.fleet.look_up_prefix(&asked).is_cached_by(&holder, 1));
 }
 
+/// Incident: for seconds after power had been lost everywhere, half of the requests were late. The
+/// backends had kept running, with full caches, but no router knew which prefix was where: prompts
+/// went elsewhere and were prefilled again.
+#[tokio::test]
+async fn started_router_learns_what_backends_cache() {
+    let salt = salt("tt1-", Some(1));
+    let events = format!(
+        r#"{{"epoch":1,"nextPageToken":4,"lost":true,"events":[[1,"+","{salt}","kept",300,"m"],
+        [2,"+","{salt}","gone",300,"m"],[3,"-","{salt}","gone",0,"m"]]}}"#
+    );
+    let backend = FakeBackend::start(vec![
+        Action::Respond(answer("200 OK", "", &events)),
+        Action::Hang,
+    ])
+    .await;
+    let fleet = Router::without_configuration();
+    let member = Member {
+        zone: "a".into(),
+        internal: fleet.settings.internal_address(),
+        control: None,
+        replica: None,
+        incarnation: 1,
+        revision: 1,
+        status: MemberStatus::Up,
+    };
+    fleet.put(
+        Key::Member(fleet.settings.node_name.clone()),
+        Value::Member(member),
+    );
+    register(&fleet, 0, &backend, 1, BackendPhase::Ready);
+    let locator = PrefixLocator::new(fleet.clone());
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let watching = tokio::spawn(cache_watcher::run(fleet.clone(), locator, client));
+    let cached_by = |segment: &str| {
+        let lookup = PrefixLookup {
+            key: PrefixKey::of_segment("tt1-", "m", segment),
+            planned: Placement {
+                backend: "other".into(),
+                version: 1,
+            },
+            should_save: false,
+        };
+        fleet.look_up_prefix(&lookup).replicas
+    };
+    let learns = async {
+        while fleet.prefix_index.lock().unwrap().len() == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, learns)
+        .await
+        .expect("it learns of a prefix");
+    let expected = Placement {
+        backend: "i-0".into(),
+        version: 1,
+    };
+    assert_eq!(cached_by("kept"), [expected]);
+    assert_eq!(cached_by("gone"), [], "it was evicted again");
+    watching.abort();
+}
+
 #[tokio::test]
 async fn owner_answers_lookups() {
     let (_first, _second, router) = two().await;
