A router that starts learns what backends cache

Cause: after a loss of power everywhere no router knew any prefix, while the backends had kept theirs: prompts went elsewhere and were read again, and half of what came in the first seconds was late. Change: a router that begins to read a backend's events tells the owners of prefixes what the events that the backend retains say is cached; it begins within 0.1 s of its start instead of 1 s.

--- a/router/src/proxy/cache_watcher.rs
+++ b/router/src/proxy/cache_watcher.rs
@@ -1,5 +1,6 @@
 //! Watches the prefix caches of backends. One router in the zone of each backend reads its KV
-//! events and notifies the owners of evicted prefixes.
+//! events and notifies the owners of evicted prefixes, and, when it begins to read, of those that
+//! the backend caches: after a loss of power no router knows any, and the backends kept running.
 
 use super::kv_events;
 use super::prefix_locator::PrefixLocator;
@@ -15,7 +16,10 @@
 use tokio::task::JoinHandle;
 
 /// Time between two checks which backends this router has to watch.
-const LOOK: Duration = Duration::from_millis(1_000);
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same while it watches none, as after its start: what backends still cache is to be known
+/// before many prompts have been sent elsewhere.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time to wait before the events of an unresponsive backend are read again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -24,7 +28,12 @@
     let mut tasks: BTreeMap<CompactString, JoinHandle<()>> = BTreeMap::new();
     let mut seen = None;
     loop {
-        tokio::time::sleep(LOOK).await;
+        let interval = if tasks.is_empty() {
+            START_CHECK_INTERVAL
+        } else {
+            CHECK_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
         if seen.replace(fleet.change_count()) == Some(fleet.change_count()) {
             continue;
         }
@@ -77,8 +86,11 @@
     client: reqwest::Client,
 ) {
     loop {
-        let ended = kv_events::poll(address, &client, |_, events| {
-            locator.notify_evictions(&id, &events)
+        let ended = kv_events::poll(address, &client, |page| {
+            if page.is_first {
+                locator.notify_cached(&id, &page.events);
+            }
+            locator.notify_evictions(&id, &page.events);
         })
         .await;
         if let Err(error) = ended {
--- a/router/src/proxy/kv_events.rs
+++ b/router/src/proxy/kv_events.rs
@@ -71,14 +71,26 @@
     pub is_cached: bool,
 }
 
-/// Polls for events until an error. `heard` receives each page with the sender's incarnation.
+/// Events that were sent together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KvEventPage {
+    /// The sender's incarnation.
+    pub epoch: u64,
+    /// Whether these are all events that the sender retains: what they say is cached there now.
+    pub is_first: bool,
+    /// The events, in order.
+    pub events: Vec<KvEvent>,
+}
+
+/// Polls for events until an error. `heard` receives each page.
 pub async fn poll(
     address: SocketAddrV4,
     client: &reqwest::Client,
-    heard: impl Fn(u64, Vec<KvEvent>),
+    heard: impl Fn(KvEventPage),
 ) -> Result<(), KvEventsError> {
     let (mut since, mut epoch) = (0, None);
     loop {
+        let is_first = since == 0;
         let page = call(address, client, since).await?;
         // Event numbers of another incarnation are meaningless.
         let is_same_incarnation = epoch
@@ -103,7 +115,11 @@
                     is_cached: sign == "+" && *tokens > 0,
                 })
             });
-        heard(page.epoch, events.collect());
+        heard(KvEventPage {
+            epoch: page.epoch,
+            is_first,
+            events: events.collect(),
+        });
         tokio::time::sleep(BATCH_INTERVAL).await;
     }
 }
--- a/router/src/proxy/kv_store_monitor.rs
+++ b/router/src/proxy/kv_store_monitor.rs
@@ -1,7 +1,7 @@
 //! Monitors the KV stores of the configuration. One router in each zone reads a store's events; the
 //! others ask it whether the store is available.
 
-use super::kv_events::{self, KvEvent};
+use super::kv_events::{self, KvEventPage};
 use super::prefix_locator::PrefixLocator;
 use crate::fleet::Fleet;
 use crate::protocol::{Request, Response};
@@ -139,9 +139,9 @@
     client: reqwest::Client,
 ) {
     loop {
-        let heard = |generation: u64, events: Vec<KvEvent>| {
-            fleet.stores.mark_available(address, generation);
-            locator.notify_store_evictions(&events);
+        let heard = |page: KvEventPage| {
+            fleet.stores.mark_available(address, page.epoch);
+            locator.notify_store_evictions(&page.events);
         };
         if kv_events::poll(address, &client, heard).await.is_err() {
             fleet.stores.mark_unresponsive(address);
--- a/router/src/proxy/prefix_locator.rs
+++ b/router/src/proxy/prefix_locator.rs
@@ -143,6 +143,23 @@
         }
     }
 
+    /// Notifies the owners of prefixes that a backend caches, according to all events that it
+    /// retains.
+    pub fn notify_cached(&self, backend: &CompactString, events: &[KvEvent]) {
+        let last_events = events
+            .iter()
+            .map(|event| ((event.key, event.version), event.is_cached));
+        // The last event of a prefix counts.
+        let last_events: BTreeMap<(PrefixKey, u64), bool> = last_events.collect();
+        for ((key, version), _) in last_events.into_iter().filter(|(_, is_cached)| *is_cached) {
+            let placement = Placement {
+                backend: backend.clone(),
+                version,
+            };
+            self.notify_placement(key, placement);
+        }
+    }
+
     /// Notifies the owners of prefixes that a backend evicted.
     pub fn notify_evictions(&self, backend: &CompactString, events: &[KvEvent]) {
         for (address, prefixes) in self.evictions_by_owner(events, |_| true) {
--- a/router/tests/prefixes.rs
+++ b/router/tests/prefixes.rs
@@ -228,7 +228,7 @@
         fleet.look_up_prefix(&lookup).replicas
     };
     let learns = async {
-        while fleet.prefix_index.lock().unwrap().len() == 0 {
+        while fleet.prefix_index.lock().unwrap().is_empty() {
             tokio::task::yield_now().await;
         }
     };
