--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod fleet;
+mod forgotten;
 mod founding;
 mod host;
 mod net;
@@ -28,6 +29,7 @@
     let outcome = match case.as_str() {
         "small-founding" => small_founding::play(root, folder, trouble),
         "founding" => founding::play(root, folder, trouble),
+        "forgotten" => forgotten::play(root, folder, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match outcome {
