Review: the scripts end their routers and themselves within 110 s in every case

Cause: where no configuration is acknowledged, a script could have run beyond 120 s; where its caller was ended by a signal, its routers went on.

Done: a guard in the stand-ins ends all routers and the run with 2 after 110 s or when the caller ends. Checks and disruptions are as before.

--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Real router processes, started with the command of the deploy file.
 
 use crate::net::{Message, Network, call, record};
+use crate::watchdog;
 use std::fs::{self, File};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -122,6 +123,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        watchdog::started(child.id());
         record(&format!("router {number} started"));
         self.children[number] = Some(child);
         Ok(())
@@ -137,6 +139,7 @@
         for number in numbers {
             if let Some(mut child) = self.children[*number].take() {
                 let _ = child.wait();
+                watchdog::ended(child.id());
             }
         }
         record(&format!("SIGKILL to routers {numbers:?}"));
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -10,6 +10,7 @@
 mod host;
 mod net;
 mod small_founding;
+mod watchdog;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
+    watchdog::start(folder.clone());
     let outcome = match case.as_str() {
         "small-founding" => small_founding::play(root, folder, trouble),
         "founding" => founding::play(root, folder, trouble),
