--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -169,17 +169,28 @@
         }
     }
 
+    /// Starts a router again after its end, with the settings of a later start.
+    pub fn restart(&mut self, number: usize) -> Option<()> {
+        self.write_settings(number, false)?;
+        self.launch(number)
+    }
+
+    /// Whether a router answers its readiness check with 200.
+    pub fn is_ready(&self, number: usize) -> bool {
+        let answer = http::call(
+            self.network.readiness(number),
+            b"GET /v1/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
+            Duration::from_secs(1),
+        );
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
     /// Waits until every router answers its readiness check with 200.
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         (0..self.size()).all(|number| {
             loop {
-                let answer = http::call(
-                    self.network.readiness(number),
-                    b"GET /v1/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
-                    Duration::from_secs(1),
-                );
-                if answer.is_some_and(|answer| answer.status == 200) {
+                if self.is_ready(number) {
                     return true;
                 }
                 if Instant::now() > until {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,11 +4,13 @@
 mod fleet;
 mod host;
 mod http;
+mod older;
 mod twice;
 mod walls;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use walls::Trouble;
 
 /// The rule held, was broken, or the case could not run.
 pub enum Verdict {
@@ -31,8 +33,10 @@
     );
     let mut lines = Vec::new();
     let verdict = match case.as_str() {
+        "older" => older::play(&program, &folder, trouble, &mut lines),
         "twice" => twice::play(&program, &folder, trouble, &mut lines),
-        "walls" => walls::play(&program, &folder, trouble, &mut lines),
+        "walls" => walls::play(&program, &folder, Trouble::KillOfAll, trouble, &mut lines),
+        "walls-frozen" => walls::play(&program, &folder, Trouble::Freeze, trouble, &mut lines),
         _ => Verdict::NotRun,
     };
     let (text, code) = match verdict {
--- a/review/standin-2/src/twice.rs
+++ b/review/standin-2/src/twice.rs
@@ -15,16 +15,16 @@
 /// Requests on the first route, before the freeze.
 const USUAL_REQUESTS: usize = 40;
 
-/// The first configuration has a route for requests that may be repeated. The second one adds a
-/// route with a longer prefix, for requests that may not.
-fn configuration(version: u64) -> String {
+/// A configuration with a route for requests that may be repeated, and on wish one with a longer
+/// prefix, for requests that may not.
+pub fn configuration(version: u64, has_unsafe_route: bool) -> String {
     let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
         format!(
             r#"{{"name":"{name}","host":"hulo84.example","pathPrefix":"{prefix}","kind":"{kind}","timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"kafi81c","attempts":{attempts},"public":true,"sticky":false,"resumable":false}}"#
         )
     };
     let mut routes = vec![route("r-1", "/xapu221/", "safe", 2)];
-    if version > 1 {
+    if has_unsafe_route {
         routes.push(route("r-2", &format!("/xapu221{LONG_WORK}"), "unsafe", 1));
     }
     format!(
@@ -33,7 +33,7 @@
     )
 }
 
-fn request(id: &str, path: &str) -> String {
+pub fn request(id: &str, path: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: hulo84.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nhi"
     )
@@ -53,7 +53,7 @@
     let started = Instant::now();
     let mut note = |text: String| lines.push(format!("{} ms: {text}", since(started)));
     let fleet = Fleet::start(program, folder, ROUTERS, 3)?;
-    let first = fleet.configure(0, &configuration(1), Duration::from_secs(30));
+    let first = fleet.configure(0, &configuration(1, false), Duration::from_secs(30));
     note(format!("configuration 1, with a safe route: {first:?}"));
     first.filter(|status| *status == 200)?;
     let shared = Arc::new(Shared::default());
@@ -94,7 +94,7 @@
         note(format!("router {FROZEN} freezes"));
     }
     std::thread::sleep(Duration::from_millis(200));
-    let second = fleet.configure(1, &configuration(2), Duration::from_secs(1));
+    let second = fleet.configure(1, &configuration(2, true), Duration::from_secs(1));
     let acknowledged_at = Instant::now();
     note(format!(
         "configuration 2, with an unsafe route as well: {second:?}"
--- a/review/standin-2/src/walls.rs
+++ b/review/standin-2/src/walls.rs
@@ -1,5 +1,5 @@
-//! A tenant is isolated while a router is frozen: does a request of the tenant that is sent after
-//! that use memory which another tenant's requests made?
+//! A tenant is isolated while a router is frozen, or before all routers are killed: does a request
+//! of the tenant that is sent after that use memory which another tenant's requests made?
 
 use crate::Verdict;
 use crate::client::Client;
@@ -10,9 +10,28 @@
 use std::time::{Duration, Instant};
 
 const MODEL: &str = "daka510000";
-const ROUTERS: usize = 4;
-/// The router without a disk.
+/// The router without a disk, which freezes.
 const FROZEN: usize = 3;
+/// The router that returns first after a kill.
+const FIRST: usize = 2;
+
+/// What happens beside the change of the configuration.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    Freeze,
+    KillOfAll,
+}
+
+impl Trouble {
+    fn routers(self) -> usize {
+        match self {
+            Trouble::Freeze => 4,
+            Trouble::KillOfAll => 3,
+        }
+    }
+}
+/// One host, so that every request meets what the ones before have left.
+const HOSTS: usize = 1;
 const OTHER: &str = "yefi830";
 const WALLED: &str = "nule212";
 /// The shared parts of a prompt.
@@ -84,21 +103,33 @@
     }
 }
 
-/// Plays the case. With `trouble` a router without a disk freezes while the wall is put up.
-pub fn play(program: &Path, folder: &Path, trouble: bool, lines: &mut Vec<String>) -> Verdict {
+/// Plays a case, without the disruption where `trouble` is false.
+pub fn play(
+    program: &Path,
+    folder: &Path,
+    how: Trouble,
+    trouble: bool,
+    lines: &mut Vec<String>,
+) -> Verdict {
     let mut play = Play {
         started: Instant::now(),
         sent: Vec::new(),
         served: 0,
         lines: Vec::new(),
     };
-    let verdict = play_steps(program, folder, trouble, &mut play);
+    let verdict = play_steps(program, folder, how, trouble, &mut play);
     lines.append(&mut play.lines);
     verdict.unwrap_or(Verdict::NotRun)
 }
 
-fn play_steps(program: &Path, folder: &Path, trouble: bool, play: &mut Play) -> Option<Verdict> {
-    let fleet = Fleet::start(program, folder, ROUTERS, 3)?;
+fn play_steps(
+    program: &Path,
+    folder: &Path,
+    how: Trouble,
+    trouble: bool,
+    play: &mut Play,
+) -> Option<Verdict> {
+    let mut fleet = Fleet::start(program, folder, how.routers(), 3)?;
     let tenants = |is_walled: bool| {
         [
             Tenant {
@@ -122,10 +153,17 @@
         "configuration 1, no tenant is isolated: {first:?}"
     ));
     first.filter(|status| *status == 200)?;
+    let second = fleet.configure(
+        1,
+        &configuration(2, &tenants(false)),
+        Duration::from_secs(5),
+    );
+    play.note(&format!("configuration 2, the same tenants: {second:?}"));
+    second.filter(|status| *status == 200)?;
     let shared = Arc::new(Shared::default());
     let routers: Vec<_> = (0..3).map(|number| fleet.network.control(number)).collect();
     let mut hosts = Vec::new();
-    for number in 0..2 {
+    for number in 0..HOSTS {
         let id = format!("i-7f3a91c{number}");
         let host = Host::start(fleet.network.hosts(), &id, MODEL, shared.clone())?;
         host.send_heartbeats(routers.clone(), "huvo11a", &format!("z{number}"), MODEL);
@@ -138,7 +176,7 @@
     std::thread::sleep(Duration::from_millis(3_500));
     // The other tenant's requests leave the shared parts at the hosts.
     let mut clients = Vec::new();
-    for router in 0..ROUTERS {
+    for router in 0..how.routers() {
         let mut client = Client::connect(fleet.network.frontend(router))?;
         for _ in 0..4 {
             let id = play.next(OTHER, false);
@@ -148,9 +186,24 @@
         }
         clients.push(client);
     }
+    match how {
+        Trouble::Freeze => freeze(&fleet, &configuration(3, &tenants(true)), trouble, play)?,
+        Trouble::KillOfAll => kill(&mut fleet, &configuration(3, &tenants(true)), trouble, play)?,
+    }
+    if play.served * 2 < play.sent.len() {
+        play.note("fewer than half of the requests were served");
+        return None;
+    }
+    drop(hosts);
+    let runs = shared.runs.lock().unwrap().clone();
+    Some(judge(&runs, play))
+}
+
+/// A router without a disk freezes while the wall is put up, and requests wait at it as it wakes.
+fn freeze(fleet: &Fleet, wall: &str, trouble: bool, play: &mut Play) -> Option<()> {
     // Kept connections of the tenant that will be isolated.
     let mut walled = Vec::new();
-    for router in 0..ROUTERS {
+    for router in 0..fleet.size() {
         let mut client = Client::connect(fleet.network.frontend(router))?;
         let id = play.next(WALLED, false);
         client.send(&request(&id, "key-walled", "0badcafe:100"))?;
@@ -164,12 +217,10 @@
         play.note(&format!("router {FROZEN} freezes"));
     }
     std::thread::sleep(Duration::from_millis(200));
-    let second = fleet.configure(1, &configuration(2, &tenants(true)), Duration::from_secs(1));
+    let third = fleet.configure(2, wall, Duration::from_secs(1));
     let acknowledged_at = Instant::now();
-    play.note(&format!(
-        "configuration 2, {WALLED} is isolated: {second:?}"
-    ));
-    second.filter(|status| *status == 200)?;
+    play.note(&format!("configuration 3, {WALLED} is isolated: {third:?}"));
+    third.filter(|status| *status == 200)?;
     std::thread::sleep(Duration::from_millis(3_500).saturating_sub(frozen_at.elapsed()));
     let is_late = acknowledged_at.elapsed() > Duration::from_millis(2_000);
     for (router, client) in walled.iter_mut().enumerate() {
@@ -182,7 +233,7 @@
         fleet.signal(FROZEN, "CONT");
         play.note(&format!("router {FROZEN} wakes again"));
     }
-    let ids: Vec<String> = play.sent[play.sent.len() - ROUTERS..]
+    let ids: Vec<String> = play.sent[play.sent.len() - walled.len()..]
         .iter()
         .map(|sent| sent.id.clone())
         .collect();
@@ -190,13 +241,45 @@
         let status = client.status();
         play.answered(&id, router, status);
     }
-    if play.served * 2 < play.sent.len() {
-        play.note("fewer than half of the requests were served");
-        return None;
+    Some(())
+}
+
+/// All routers are killed three seconds after the wall was put up; one returns before the others.
+fn kill(fleet: &mut Fleet, wall: &str, trouble: bool, play: &mut Play) -> Option<()> {
+    let third = fleet.configure(2, wall, Duration::from_secs(5));
+    play.note(&format!("configuration 3, {WALLED} is isolated: {third:?}"));
+    third.filter(|status| *status == 200)?;
+    std::thread::sleep(Duration::from_millis(3_000));
+    let killed_at = Instant::now();
+    if trouble {
+        (0..fleet.size()).for_each(|number| fleet.kill(number));
+        play.note("all routers are killed");
+        fleet.restart(FIRST)?;
+        play.note(&format!("router {FIRST} is started again"));
     }
-    drop(hosts);
-    let runs = shared.runs.lock().unwrap().clone();
-    Some(judge(&runs, play))
+    while !fleet.is_ready(FIRST) && killed_at.elapsed() < Duration::from_millis(700) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let is_ready = fleet.is_ready(FIRST);
+    play.note(&format!("router {FIRST} calls itself ready: {is_ready}"));
+    if is_ready {
+        let mut client = Client::connect(fleet.network.frontend(FIRST))?;
+        for _ in 0..4 {
+            let id = play.next(WALLED, true);
+            client.send(&request(&id, "key-walled", SHARED_PARTS))?;
+            let status = client.status();
+            play.answered(&id, FIRST, status);
+        }
+    }
+    std::thread::sleep(Duration::from_millis(1_000).saturating_sub(killed_at.elapsed()));
+    if trouble {
+        for number in 0..FIRST {
+            fleet.restart(number)?;
+        }
+        play.note("the two other routers are started again");
+    }
+    std::thread::sleep(Duration::from_millis(2_000));
+    Some(())
 }
 
 /// WALL as it is written.
