A configuration that nobody has confirmed lets no request run twice

Cause: a start publishes the state before the change that the disk does not show to be committed, and everything that decides about repeats takes the published configuration as the latest. Nothing asked whether anyone had confirmed it.

Change: Fleet::configuration_for names the configuration of a request together with whether it is confirmed for it; hedges, retries after an attempt that may have run, and resumed streams ask Forwarder::may_repeat. A confirmation that comes while the request waits counts, if the same configuration is still in force. Rejected attempts are retried as before. The committed state is published before the status that confirms it. New counters: requests_by_unconfirmed_configuration, copies_withheld, repeats_withheld. Fixtures: routers under test are confirmed, unless they say otherwise.

--- a/router/src/counters.rs
+++ b/router/src/counters.rs
@@ -25,6 +25,12 @@
     /// A sent attempt is a retry after a failure or a rejection; also counted as
     /// [`Event::AttemptSent`].
     Retried,
+    /// A request was handled by a configuration that was not confirmed as the latest.
+    UnconfirmedConfiguration,
+    /// A hedge was not sent, as the configuration that allows it was not confirmed as the latest.
+    HedgeWithheld,
+    /// A retry was not sent, as the configuration that allows it was not confirmed as the latest.
+    RetryWithheld,
     /// A backend rejected a request without executing it.
     Rejected,
     /// A backend rejected a request because its instance or weights are not the expected ones.
@@ -41,7 +47,7 @@
 
 impl Event {
     /// Every event with its name on the metrics page, in the order of the counters.
-    pub const ALL: [(Event, &'static str); 15] = [
+    pub const ALL: [(Event, &'static str); 18] = [
         (Event::RequestReceived, "requests_begun"),
         (Event::ResponseStarted, "answers_begun"),
         (Event::RejectedNotExecuted, "requests_refused_unrun"),
@@ -51,6 +57,12 @@
         (Event::AttemptSent, "sends"),
         (Event::Hedged, "copies"),
         (Event::Retried, "repeats"),
+        (
+            Event::UnconfirmedConfiguration,
+            "requests_by_unconfirmed_configuration",
+        ),
+        (Event::HedgeWithheld, "copies_withheld"),
+        (Event::RetryWithheld, "repeats_withheld"),
         (Event::Rejected, "rejections"),
         (Event::Misdirected, "misdirections"),
         (Event::OrderAccepted, "orders_taken"),
--- a/router/src/fleet.rs
+++ b/router/src/fleet.rs
@@ -2,6 +2,7 @@
 //! vectors, and through heartbeats.
 
 mod announced_weights;
+mod confirmation;
 mod durability;
 mod members;
 mod peers;
@@ -13,6 +14,7 @@
 mod suspicions;
 
 pub use announced_weights::IncompleteRollout;
+pub use confirmation::ConfigurationInUse;
 pub use durability::FleetSave;
 pub use prefixes::PrefixLookup;
 pub use pulls::{PULL_WAIT, Pull};
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -2,12 +2,11 @@
 
 use super::Fleet;
 use super::announced_weights::SendTimeBounds;
+use super::confirmation::MAX_STALENESS;
 use crate::clock;
 use crate::links::Reply;
 use crate::protocol::{PullRequest, Pulled, Request, Response};
-use crate::replica::handle::ReplicaHandle;
 use crate::sync::lock;
-use control::Millis;
 use control::directory::{Directory, Key, MemberStatus, Value, VersionVector};
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -25,9 +24,6 @@
 /// responses for every changed backend would be too many in a large fleet.
 const BATCH_DELAY_PER_MEMBER: Duration = Duration::from_micros(500);
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(250);
-/// A node is stale if its control state has not been confirmed as the latest for this long, in
-/// milliseconds. The primary sends a heartbeat every 0.2 s.
-const MAX_STALENESS: Millis = 1_000;
 /// Memory limit of full-state responses in progress, in kilobytes.
 pub(super) const FULL_STATE_BUDGET_KB: u32 = 8 << 10;
 /// Estimated size of a record in a response, in bytes.
@@ -124,7 +120,7 @@
         if !changed.is_empty() || changes {
             self.notify_change();
         }
-        self.record_staleness(requested_at + pulled.delay_ms, pulled.age_ms);
+        self.record_age(requested_at + pulled.delay_ms, pulled.age_ms);
         let is_current = pulled.age_ms.is_some_and(|age| age < MAX_STALENESS);
         if is_current {
             Pull::Current
@@ -133,37 +129,6 @@
         }
     }
 
-    /// Records how stale the control state of another node's response is. `sent_at` is the earliest
-    /// time at which the response can have been sent, so that the state never counts as newer than
-    /// it is, however long the response was in transit.
-    fn record_staleness(&self, sent_at: Millis, age_ms: Option<u64>) {
-        let at = age_ms.map(|age| sent_at.saturating_sub(age));
-        let mut known = lock(&self.current_as_of);
-        *known = (*known).max(at);
-    }
-
-    /// Time since this node's control state was last confirmed as the latest, in milliseconds;
-    /// `None` if it never was.
-    pub fn staleness(&self) -> Option<Millis> {
-        let own = self.replica.as_ref().and_then(ReplicaHandle::current_at);
-        let at = own.max(*lock(&self.current_as_of))?;
-        Some(clock::now().saturating_sub(at))
-    }
-
-    pub(super) fn is_current(&self) -> bool {
-        self.staleness().is_some_and(|age| age < MAX_STALENESS)
-    }
-
-    /// Completes when this node becomes stale; never if it was stale from the start.
-    async fn becomes_stale(&self) {
-        if !self.is_current() {
-            return std::future::pending().await;
-        }
-        while let Some(age) = self.staleness().filter(|age| *age < MAX_STALENESS) {
-            tokio::time::sleep(Duration::from_millis(MAX_STALENESS - age)).await;
-        }
-    }
-
     /// Responds to a pull as soon as there are updates. Full-state responses are large and many
     /// routers may request them at once, so a semaphore limits how many are in memory.
     pub(super) async fn answer_pull(&self, request: PullRequest) -> Reply {
--- a/router/src/proxy/attempt.rs
+++ b/router/src/proxy/attempt.rs
@@ -49,7 +49,7 @@
     pub cache_namespace: CompactString,
     /// Whether the route allows an event stream as the response.
     pub streaming: bool,
-    /// Whether the request may be sent again although it may have been executed.
+    /// Whether the request can be retried if its connection turns out to be broken.
     pub is_retryable: bool,
 }
 
--- a/router/src/proxy/forwarder.rs
+++ b/router/src/proxy/forwarder.rs
@@ -14,7 +14,7 @@
 use super::selection::{SelectedBackend, SelectionCriteria, select_backend};
 use crate::clock;
 use crate::counters::Event;
-use crate::fleet::Fleet;
+use crate::fleet::{ConfigurationInUse, Fleet};
 use crate::sync::lock;
 use compact_str::CompactString;
 use control::Millis;
@@ -112,6 +112,8 @@
     pub route: Arc<Route>,
     /// The service chosen by the route's traffic split.
     pub service: CompactString,
+    /// The configuration that the route is part of.
+    pub configuration: ConfigurationInUse,
     /// The router's own deadline.
     pub deadline: Instant,
 }
@@ -187,6 +189,20 @@
         access(admission_controllers.entry(service.clone()).or_default())
     }
 
+    /// Returns whether a request may run again although it may have been executed: its route allows
+    /// it, and no newer configuration can forbid it. Otherwise `withheld` is counted, unless the
+    /// route forbids it.
+    pub(super) fn may_repeat(&self, request: &ForwardRequest, withheld: Event) -> bool {
+        if !request.route.is_idempotent() {
+            return false;
+        }
+        let is_confirmed = self.fleet.is_confirmed(&request.configuration);
+        if !is_confirmed {
+            self.count(withheld);
+        }
+        is_confirmed
+    }
+
     /// Returns whether to reject a request because its service is overloaded. `least_loaded`
     /// is the least-loaded backend; no request is rejected while it has spare capacity.
     pub(super) fn should_reject(
@@ -402,7 +418,10 @@
         history: &mut AttemptHistory,
         last_event_id: String,
     ) -> Option<ResponseStart> {
-        while history.executions < request.route.attempts && history.rejections <= MAX_REJECTIONS {
+        while history.executions < request.route.attempts
+            && history.rejections <= MAX_REJECTIONS
+            && self.may_repeat(request, Event::RetryWithheld)
+        {
             let selected = self
                 .select_with_wait(request, &history.attempted, None)
                 .await?;
--- a/router/src/proxy/in_flight.rs
+++ b/router/src/proxy/in_flight.rs
@@ -70,7 +70,7 @@
             .with_route_stats(self.request, |route_stats| route_stats.latency.p95);
         let hedge_timer = tokio::time::sleep(Duration::from_nanos(hedge_after as u64));
         tokio::pin!(hedge_timer);
-        let mut may_hedge = self.request.upstream_request.is_retryable;
+        let mut may_hedge = self.request.route.is_idempotent();
         let deadline = tokio::time::sleep_until(self.request.deadline);
         tokio::pin!(deadline);
         loop {
@@ -190,6 +190,9 @@
         if self.is_hedged
             || self.attempts_in_flight.len() != 1
             || self.history.executions >= self.request.route.attempts
+            || !self
+                .forwarder
+                .may_repeat(self.request, Event::HedgeWithheld)
         {
             return;
         }
@@ -224,7 +227,6 @@
 
     /// Records a failed attempt. Returns whether the request may be sent again.
     fn record_failed_attempt(&mut self, error: AttemptError) -> bool {
-        let route = &self.request.route;
         match error {
             AttemptError::NotSent => {
                 self.history.executions -= 1;
@@ -245,20 +247,23 @@
                 self.retry_after = retry_after.or(self.retry_after);
                 self.history.rejections <= MAX_REJECTIONS
             }
-            AttemptError::Broken | AttemptError::WeightsExpired => {
-                route.is_idempotent() && self.history.executions < route.attempts
-            }
+            AttemptError::Broken | AttemptError::WeightsExpired => self.may_retry_execution(),
         }
     }
 
     /// Returns whether a response states a failure of the backend itself, and another attempt is in
     /// flight or still permitted.
     fn should_retry_response(&self, response: &ResponseStart) -> bool {
-        let has_alternative = !self.attempts_in_flight.is_empty()
-            || self.history.executions < self.request.route.attempts;
         is_backend_failure(response.status)
-            && self.request.upstream_request.is_retryable
-            && has_alternative
+            && (!self.attempts_in_flight.is_empty() || self.may_retry_execution())
+    }
+
+    /// Returns whether the request may be sent again after an attempt that may have been executed.
+    fn may_retry_execution(&self) -> bool {
+        self.history.executions < self.request.route.attempts
+            && self
+                .forwarder
+                .may_repeat(self.request, Event::RetryWithheld)
     }
 
     /// Starts a retry. Returns false if the budget does not allow it, or no backend is
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -4,9 +4,10 @@
 use super::forwarder::{AttemptHistory, ForwardError, ForwardRequest, Forwarder};
 use super::headers;
 use super::relay::{Client, Relay};
+use crate::clock;
 use crate::counters::Event;
+use crate::fleet::ConfigurationInUse;
 use crate::listener::{ClientConnection, ClientConnections, RequestInFlight};
-use crate::sync::lock;
 use bytes::Bytes;
 use compact_str::CompactString;
 use control::configuration::{Access, Configuration, Kind, Route, Tenant};
@@ -102,9 +103,15 @@
         in_flight: RequestInFlight,
     ) -> std::result::Result<Response, Rejection> {
         let received_at = Instant::now();
-        let configuration = self
-            .configuration()
+        let in_use = self
+            .forwarder
+            .fleet
+            .configuration_for(clock::now())
             .ok_or_else(|| Rejection::unavailable(NOT_READY_RETRY_AFTER_S))?;
+        if !in_use.is_confirmed {
+            self.forwarder.count(Event::UnconfirmedConfiguration);
+        }
+        let configuration = in_use.configuration.clone();
         let host = host_of(&request);
         let route = configuration.route(&host, request.uri().path());
         let route = route.ok_or_else(|| Rejection::from_status(StatusCode::NOT_FOUND))?;
@@ -116,8 +123,7 @@
         };
         let max_bytes = configuration.limits.max_body_bytes as usize;
         let body = read_body(&mut request, max_bytes).await?;
-        let request =
-            self.forward_request(&configuration, route, tenant, request, body, received_at)?;
+        let request = self.forward_request(in_use, route, tenant, request, body, received_at)?;
         match self.forwarder.run(&request).await {
             Ok((response, history)) => {
                 let client = Client {
@@ -130,15 +136,9 @@
         }
     }
 
-    fn configuration(&self) -> Option<Arc<Configuration>> {
-        lock(&self.forwarder.fleet.published)
-            .configuration()
-            .cloned()
-    }
-
     fn forward_request(
         &self,
-        configuration: &Configuration,
+        in_use: ConfigurationInUse,
         route: &Route,
         tenant: Option<&Tenant>,
         request: Request,
@@ -155,13 +155,13 @@
         let deadline = received_at + Duration::from_millis(timeout);
         let router_deadline =
             deadline.min(received_at + Duration::from_millis(route.timeout_ms)) - RESPONSE_MARGIN;
-        let upstream_request =
-            upstream_request(request, body, configuration, route, tenant, deadline)
-                .ok_or_else(|| Rejection::from_status(StatusCode::BAD_REQUEST))?;
+        let upstream_request = upstream_request(request, body, &in_use, route, tenant, deadline)
+            .ok_or_else(|| Rejection::from_status(StatusCode::BAD_REQUEST))?;
         Ok(ForwardRequest {
             upstream_request: Arc::new(upstream_request),
             route: Arc::new(route.clone()),
             service: service.clone(),
+            configuration: in_use,
             deadline: router_deadline,
         })
     }
@@ -279,7 +279,7 @@
 fn upstream_request(
     request: Request,
     body: Bytes,
-    configuration: &Configuration,
+    in_use: &ConfigurationInUse,
     route: &Route,
     tenant: Option<&Tenant>,
     deadline: Instant,
@@ -320,9 +320,9 @@
         request_id,
         deadline,
         prompt,
-        cache_namespace: cache_namespace(configuration, tenant),
+        cache_namespace: cache_namespace(&in_use.configuration, tenant),
         streaming: route.kind == Kind::Streaming,
-        is_retryable: route.is_idempotent() && route.attempts > 1,
+        is_retryable: in_use.is_confirmed && route.is_idempotent() && route.attempts > 1,
     })
 }
 
--- a/router/src/proxy/relay.rs
+++ b/router/src/proxy/relay.rs
@@ -143,11 +143,7 @@
         self.backend.record_failure();
         self.events = None;
         self.buffer.clear();
-        let id = self
-            .last_event_id
-            .clone()
-            .filter(|_| self.request.route.is_idempotent())
-            .ok_or_else(broken)?;
+        let id = self.last_event_id.clone().ok_or_else(broken)?;
         let resumed = self
             .forwarder
             .resume(&self.request, &mut self.history, id)
--- a/router/src/replica/task.rs
+++ b/router/src/replica/task.rs
@@ -141,10 +141,11 @@
         if self.disk.needs_snapshot() {
             self.disk.snapshot(&self.node.snapshot());
         }
-        self.publish_status();
+        // In this order: the status confirms the state as the latest.
         if committed {
             self.fleet.publish_committed(self.node.state());
         }
+        self.publish_status();
         let leader = self
             .node
             .view()
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -217,11 +217,21 @@
         Self::start_on(Self::without_configuration(), configuration, backends).await
     }
 
-    /// Starts a router with existing state.
+    /// Starts a router with existing state, which is confirmed as the latest for the whole test.
     pub async fn start_on(
         fleet: Arc<Fleet>,
         configuration: &str,
         backends: &[&FakeBackend],
+    ) -> Self {
+        fleet.record_confirmation(router::clock::now() + 60_000);
+        Self::start_unconfirmed(fleet, configuration, backends).await
+    }
+
+    /// Starts a router that nobody has told whether its state is the latest.
+    pub async fn start_unconfirmed(
+        fleet: Arc<Fleet>,
+        configuration: &str,
+        backends: &[&FakeBackend],
     ) -> Self {
         publish(&fleet, 1, configuration);
         for (at, backend) in backends.iter().enumerate() {
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -138,7 +138,8 @@
 
 #[tokio::test]
 async fn node_without_primary_reports_no_age() {
-    let source = Router::start(&[]).await;
+    let fleet = Router::without_configuration();
+    let source = Router::start_unconfirmed(fleet, CONFIGURATION, &[]).await;
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else {
         unreachable!()
--- /dev/null
+++ b/router/tests/unconfirmed_configuration.rs
@@ -0,0 +1,117 @@
+//! Requests that a router handles by a configuration that may be older than the last acknowledged
+//! one. The router can't know what a newer one forbids, so it relies on nothing that only the known
+//! one allows.
+
+mod common;
+
+use common::*;
+use router::counters::Event;
+
+/// Routes that allow repeated executions, with short time limits.
+const REPEATABLE: &str = r#"{"version":1,"routes":[
+ {"name":"safe","host":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":500,"targetLatencyMs":40,"service":"s","attempts":3},
+ {"name":"resumable","host":"h","pathPrefix":"/resumable/","kind":"streaming","timeoutMs":500,"targetLatencyMs":40,"service":"s","attempts":3,"resumable":true}],
+ "services":[{"name":"s","healthPath":"/health","connectionLimit":100}],
+ "tenants":[{"name":"t1","apiKeys":["key1"]},{"name":"t2","apiKeys":["key2"]}]}"#;
+
+/// Two backends that handle requests alike.
+async fn two_backends(action: Action) -> [FakeBackend; 2] {
+    [
+        FakeBackend::start(vec![action.clone()]).await,
+        FakeBackend::start(vec![action]).await,
+    ]
+}
+
+fn executions([first, second]: &[FakeBackend; 2]) -> usize {
+    first.count() + second.count()
+}
+
+/// A router whose configuration nobody has confirmed, as after a restart.
+async fn start_unconfirmed([first, second]: &[FakeBackend; 2]) -> Router {
+    let fleet = Router::without_configuration();
+    Router::start_unconfirmed(fleet, REPEATABLE, &[first, second]).await
+}
+
+/// What a backend may do with a request so that the router would send it again, the path of the
+/// request and the status for the client.
+fn reasons_to_repeat() -> Vec<(&'static str, Action, &'static str)> {
+    let failure = answer("500 Internal Server Error", "X-Response-Seal: s\r\n", "");
+    let broken_stream = format!("{STREAM_HEAD}{}", event(1));
+    vec![
+        ("/safe/", Action::Hang, "504"),
+        ("/safe/", Action::RespondAndClose(String::new()), "502"),
+        ("/safe/", Action::Respond(failure), "500"),
+        ("/resumable/", Action::RespondAndReset(broken_stream), "200"),
+    ]
+}
+
+/// Guards against requests that run twice after a kill of all routers: the first one to return
+/// serves by the configuration before the last acknowledged one, which allowed retries and hedges.
+#[tokio::test]
+async fn configuration_that_nobody_confirmed_permits_no_second_execution() {
+    for (path, action, expected) in reasons_to_repeat() {
+        let backends = two_backends(action.clone()).await;
+        let router = start_unconfirmed(&backends).await;
+        let response = router.response_to(path, KEY).await;
+        assert_eq!(status(&response), expected, "{action:?}: {response}");
+        assert_eq!(executions(&backends), 1, "{action:?}");
+        let counters = &router.fleet.counters;
+        let withheld = counters.get(Event::HedgeWithheld) + counters.get(Event::RetryWithheld);
+        assert_eq!(withheld, 1, "{action:?}");
+        assert_eq!(counters.get(Event::UnconfirmedConfiguration), 1);
+    }
+}
+
+/// What a backend has not executed may go to another one, whatever the configuration says.
+#[tokio::test]
+async fn unconfirmed_configuration_permits_retry_after_rejection() {
+    let full = answer("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+    let backends = two_backends(Action::Respond(full)).await;
+    let router = start_unconfirmed(&backends).await;
+    assert_eq!(status(&router.response_to("/safe/", KEY).await), "503");
+    assert_eq!(executions(&backends), 2, "each backend was asked");
+}
+
+/// A confirmation that comes while the request waits counts for it, if the same configuration is
+/// in force.
+#[tokio::test]
+async fn hedges_request_once_its_configuration_is_confirmed() {
+    let backends = two_backends(Action::Hang).await;
+    let router = start_unconfirmed(&backends).await;
+    let response = router.send("/safe/", KEY).await;
+    wait_for_first_execution(&backends).await;
+    router.fleet.record_confirmation(router::clock::now());
+    wait_for_end(response).await;
+    assert_eq!(executions(&backends), 2);
+}
+
+/// Guards against hedges by a configuration that was replaced while the request waited.
+#[tokio::test]
+async fn does_not_hedge_once_another_configuration_is_in_force() {
+    let backends = two_backends(Action::Hang).await;
+    let router = start_unconfirmed(&backends).await;
+    let response = router.send("/safe/", KEY).await;
+    wait_for_first_execution(&backends).await;
+    let newer = REPEATABLE.replace("\"version\":1", "\"version\":2");
+    publish(&router.fleet, 2, &newer);
+    router.fleet.record_confirmation(router::clock::now());
+    wait_for_end(response).await;
+    assert_eq!(executions(&backends), 1);
+}
+
+async fn wait_for_first_execution(backends: &[FakeBackend; 2]) {
+    let executed = async {
+        while executions(backends) == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    let executed = tokio::time::timeout(TEST_TIMEOUT, executed).await;
+    executed.expect("the request reaches a backend");
+}
+
+async fn wait_for_end(mut response: tokio::net::TcpStream) {
+    let mut text = String::new();
+    let read = tokio::io::AsyncReadExt::read_to_string(&mut response, &mut text);
+    let ended = tokio::time::timeout(TEST_TIMEOUT, read).await;
+    ended.expect("a response in time").expect("a response");
+}
