A configuration confirmed longer than configApplyMs ago lets no request run twice

Cause: the router takes up what waits in its sockets before the answer of its pull, and handled the request by the configuration from before the suspension. How old the state may be at most was known (the age on the metrics page) and not asked. The copy went out when the newer configuration was in force already: the request kept the route of the older one.

Evidence, metrics page of router 3: before configuration 1; 29 ms after the wake configuration 2, age 22 ms, copies_total 0; 13 ms later still configuration 2, copies_total 1.

Change: a configuration counts as confirmed for a request if the state was the latest no longer than configApplyMs before the request was received. Whatever is acknowledged later than that does not bind the request by the rule of configurations itself.

--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -103,7 +103,11 @@
         in_use.is_confirmed || has_become_confirmed()
     }
 
-    fn is_confirmed_for(&self, _received_at: Millis) -> bool {
-        self.confirmed_as_of().is_some()
+    /// A configuration that was acknowledged less than `configApplyMs` before a request does not bind
+    /// the request, so the state may be as much older. Requests are received after they are sent.
+    fn is_confirmed_for(&self, received_at: Millis) -> bool {
+        let config_apply_ms = self.settings.bounds.config_apply_ms;
+        self.confirmed_as_of()
+            .is_some_and(|as_of| as_of + config_apply_ms >= received_at)
     }
 }
--- a/router/tests/unconfirmed_configuration.rs
+++ b/router/tests/unconfirmed_configuration.rs
@@ -62,6 +62,39 @@
     }
 }
 
+/// Guards against requests that run twice at a router that wakes from a suspension: they waited in
+/// its sockets, and the router takes them up before it has heard of newer configurations.
+#[tokio::test]
+async fn configuration_that_was_confirmed_too_long_ago_permits_no_second_execution() {
+    for (path, action, _) in reasons_to_repeat() {
+        let backends = two_backends(action.clone()).await;
+        let router = start_unconfirmed(&backends).await;
+        let bound = router.fleet.settings.bounds.config_apply_ms;
+        let suspended_at = router::clock::now() - bound - 1;
+        router.fleet.record_confirmation(suspended_at);
+        router.response_to(path, KEY).await;
+        assert_eq!(executions(&backends), 1, "{action:?}");
+    }
+}
+
+/// A configuration binds requests that are sent later than `configApplyMs` after its
+/// acknowledgement, so the one before it binds all others.
+#[tokio::test]
+async fn configuration_binds_requests_for_its_bound_after_the_confirmation() {
+    let fleet = Router::without_configuration();
+    publish(&fleet, 1, CONFIGURATION);
+    let bound = fleet.settings.bounds.config_apply_ms;
+    let confirmed_as_of = 200_000;
+    fleet.record_confirmation(confirmed_as_of);
+    let is_confirmed = |received_at| {
+        let in_use = fleet.configuration_for(received_at);
+        in_use.expect("a configuration").is_confirmed
+    };
+    assert!(is_confirmed(confirmed_as_of));
+    assert!(is_confirmed(confirmed_as_of + bound));
+    assert!(!is_confirmed(confirmed_as_of + bound + 1));
+}
+
 /// What a backend has not executed may go to another one, whatever the configuration says.
 #[tokio::test]
 async fn unconfirmed_configuration_permits_retry_after_rejection() {
