A configuration that is not confirmed lets no tenants share cached segments

Change: by an unconfirmed configuration each tenant has the namespace that it has when isolated, so nothing is shared and an isolated tenant still finds its own; requests without a tenant have one for each key, as a newer configuration may assign it. The function stands in a module of its own.

--- a/router/src/proxy.rs
+++ b/router/src/proxy.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod backend_table;
+mod cache_namespace;
 pub mod cache_salt;
 pub mod cache_watcher;
 pub mod connection;
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -1,6 +1,7 @@
 //! The HTTP endpoint for clients: routes and authenticates requests, and builds the responses.
 
 use super::attempt::{ResponseBody, ResponseStart, UpstreamRequest};
+use super::cache_namespace::cache_namespace;
 use super::forwarder::{AttemptHistory, ForwardError, ForwardRequest, Forwarder};
 use super::headers;
 use super::relay::{Client, Relay};
@@ -10,14 +11,13 @@
 use crate::listener::{ClientConnection, ClientConnections, RequestInFlight};
 use bytes::Bytes;
 use compact_str::CompactString;
-use control::configuration::{Access, Configuration, Kind, Route, Tenant};
+use control::configuration::{Access, Kind, Route, Tenant};
 use hyper::HeaderMap;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, RETRY_AFTER};
 use poem::http::StatusCode;
 use poem::{Body, Endpoint, Request, Response, Result};
 use routing::prompt::Prompt;
 use routing::traffic_split::choose_weighted;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -320,24 +320,8 @@
         request_id,
         deadline,
         prompt,
-        cache_namespace: cache_namespace(&in_use.configuration, tenant),
+        cache_namespace: cache_namespace(in_use, tenant, headers::bearer(request.headers())),
         streaming: route.kind == Kind::Streaming,
         is_retryable: in_use.is_confirmed && route.is_idempotent() && route.attempts > 1,
     })
 }
-
-/// The namespace of a tenant's cached segments. An isolated tenant has its own; the others share
-/// one. The shared namespace contains a hash of the isolated tenants' names, so that segments which
-/// a tenant cached before it was isolated are not found afterwards.
-fn cache_namespace(configuration: &Configuration, tenant: Option<&Tenant>) -> CompactString {
-    if let Some(tenant) = tenant.filter(|tenant| tenant.isolated) {
-        return compact_str::format_compact!("t{}-", tenant.name);
-    }
-    let mut hasher = DefaultHasher::new();
-    let isolated = configuration
-        .tenants
-        .iter()
-        .filter(|tenant| tenant.isolated);
-    isolated.for_each(|tenant| tenant.name.hash(&mut hasher));
-    compact_str::format_compact!("s{:08x}-", hasher.finish() as u32)
-}
--- a/router/tests/unconfirmed_configuration.rs
+++ b/router/tests/unconfirmed_configuration.rs
@@ -132,6 +132,65 @@
     assert_eq!(executions(&backends), 1);
 }
 
+const PROMPT: &str =
+    "X-Model-Name: m\r\nX-Token-Counts: 900,10\r\nX-Prompt-Prefix: a:300,b:500,own:100\r\n";
+
+/// A public route, a route that requires a key, an isolated tenant and two others.
+const TENANTS: &str = r#"{"version":1,"routes":[
+ {"name":"keyed","host":"h","pathPrefix":"/keyed/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"service":"s"},
+ {"name":"open","host":"h","pathPrefix":"/open/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"service":"s","public":true}],
+ "services":[{"name":"s","healthPath":"/health","connectionLimit":100}],
+ "tenants":[{"name":"t1","apiKeys":["key1"],"isolated":true},{"name":"t2","apiKeys":["key2"]},{"name":"t3","apiKeys":["key3"]}]}"#;
+
+/// The cache salts of one request of each kind: of every tenant, and on the public route of a known
+/// and an unknown key and of none.
+async fn salts(fleet: std::sync::Arc<router::fleet::Fleet>) -> Vec<String> {
+    let backend = FakeBackend::start(vec![Action::Respond(success("ok"))]).await;
+    let router = Router::start_unconfirmed(fleet, TENANTS, &[&backend]).await;
+    let requests = [
+        ("/keyed/", "Authorization: Bearer key1\r\n"),
+        ("/keyed/", "Authorization: Bearer key2\r\n"),
+        ("/keyed/", "Authorization: Bearer key3\r\n"),
+        ("/open/", "Authorization: Bearer key2\r\n"),
+        ("/open/", "Authorization: Bearer unknown\r\n"),
+        ("/open/", ""),
+    ];
+    let mut salts = Vec::new();
+    for (path, key) in requests {
+        let response = router.response_to(path, &format!("{key}{PROMPT}")).await;
+        assert_eq!(status(&response), "200", "{path} {key}");
+        let sent = backend.request(salts.len());
+        salts.push(header(&sent, "cache-salt").expect("a salt"));
+    }
+    salts
+}
+
+/// Guards against prompt segments of other tenants that a tenant uses although the last
+/// acknowledged configuration isolates it: the router shares them by an older one, which it restored
+/// from its disk or had before a suspension.
+#[tokio::test]
+async fn tenants_share_no_segments_by_an_unconfirmed_configuration() {
+    let confirmed = Router::without_configuration();
+    confirmed.record_confirmation(router::clock::now() + 60_000);
+    let shared = salts(confirmed).await;
+    assert_eq!(shared[1], shared[2], "tenants that are not isolated share");
+    assert_ne!(shared[0], shared[1]);
+
+    let never_confirmed = Router::without_configuration();
+    let outdated = Router::without_configuration();
+    let bound = outdated.settings.bounds.config_apply_ms;
+    outdated.record_confirmation(router::clock::now() - bound - 1);
+    for fleet in [never_confirmed, outdated] {
+        let mut separate = salts(fleet).await;
+        assert_eq!(separate[0], shared[0], "an isolated tenant finds its own");
+        assert!(!separate.contains(&shared[1]), "{separate:?}");
+        assert_eq!(separate[3], separate[1], "the key names the tenant");
+        separate.sort();
+        separate.dedup();
+        assert_eq!(separate.len(), 5, "{separate:?}");
+    }
+}
+
 async fn wait_for_first_execution(backends: &[FakeBackend; 2]) {
     let executed = async {
         while executions(backends) == 0 {
