An update that could not be applied confirms nothing

Found while going through the uses of the age of the control state, not seen in service: a router that pulls a newer configuration as a difference to a text that it does not have keeps its old one, and counted it as the latest, with the age that the responder stated for the newer one; so did the routers that pull from it. The same for a committed configuration that this build can't parse.

Change: Published tells that a newer configuration is known and could not be applied; until one is applied the state has no confirmation, the pull counts as stale (another node is asked), and no age is passed on. The age in a response to a pull is read before the state that it covers.

Test seen failing before: update_that_is_not_applied_confirms_nothing (Current where Stale is expected). configuration_that_cannot_be_parsed_leaves_state_outdated is new with the flag.

--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -47,8 +47,11 @@
     }
 
     /// The latest time as of which the state here is confirmed; `None` if it has never been since
-    /// the start of the process.
+    /// the start of the process, or if a newer configuration could not be applied.
     fn confirmed_as_of(&self) -> Option<Millis> {
+        if lock(&self.published).is_outdated() {
+            return None;
+        }
         let own = self.replica.as_ref().and_then(ReplicaHandle::current_at);
         own.max(*lock(&self.current_as_of))
     }
@@ -95,12 +98,10 @@
     /// Whether the configuration of a request is confirmed for it: when the request was received,
     /// or since, with the same configuration still in force.
     pub fn is_confirmed(&self, in_use: &ConfigurationInUse) -> bool {
-        let has_become_confirmed = || {
-            let known = lock(&self.published);
-            self.is_confirmed_for(in_use.received_at)
-                && known.version() == Some(in_use.configuration.version)
-        };
-        in_use.is_confirmed || has_become_confirmed()
+        // Read in this order, as in `configuration_for`.
+        in_use.is_confirmed
+            || self.is_confirmed_for(in_use.received_at)
+                && lock(&self.published).version() == Some(in_use.configuration.version)
     }
 
     /// A configuration that was acknowledged less than `configApplyMs` before a request does not bind
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -120,6 +120,11 @@
         if !changed.is_empty() || changes {
             self.notify_change();
         }
+        // The age is that of the responder's state, which an update that can't be applied leaves
+        // ahead of the state here.
+        if lock(&self.published).is_outdated() {
+            return Pull::Stale;
+        }
         self.record_age(requested_at + pulled.delay_ms, pulled.age_ms);
         let is_current = pulled.age_ms.is_some_and(|age| age < MAX_STALENESS);
         if is_current {
@@ -163,13 +168,15 @@
         } else {
             None
         };
+        // Read before the state that it confirms.
+        let age_ms = self.staleness();
         let directory = lock(&self.directory);
         let pulled = Pulled {
             records: directory.records_since(&request.vector),
             vector: directory.vector().clone(),
             state: lock(&self.published).update_for(request.position, request.base),
             leader: self.leader(),
-            age_ms: self.staleness(),
+            age_ms,
             announced_weights: self.announced_weights(),
             delay_ms: started_at.elapsed().as_millis() as u64,
         };
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -17,6 +17,8 @@
     weights: BTreeMap<CompactString, WeightsTarget>,
     /// Whether a delta to the current text failed its checksum, so that the full text is needed.
     needs_full_text: bool,
+    /// Whether a newer configuration than the one in force is known and could not be applied.
+    is_outdated: bool,
 }
 
 impl Published {
@@ -47,6 +49,11 @@
         self.version().filter(|_| !self.needs_full_text)
     }
 
+    /// Whether a newer configuration than the one in force is known and could not be applied.
+    pub fn is_outdated(&self) -> bool {
+        self.is_outdated
+    }
+
     /// The latest version of each model's weights.
     pub fn weights(&self) -> &BTreeMap<CompactString, WeightsTarget> {
         &self.weights
@@ -83,6 +90,7 @@
             if let Err(error) = history.apply(update) {
                 log::debug!("an update of the configuration could not be applied: {error}");
                 self.needs_full_text = matches!(error, ApplyError::Checksum { .. });
+                self.is_outdated = true;
                 return false;
             }
             if !self.load(history) {
@@ -118,10 +126,12 @@
                 self.configuration = Some(Arc::new(parsed));
                 self.history = history;
                 self.needs_full_text = false;
+                self.is_outdated = false;
                 true
             }
             Err(error) => {
                 log::error!("a committed configuration can't be parsed: {error}");
+                self.is_outdated = true;
                 false
             }
         }
--- a/router/tests/published.rs
+++ b/router/tests/published.rs
@@ -1,7 +1,7 @@
 //! Propagation of the committed state: late and duplicate updates change nothing.
 
 use control::changes::Change;
-use control::state::{ControlState, Position, Update};
+use control::state::{ControlState, Position, StoredConfiguration, Update};
 use router::published::Published;
 
 fn body(version: u64) -> Vec<u8> {
@@ -98,10 +98,28 @@
         Some(1),
         "the configuration in force remains"
     );
+    assert!(receiver.is_outdated(), "a newer configuration is known");
     assert_eq!(receiver.base(), None, "the full text is requested");
     let update = source(2)
         .update_for(receiver.position(), receiver.base())
         .expect("an update");
     assert!(receiver.apply_update(update));
     assert_eq!((receiver.version(), receiver.base()), (Some(2), Some(2)));
+    assert!(!receiver.is_outdated());
+}
+
+/// A newer build of the program may commit a configuration that this one can't parse. The one before
+/// it stays in force, and does not count as the latest.
+#[test]
+fn configuration_that_cannot_be_parsed_leaves_state_outdated() {
+    let mut published = source(1);
+    let mut committed = ControlState::default();
+    committed.position = Position { index: 2, epoch: 1 };
+    committed.configuration = Some(StoredConfiguration {
+        version: 2,
+        body: b"{".as_slice().into(),
+    });
+    published.apply_committed(&committed);
+    assert_eq!(published.version(), Some(1));
+    assert!(published.is_outdated());
 }
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -136,15 +136,43 @@
     }
 }
 
-#[tokio::test]
-async fn node_without_primary_reports_no_age() {
-    let fleet = Router::without_configuration();
-    let source = Router::start_unconfirmed(fleet, CONFIGURATION, &[]).await;
+/// Starts serving the pulls of other nodes.
+async fn serve_pulls(fleet: &Arc<Fleet>) -> std::net::SocketAddrV4 {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let std::net::SocketAddr::V4(address) = listener.local_addr().unwrap() else {
         unreachable!()
     };
-    tokio::spawn(links::serve(listener, source.fleet.clone(), Arc::default()));
+    tokio::spawn(links::serve(listener, fleet.clone(), Arc::default()));
+    address
+}
+
+/// Guards against routers that count an old configuration as the latest: the response has a newer
+/// one, but as a difference to a text that this router does not have.
+#[tokio::test]
+async fn update_that_is_not_applied_confirms_nothing() {
+    let source = Router::start(&[]).await;
+    publish(
+        &source.fleet,
+        2,
+        &CONFIGURATION.replace("\"version\":1", "\"version\":2"),
+    );
+    let address = serve_pulls(&source.fleet).await;
+    let requester = Router::without_configuration();
+    publish(&requester, 1, &CONFIGURATION.replace("/open/", "/other/"));
+    let pull = async || requester.pull(address, Duration::ZERO, || {}).await;
+    assert_eq!(pull().await, Pull::Stale);
+    assert_eq!(requester.published.lock().unwrap().version(), Some(1));
+    assert_eq!(requester.staleness(), None, "version 1 is not the latest");
+    assert_eq!(pull().await, Pull::Current, "the full text is applied");
+    assert_eq!(requester.published.lock().unwrap().version(), Some(2));
+    assert!(requester.staleness().is_some());
+}
+
+#[tokio::test]
+async fn node_without_primary_reports_no_age() {
+    let fleet = Router::without_configuration();
+    let source = Router::start_unconfirmed(fleet, CONFIGURATION, &[]).await;
+    let address = serve_pulls(&source.fleet).await;
     let requester = Router::without_configuration();
     assert_eq!(
         requester.pull(address, Duration::ZERO, || {}).await,
