A configuration that is not confirmed denies no request for good

Found while going through what a router decides by its configuration, not seen in service: after a kill of all routers, or at one that woke or is cut off, a client of a route or key that the last acknowledged configuration has was told 404 or 401 by an older one. Clients never retry these, so the request was lost, though it had not run and another router may serve it.

Change: what only an unconfirmed configuration denies (404, 401, 413) is answered with 503 and Retry-After, as by a router that has no configuration at all. Confirmed ones deny as before.

Test seen failing before: unconfirmed_configuration_denies_nothing_for_good (404 where 503 is expected). All router tests pass.

--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -26,7 +26,8 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// The router's own deadline is this long before the client's deadline or the route's timeout.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
-/// Retry-After while this router has no configuration, in seconds.
+/// Retry-After while this router has no configuration, or none that is confirmed as the latest, in
+/// seconds.
 const NOT_READY_RETRY_AFTER_S: &str = "0.3";
 /// Number of route priorities within each tenant priority.
 const ROUTE_PRIORITIES: u8 = 3;
@@ -53,6 +54,16 @@
         }
     }
 
+    /// A request that its configuration does not allow. If the configuration is not confirmed, a
+    /// newer one may allow it, so that the client may try again elsewhere.
+    fn denial(status: StatusCode, in_use: &ConfigurationInUse) -> Self {
+        if in_use.is_confirmed {
+            Self::from_status(status)
+        } else {
+            Self::unavailable(NOT_READY_RETRY_AFTER_S)
+        }
+    }
+
     fn unavailable(retry_after_s: &str) -> Self {
         Rejection {
             status: StatusCode::SERVICE_UNAVAILABLE,
@@ -114,15 +125,15 @@
         let configuration = in_use.configuration.clone();
         let host = host_of(&request);
         let route = configuration.route(&host, request.uri().path());
-        let route = route.ok_or_else(|| Rejection::from_status(StatusCode::NOT_FOUND))?;
+        let route = route.ok_or_else(|| Rejection::denial(StatusCode::NOT_FOUND, &in_use))?;
         let key = headers::bearer(request.headers());
         let tenant = match configuration.access(route, key) {
             Access::Tenant(tenant) => Some(tenant),
             Access::Open => None,
-            Access::Denied => return Err(Rejection::from_status(StatusCode::UNAUTHORIZED)),
+            Access::Denied => return Err(Rejection::denial(StatusCode::UNAUTHORIZED, &in_use)),
         };
         let max_bytes = configuration.limits.max_body_bytes as usize;
-        let body = read_body(&mut request, max_bytes).await?;
+        let body = read_body(&mut request, max_bytes, &in_use).await?;
         let request = self.forward_request(in_use, route, tenant, request, body, received_at)?;
         match self.forwarder.run(&request).await {
             Ok((response, history)) => {
@@ -262,16 +273,16 @@
 async fn read_body(
     request: &mut Request,
     max_bytes: usize,
+    in_use: &ConfigurationInUse,
 ) -> std::result::Result<Bytes, Rejection> {
+    let too_large = || Rejection::denial(StatusCode::PAYLOAD_TOO_LARGE, in_use);
     let declared = headers::number(request.headers(), &CONTENT_LENGTH);
     if declared.is_some_and(|length| length > max_bytes as u64) {
-        return Err(Rejection::from_status(StatusCode::PAYLOAD_TOO_LARGE));
+        return Err(too_large());
     }
     match request.take_body().into_bytes_limit(max_bytes).await {
         Ok(body) => Ok(body),
-        Err(poem::error::ReadBodyError::PayloadTooLarge) => {
-            Err(Rejection::from_status(StatusCode::PAYLOAD_TOO_LARGE))
-        }
+        Err(poem::error::ReadBodyError::PayloadTooLarge) => Err(too_large()),
         Err(_) => Err(Rejection::from_status(StatusCode::BAD_REQUEST)),
     }
 }
--- a/router/tests/unconfirmed_configuration.rs
+++ b/router/tests/unconfirmed_configuration.rs
@@ -132,6 +132,32 @@
     assert_eq!(executions(&backends), 1);
 }
 
+/// Guards against clients that are told for good that a route or key does not exist which the last
+/// acknowledged configuration has: they never retry a 401, 404 or 413.
+#[tokio::test]
+async fn unconfirmed_configuration_denies_nothing_for_good() {
+    let configuration =
+        REPEATABLE.replace("\"routes\"", "\"limits\":{\"maxBodyBytes\":3},\"routes\"");
+    let denied = [
+        ("/other/", KEY, "404"),
+        ("/safe/", "", "401"),
+        ("/safe/", "Authorization: Bearer unknown\r\n", "401"),
+        ("/safe/", KEY, "413"),
+    ];
+    let router = Router::start_with(&configuration, &[]).await;
+    for (path, headers, expected) in denied {
+        let response = router.response_to(path, headers).await;
+        assert_eq!(status(&response), expected, "{path} {headers}");
+    }
+    let fleet = Router::without_configuration();
+    let router = Router::start_unconfirmed(fleet, &configuration, &[]).await;
+    for (path, headers, _) in denied {
+        let response = router.response_to(path, headers).await;
+        assert_eq!(status(&response), "503", "{path} {headers}");
+        assert!(header(&response, "retry-after").is_some(), "{response}");
+    }
+}
+
 const PROMPT: &str =
     "X-Model-Name: m\r\nX-Token-Counts: 900,10\r\nX-Prompt-Prefix: a:300,b:500,own:100\r\n";
 
