Unconfirmed state asks for no transfer of cached segments

Found while going through the uses of acknowledged state, not seen in service: while a backend changes its weights, runs that go on may leave segments of the new weights under the salt of the old ones, so no transfer is asked for once a newer version is known to be announced. A router that just started, woke or is cut off may not know of it, and asked for transfers (STALE has no time bound).

Change: no fetch and no save by a state that is not confirmed now, by the bound for configurations. What is fetched by an unconfirmed configuration lies in a namespace of its own anyway, so little is lost.

Test seen failing before: unconfirmed_state_permits_no_transfer_of_segments (2 headers where none is expected).

--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -104,6 +104,11 @@
                 && lock(&self.published).version() == Some(in_use.configuration.version)
     }
 
+    /// Whether the state counts as the latest now, by the bound for configurations.
+    pub fn is_state_confirmed(&self) -> bool {
+        self.is_confirmed_for(clock::now())
+    }
+
     /// A configuration that was acknowledged less than `configApplyMs` before a request does not bind
     /// the request, so the state may be as much older. Requests are received after they are sent.
     fn is_confirmed_for(&self, received_at: Millis) -> bool {
--- a/router/src/proxy/forwarder.rs
+++ b/router/src/proxy/forwarder.rs
@@ -261,8 +261,8 @@
             return KvTransfer::default();
         };
         // While a backend changes its weights, it may compute segments with the new weights under
-        // the old salt.
-        if self.is_superseded(&prompt.model, version) {
+        // the old salt. A router without confirmed state may not know that newer ones are announced.
+        if !self.fleet.is_state_confirmed() || self.is_superseded(&prompt.model, version) {
             return KvTransfer::default();
         }
         let Some(key) = PrefixKey::of_prompt(&request.upstream_request.cache_namespace, prompt)
--- a/router/tests/unconfirmed_configuration.rs
+++ b/router/tests/unconfirmed_configuration.rs
@@ -217,6 +217,36 @@
     }
 }
 
+/// Guards against segments of newer weights that a backend computed under the salt of the older
+/// ones: a router that does not know that newer ones are announced has them transferred.
+#[tokio::test]
+async fn unconfirmed_state_permits_no_transfer_of_segments() {
+    for (is_confirmed, transfers) in [(true, 2), (false, 0)] {
+        let fleet = Router::without_configuration();
+        if is_confirmed {
+            fleet.record_confirmation(router::clock::now() + 60_000);
+        }
+        let address = "127.0.0.1:9".parse().expect("an address");
+        let store = control::configuration::KvStore {
+            address,
+            zone: "a".into(),
+            kv_capacity: 100_000,
+            max_concurrent: 4,
+        };
+        fleet.stores.reconfigure(&[(address, store)].into());
+        fleet.stores.mark_available(address, 1);
+        let backend = FakeBackend::start(vec![Action::Respond(success("ok"))]).await;
+        let router = Router::start_unconfirmed(fleet, TENANTS, &[&backend]).await;
+        router
+            .response_to("/keyed/", &format!("{KEY}{PROMPT}"))
+            .await;
+        let sent = backend.request(0);
+        let names = ["kv-fetch", "kv-save"];
+        let found = names.iter().filter(|name| header(&sent, name).is_some());
+        assert_eq!(found.count(), transfers, "{sent}");
+    }
+}
+
 async fn wait_for_first_execution(backends: &[FakeBackend; 2]) {
     let executed = async {
         while executions(backends) == 0 {
