Soak: strict and relaxed configurations under suspensions and kills of all; tests of both faults

TWICE and WALL are checked by every configuration that may be in force for a request, with configApplyMs and no slack; requests that a strict one binds are counted.

--- a/bitternsill/tests/acknowledgements.rs
+++ b/bitternsill/tests/acknowledgements.rs
@@ -3,7 +3,7 @@
 use soak::backend::{Backend, Withdrawal};
 use soak::clock::Millis;
 use soak::fleet::Fleet;
-use soak::history::{BackendState, Reply};
+use soak::history::{BackendState, Policy, Reply};
 use soak::settings::{RECONNECT_MS, Size};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -205,7 +205,7 @@
         for round in 0..2 {
             let base = 1 + round;
             assert_eq!(
-                operator.configure(base, base + 1).await,
+                operator.configure(base, base + 1, Policy::Relaxed).await,
                 Reply::Acknowledged
             );
             assert_eq!(
--- a/bitternsill/tests/founding.rs
+++ b/bitternsill/tests/founding.rs
@@ -2,7 +2,7 @@
 //! Each case is a fleet of its own; all cases run side by side.
 
 use soak::fleet::Fleet;
-use soak::history::Reply;
+use soak::history::{Policy, Reply};
 use soak::settings::Size;
 use soak::supervisor::RouterFault;
 use std::path::{Path, PathBuf};
@@ -43,7 +43,9 @@
 
 /// Sends the first configuration until it is acknowledged.
 async fn configure(fleet: &Fleet, within: Duration) -> bool {
-    let attempts = async { while fleet.operator.configure(0, 1).await != Reply::Acknowledged {} };
+    let attempts = async {
+        while fleet.operator.configure(0, 1, Policy::Relaxed).await != Reply::Acknowledged {}
+    };
     tokio::time::timeout(within, attempts).await.is_ok()
 }
 
--- a/bitternsill/tests/soak.rs
+++ b/bitternsill/tests/soak.rs
@@ -17,6 +17,9 @@
 /// Seeds of runs with withdrawals of backends and kills of all replicas.
 const WITHDRAWAL_SEEDS: [u64; 2] = [41, 42];
 
+/// Seeds of runs with alternating configurations, suspensions and kills of all replicas.
+const POLICY_SEEDS: [u64; 2] = [54, 55];
+
 /// Additional faults of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Series {
@@ -24,6 +27,7 @@
     Leader,
     Partitions,
     Withdrawals,
+    Policies,
 }
 
 fn plan(seed: u64, series: Series) -> Plan {
@@ -38,12 +42,13 @@
         clients: 16,
         pause: Duration::from_millis(400),
         fault_ms: match series {
-            Series::Leader | Series::Withdrawals => 20_000,
+            Series::Leader | Series::Withdrawals | Series::Policies => 20_000,
             Series::None | Series::Partitions => 10_000,
         },
         leader_faults: series == Series::Leader,
         partitions: series == Series::Partitions,
         withdrawals: series == Series::Withdrawals,
+        policies: series == Series::Policies,
         folder: std::env::temp_dir().join(format!("soak-test-{}-{seed}", std::process::id())),
     }
 }
@@ -82,6 +87,7 @@
         (LEADER_SEEDS, Series::Leader),
         (PARTITION_SEEDS, Series::Partitions),
         (WITHDRAWAL_SEEDS, Series::Withdrawals),
+        (POLICY_SEEDS, Series::Policies),
     ];
     for ([first, second], series) in SEEDS
         .map(|seeds| (seeds, Series::None))
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -3,6 +3,7 @@
 mod execution;
 mod orders;
 mod registration;
+mod segment_cache;
 
 pub use execution::event;
 pub use registration::{LateHeartbeat, Withdrawal};
@@ -17,6 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use segment_cache::SegmentCache;
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -92,6 +94,7 @@
     orders: AtomicU64,
     sequence: AtomicU64,
     slots: Semaphore,
+    cache: SegmentCache,
 }
 
 impl Backend {
@@ -117,6 +120,7 @@
             orders: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             slots: Semaphore::new(SLOTS),
+            cache: SegmentCache::default(),
         });
         state.record(BackendState::Started {
             version: state.version.load(Ordering::Relaxed),
--- a/soak/src/backend/execution.rs
+++ b/soak/src/backend/execution.rs
@@ -32,6 +32,7 @@
             started_at: None,
             ended_at: None,
             backend_crashed: false,
+            reused_from: Vec::new(),
         };
         let mut history = state.environment.recorder.lock();
         history.executions.push(execution);
@@ -41,10 +42,11 @@
         }
     }
 
-    fn record_start(&self, version: u64) {
+    fn record_start(&self, version: u64, reused_from: Vec<u64>) {
         let now = self.state.environment.clock.now();
         let execution = &mut self.state.environment.recorder.lock().executions[self.index];
         (execution.version, execution.started_at) = (version, Some(now));
+        execution.reused_from = reused_from;
     }
 }
 
@@ -64,6 +66,8 @@
     events: u64,
     expected_version: Option<u64>,
     last_event: u64,
+    salt: String,
+    segments: Vec<String>,
 }
 
 impl RequestHeaders {
@@ -83,10 +87,20 @@
             last_event: text("last-event-id")
                 .and_then(|text| text.parse().ok())
                 .unwrap_or(0),
+            salt: text("cache-salt").unwrap_or_default().to_owned(),
+            segments: text("x-prompt-prefix").map(segment_ids).unwrap_or_default(),
         })
     }
 }
 
+/// The ids of the segments in a prompt prefix, which has the form `ID:TOKENS,ID:TOKENS`.
+fn segment_ids(prefix: &str) -> Vec<String> {
+    let ids = prefix
+        .split(',')
+        .filter_map(|segment| segment.split_once(':'));
+    ids.map(|(id, _)| id.to_owned()).collect()
+}
+
 impl State {
     pub(super) async fn execute(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let Some(headers) = RequestHeaders::parse(&request) else {
@@ -114,7 +128,10 @@
             response.headers_mut().insert("x-not-executed", 1.into());
             return response;
         }
-        guard.record_start(version);
+        let reused = self
+            .cache
+            .use_segments(headers.request, &headers.salt, &headers.segments);
+        guard.record_start(version, reused);
         tokio::time::sleep(Duration::from_millis(headers.work_ms)).await;
         self.respond(headers, version, guard)
     }
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,6 +1,7 @@
 //! Checks the history of a run against the rules.
 
 mod configurations;
+mod policies;
 mod processes;
 mod requests;
 mod weights;
@@ -52,6 +53,8 @@
         configurations::late_configurations,
         configurations::regressions,
         configurations::conflicting_changes,
+        policies::repeated_executions,
+        policies::shared_segments,
         weights::shared_fencing_tokens,
         weights::overlapping_leases,
         processes::failed_exits,
@@ -63,6 +66,11 @@
     found
 }
 
+/// The number of requests that a strict policy bound, of those whose treatment depends on it.
+pub fn requests_bound_by_strict_policy(history: &History) -> usize {
+    policies::bound_requests(history)
+}
+
 /// Whether the selected routers had no faults in a period and in the [`RECONNECT_MS`] before it.
 fn had_no_faults(
     history: &History,
--- a/soak/src/check/requests.rs
+++ b/soak/src/check/requests.rs
@@ -18,7 +18,7 @@
 /// the router can cross the request.
 const MAX_CROSSING_MS: Millis = 200;
 
-fn executions_by_request(history: &History) -> HashMap<u64, Vec<&Execution>> {
+pub(super) fn executions_by_request(history: &History) -> HashMap<u64, Vec<&Execution>> {
     let mut executions: HashMap<u64, Vec<&Execution>> = HashMap::new();
     history.executions.iter().for_each(|execution| {
         executions
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::{WORK_HEADER, event};
 use crate::clock::Clock;
-use crate::history::{Kind, Outcome, Recorder, Request};
+use crate::history::{Kind, Outcome, Recorder, Request, Tenant};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -54,6 +54,7 @@
 struct RequestSpec {
     id: u64,
     kind: Kind,
+    tenant: Tenant,
     work_ms: u64,
     events: u64,
 }
@@ -62,7 +63,9 @@
     /// Draws a random request. A request that will be cancelled asks for long work, so that the
     /// backend's history shows whether the work is cancelled as well.
     fn draw(id: u64, will_cancel: bool) -> Self {
-        let kind = [Kind::Unsafe, Kind::Safe, Kind::Resumable][fastrand::usize(..3)];
+        const KINDS: [Kind; 4] = [Kind::Unsafe, Kind::Safe, Kind::Resumable, Kind::Configured];
+        let kind = KINDS[fastrand::usize(..KINDS.len())];
+        let tenant = [Tenant::First, Tenant::Second][fastrand::usize(..2)];
         let is_long = fastrand::u8(..20) == 0;
         let work_ms = match (will_cancel, is_long) {
             (true, _) => fastrand::u64(1_200..2_400),
@@ -77,6 +80,7 @@
         RequestSpec {
             id,
             kind,
+            tenant,
             work_ms,
             events,
         }
@@ -87,13 +91,14 @@
             Kind::Unsafe => "/unsafe/x",
             Kind::Safe => "/safe/x",
             Kind::Resumable => "/resumable/x",
+            Kind::Configured => "/configured/x",
         }
     }
 
     fn request(&self) -> Option<hyper::Request<Full<Bytes>>> {
         let builder = hyper::Request::post(self.path())
             .header("host", "h")
-            .header("authorization", "Bearer key1")
+            .header("authorization", format!("Bearer {}", self.tenant.api_key()))
             .header("x-request-id", format!("{:016x}", self.id))
             .header("x-deadline-ms", DEADLINE_MS.to_string())
             .header("x-model-name", "m")
@@ -177,6 +182,7 @@
         let record = Request {
             id: spec.id,
             kind: spec.kind,
+            tenant: spec.tenant,
             router: connection.router,
             sent_at,
             ended_at: self.clock.now(),
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::Environment;
 use crate::clock::Clock;
-use crate::history::{Recorder, Reply};
+use crate::history::{Policy, Recorder, Reply};
 use crate::network::Network;
 use crate::operator::Operator;
 use crate::settings::{Addresses, Size};
@@ -124,7 +124,7 @@
     /// It is not acknowledged in time.
     pub async fn configure(&self, folder: &Path) -> Result<(), StartError> {
         let configured = tokio::time::timeout(START_TIMEOUT, async {
-            while self.operator.configure(0, 1).await != Reply::Acknowledged {}
+            while self.operator.configure(0, 1, Policy::Relaxed).await != Reply::Acknowledged {}
         });
         configured
             .await
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -14,6 +14,38 @@
     Safe,
     /// Idempotent, with a stream as the response that another backend can continue.
     Resumable,
+    /// As the [`Policy`] of the configuration in force says.
+    Configured,
+}
+
+/// What a configuration says where the configurations of a run differ.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Policy {
+    /// Requests of [`Kind::Configured`] are idempotent, and no tenant is isolated.
+    #[default]
+    Relaxed,
+    /// Requests of [`Kind::Configured`] are executed at most once, and [`Tenant::Second`] is
+    /// isolated.
+    Strict,
+}
+
+/// The tenant of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tenant {
+    /// A tenant that is never isolated.
+    First,
+    /// A tenant that a strict [`Policy`] isolates.
+    Second,
+}
+
+impl Tenant {
+    /// The tenant's API key.
+    pub fn api_key(self) -> &'static str {
+        match self {
+            Tenant::First => "key1",
+            Tenant::Second => "key2",
+        }
+    }
 }
 
 /// How a request ended for its client.
@@ -44,6 +76,8 @@
     pub id: u64,
     /// How often the request may be executed.
     pub kind: Kind,
+    /// The tenant that sent the request.
+    pub tenant: Tenant,
     /// The number of the router that received the request.
     pub router: usize,
     /// When the client sent the request.
@@ -71,6 +105,8 @@
     pub ended_at: Option<Millis>,
     /// Whether the backend had crashed by then.
     pub backend_crashed: bool,
+    /// The requests that computed the cached prompt segments which this execution used.
+    pub reused_from: Vec<u64>,
 }
 
 /// An event of a router process.
@@ -135,6 +171,8 @@
         version: u64,
         /// Distinguishes configurations with the same version.
         variant: u64,
+        /// What it says of requests and tenants.
+        policy: Policy,
     },
     /// An announced version of the weights.
     Weights(u64),
--- a/soak/src/latency.rs
+++ b/soak/src/latency.rs
@@ -2,7 +2,7 @@
 //! once, and of changes by operators.
 
 use crate::fleet::{Fleet, StartError};
-use crate::history::Reply;
+use crate::history::{Policy, Reply};
 use crate::settings::Size;
 use std::fmt;
 use std::net::SocketAddrV4;
@@ -124,7 +124,10 @@
     }
     for version in 2..2 + MAX_CHANGES.min(samples as u64) {
         let started_at = Instant::now();
-        let reply = fleet.operator.configure(version - 1, version).await;
+        let reply = fleet
+            .operator
+            .configure(version - 1, version, Policy::Relaxed)
+            .await;
         report
             .configurations
             .record((reply == Reply::Acknowledged).then(|| started_at.elapsed()));
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod availability;
 pub mod backend;
 pub mod check;
 pub mod client;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -2,6 +2,7 @@
 //! `soak --program target/release/bitternsill --first 1 --seeds 50`.
 
 use clap::Parser;
+use soak::availability;
 use soak::latency;
 use soak::run::{Plan, Report, run};
 use soak::settings::Size;
@@ -57,10 +58,18 @@
     /// acknowledged.
     #[arg(long)]
     withdrawals: bool,
+    /// Alternates configurations that forbid and that permit repeated executions and shared caches,
+    /// while routers are suspended and all replicas are killed.
+    #[arg(long)]
+    policies: bool,
     /// Measures the latencies of acknowledgements with this number of backends, instead of runs with
     /// faults.
     #[arg(long, value_name = "BACKENDS")]
     latencies: Option<usize>,
+    /// Measures what is served after a kill of all routers and without a majority of the replicas,
+    /// instead of runs with faults.
+    #[arg(long)]
+    availability: bool,
     /// The folder for logs of runs with violations.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -83,6 +92,7 @@
             leader_faults: self.leader_faults,
             partitions: self.partitions,
             withdrawals: self.withdrawals,
+            policies: self.policies,
             folder: self
                 .keep
                 .as_ref()
@@ -130,10 +140,37 @@
     }
 }
 
+/// Measures and prints what is served while the control state is unconfirmed. Returns false if the
+/// fleet can't be started.
+async fn measure_availability(options: &Options) -> bool {
+    let Plan {
+        program,
+        size,
+        folder,
+        ..
+    } = options.plan(options.first);
+    let measured = availability::measure(&program, &folder, size).await;
+    // Leftover files in the temporary folder are harmless.
+    let _ = std::fs::remove_dir_all(folder);
+    match measured {
+        Ok(phases) => {
+            phases.iter().for_each(|phase| println!("{phase}"));
+            true
+        }
+        Err(error) => {
+            println!("{error}");
+            false
+        }
+    }
+}
+
 async fn run_all(options: Options) -> bool {
     if let Some(samples) = options.latencies {
         return measure_latencies(&options, samples).await;
     }
+    if options.availability {
+        return measure_availability(&options).await;
+    }
     let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(options.jobs.max(1)));
     let mut runs = tokio::task::JoinSet::new();
     for seed in options.first..options.first + options.seeds {
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -2,7 +2,7 @@
 //! outcome is unknown.
 
 use crate::clock::Clock;
-use crate::history::{Change, ChangeRecord, Recorder, Reply};
+use crate::history::{Change, ChangeRecord, Policy, Recorder, Reply, Tenant};
 use crate::settings::ROUTE_TIMEOUT_MS;
 use serde_json::json;
 use std::net::SocketAddrV4;
@@ -39,9 +39,9 @@
 
     /// Sends a configuration that replaces version `base`, and retries until the outcome is known
     /// or the time-out.
-    pub async fn configure(&self, base: u64, version: u64) -> Reply {
+    pub async fn configure(&self, base: u64, version: u64, policy: Policy) -> Reply {
         let variant = self.variants.fetch_add(1, Ordering::Relaxed);
-        let body = configuration(version, variant);
+        let body = configuration(version, variant, policy);
         let send = |address: SocketAddrV4| {
             let url = format!("http://{address}/v1/configuration/replace");
             self.client
@@ -54,6 +54,7 @@
                 base,
                 version,
                 variant,
+                policy,
             },
             send,
         )
@@ -124,18 +125,26 @@
 
 /// A configuration with a route of each kind, and a route that distinguishes configurations with
 /// the same version.
-fn configuration(version: u64, variant: u64) -> String {
+fn configuration(version: u64, variant: u64, policy: Policy) -> String {
     let route = |name: &str, kind: &str, attempts: u64, resumable: bool| {
         json!({"name": name, "host": "h", "pathPrefix": format!("/{name}/"), "kind": kind, "timeoutMs": ROUTE_TIMEOUT_MS,
                "targetLatencyMs": 300, "service": "s", "attempts": attempts, "resumable": resumable})
     };
+    let is_strict = policy == Policy::Strict;
+    let (kind, attempts) = if is_strict {
+        ("unsafe", 1)
+    } else {
+        ("safe", 2)
+    };
     json!({
         "version": version,
         "routes": [route("unsafe", "unsafe", 1, false), route("safe", "safe", 2, false),
-                   route("resumable", "streaming", 3, true), route(&format!("variant-{variant}"), "safe", 1, false)],
+                   route("resumable", "streaming", 3, true),
+                   route("configured", kind, attempts, false), route(&format!("variant-{variant}"), "safe", 1, false)],
         "services": [{"name": "s", "healthPath": "/health", "connectionLimit": 1_000}],
         "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000},
-        "tenants": [{"name": "t1", "apiKeys": ["key1"]}],
+        "tenants": [{"name": "t1", "apiKeys": [Tenant::First.api_key()]},
+                    {"name": "t2", "apiKeys": [Tenant::Second.api_key()], "isolated": is_strict}],
     })
     .to_string()
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,7 @@
 use crate::client::Clients;
 use crate::clock::Millis;
 use crate::fleet::{Fleet, StartError};
-use crate::history::{History, Outcome, Reply, StatusRecord};
+use crate::history::{History, Outcome, Policy, Reply, StatusRecord};
 use crate::schedule::{self, Action, Scope, Step, WithdrawalStep};
 use crate::settings::Size;
 use std::collections::BTreeMap;
@@ -60,6 +60,9 @@
     /// Whether to add a series of withdrawals of backends, with kills of all replicas as soon as
     /// they are acknowledged.
     pub withdrawals: bool,
+    /// Whether to alternate strict and relaxed configurations, in place of the usual changes, while
+    /// routers are suspended and all replicas are killed.
+    pub policies: bool,
     /// The folder for settings, data and logs. Its former contents are deleted.
     pub folder: PathBuf,
 }
@@ -95,7 +98,7 @@
                 .count()
         };
         format!(
-            "{} requests: {} served, other statuses {:?}, {} cancelled, {} without a complete response, {} timed out; {} router events, {} changes, {} orders",
+            "{} requests: {} served, other statuses {:?}, {} cancelled, {} without a complete response, {} timed out; {} router events, {} changes, {} orders, {} bound by a strict policy",
             self.history.requests.len(),
             count(|outcome| *outcome == Outcome::Served),
             self.statuses(),
@@ -105,6 +108,7 @@
             self.history.router_events.len(),
             self.history.changes.len(),
             self.history.orders.len(),
+            check::requests_bound_by_strict_policy(&self.history),
         )
     }
 }
@@ -115,6 +119,8 @@
     fleet: Fleet,
     backends: Vec<Mutex<Option<Backend>>>,
     weights: AtomicU64,
+    /// The policy of the next configuration.
+    policy: std::sync::Mutex<Policy>,
 }
 
 /// Executes a run.
@@ -133,6 +139,7 @@
         fleet,
         backends,
         weights: AtomicU64::new(1),
+        policy: std::sync::Mutex::default(),
     });
     let result = soak.clone().execute().await;
     soak.fleet.stop().await;
@@ -194,6 +201,7 @@
             leader_faults,
             partitions,
             withdrawals,
+            policies,
             ..
         } = self.plan;
         let scope = Scope {
@@ -203,6 +211,7 @@
             leader_faults,
             partitions,
             withdrawals,
+            policies,
         };
         let started_at = tokio::time::Instant::now();
         let mut actions = JoinSet::new();
@@ -222,6 +231,10 @@
                 }
             }
             Action::Configure { race } => self.configure(race).await,
+            Action::SetPolicy(policy) => {
+                *self.lock_policy() = policy;
+                self.configure(false).await;
+            }
             Action::AnnounceWeights => self.announce_weights().await,
             Action::CrashBackend(number) => {
                 let mut current = self.backends[number].lock().await;
@@ -289,18 +302,25 @@
         }
     }
 
+    fn lock_policy(&self) -> std::sync::MutexGuard<'_, Policy> {
+        self.policy
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     async fn configure(&self, race: bool) {
         let Some(base) = self.fleet.operator.read_back(READ_TIMEOUT).await else {
             return;
         };
         let version = base + fastrand::u64(1..4);
+        let policy = *self.lock_policy();
         if race {
             tokio::join!(
-                self.fleet.operator.configure(base, version),
-                self.fleet.operator.configure(base, version)
+                self.fleet.operator.configure(base, version, policy),
+                self.fleet.operator.configure(base, version, policy)
             );
         } else {
-            self.fleet.operator.configure(base, version).await;
+            self.fleet.operator.configure(base, version, policy).await;
         }
     }
 
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::Withdrawal;
 use crate::clock::Millis;
+use crate::history::Policy;
 use crate::settings::Size;
 use crate::supervisor::RouterFault;
 use fastrand::Rng;
@@ -20,6 +21,8 @@
         /// Whether two are sent.
         race: bool,
     },
+    /// Sends a configuration with this policy, which later ones have as well.
+    SetPolicy(Policy),
     /// Announces a version of the weights.
     AnnounceWeights,
     /// Crashes a backend and starts another one in its place.
@@ -71,14 +74,27 @@
     /// Whether to add a series of withdrawals of backends, with kills of all replicas as soon as
     /// they are acknowledged.
     pub withdrawals: bool,
+    /// Whether to alternate strict and relaxed configurations, in place of the usual changes, while
+    /// routers are suspended and all replicas are killed.
+    pub policies: bool,
 }
 
+/// How long a strict policy is in force in each round of the series.
+const STRICT_MS: Millis = 6_000;
+/// The length of one round of the series.
+const POLICY_ROUND_MS: Millis = 8_500;
+
 /// Draws the steps of overlapping series, sorted by time. The same seed gives the same steps.
 pub fn draw(scope: Scope, seed: u64) -> Vec<Step> {
     let mut rng = Rng::with_seed(seed);
     let mut steps = Vec::new();
-    steps.extend(configurations(scope, &mut rng));
-    steps.extend(weights(scope, &mut rng));
+    if scope.policies {
+        // Any other change would show the replicas that the last configuration is committed.
+        steps.extend(policy_series(scope, &mut rng));
+    } else {
+        steps.extend(configurations(scope, &mut rng));
+        steps.extend(weights(scope, &mut rng));
+    }
     // The time limits of the checks hold only while the replicas of the control state have no
     // faults: a third of the runs spares them, so that the limits hold throughout.
     let replicas_have_no_faults = rng.u8(..3) == 0;
@@ -109,6 +125,66 @@
     steps
 }
 
+/// Strict and relaxed configurations in turn. Routers are suspended while a strict one is
+/// acknowledged, or all replicas are killed some time later and one of them returns first.
+fn policy_series(scope: Scope, rng: &mut Rng) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = rng.u64(500..2_000);
+    while at + STRICT_MS < scope.duration {
+        let strict_at = at + 200;
+        if rng.bool() {
+            steps.extend(suspensions(scope, at, rng));
+        } else {
+            steps.extend(staggered_kill(
+                scope,
+                strict_at + rng.u64(2_300..3_500),
+                rng,
+            ));
+        }
+        for (at, policy) in [
+            (strict_at, Policy::Strict),
+            (at + STRICT_MS, Policy::Relaxed),
+        ] {
+            steps.push(Step {
+                at,
+                action: Action::SetPolicy(policy),
+            });
+        }
+        at += POLICY_ROUND_MS;
+    }
+    steps
+}
+
+/// Suspends one or two routers for longer than a configuration may take to be in force.
+fn suspensions(scope: Scope, at: Millis, rng: &mut Rng) -> Vec<Step> {
+    let count = rng.usize(1..=2);
+    let mut suspend = || {
+        let duration = Duration::from_millis(rng.u64(3_000..4_000));
+        Step {
+            at,
+            action: Action::Router(
+                rng.usize(..scope.size.routers),
+                RouterFault::Suspend(duration),
+            ),
+        }
+    };
+    (0..count).map(|_| suspend()).collect()
+}
+
+/// Kills all replicas at once. One restarts at once, the others within a second.
+fn staggered_kill(scope: Scope, at: Millis, rng: &mut Rng) -> Vec<Step> {
+    let first = rng.usize(..scope.size.replicas);
+    let mut kill = |number| {
+        let outage = if number == first { 0..50 } else { 600..1_000 };
+        let outage = Duration::from_millis(rng.u64(outage));
+        Step {
+            at,
+            action: Action::Router(number, RouterFault::Outage(outage)),
+        }
+    };
+    (0..scope.size.replicas).map(&mut kill).collect()
+}
+
 /// Withdrawals of backends in turn. All replicas are killed up to twice after each acknowledgement;
 /// the gaps leave time in which the killed routers are connected again.
 fn withdrawal_series(scope: Scope, rng: &mut Rng) -> Vec<Step> {
--- a/soak/src/settings.rs
+++ b/soak/src/settings.rs
@@ -70,6 +70,11 @@
         SocketAddrV4::new(self.router(number), CONTROL_PORT)
     }
 
+    /// The address of a router's readiness checks.
+    pub fn readiness(&self, number: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.router(number), READINESS_PORT)
+    }
+
     /// The address of a router's metrics.
     pub fn metrics(&self, number: usize) -> SocketAddrV4 {
         SocketAddrV4::new(self.router(number), METRICS_PORT)
--- a/soak/src/supervisor.rs
+++ b/soak/src/supervisor.rs
@@ -25,6 +25,8 @@
     Terminate,
     /// SIGKILL.
     Kill,
+    /// SIGKILL, and a restart after this time.
+    Outage(Duration),
     /// SIGKILL, and a restart with an empty data folder.
     Wipe,
     /// SIGSTOP, and SIGCONT after this time.
@@ -146,6 +148,7 @@
         let mut kill_at: Option<Instant> = None;
         let mut resume_at: Option<Instant> = None;
         let mut wipe_on_exit = false;
+        let mut restart_delay: Option<Duration> = None;
         loop {
             tokio::select! {
                 exited = child.wait() => {
@@ -154,7 +157,8 @@
                         clear_folder(&self.data_folder())?;
                     }
                     (kill_at, resume_at) = (None, None);
-                    tokio::time::sleep(MIN_RESTART_DELAY.mul_f64(1.0 + fastrand::f64())).await;
+                    let delay = restart_delay.take().unwrap_or_else(random_restart_delay);
+                    tokio::time::sleep(delay).await;
                     child = self.start(false)?;
                 }
                 fault = faults.recv() => match fault {
@@ -168,6 +172,10 @@
                         kill_at.get_or_insert_with(|| Instant::now() + Duration::from_millis(GRACE_PERIOD_MS));
                     }
                     Some(RouterFault::Kill) => self.signal(&child, Signal::KILL),
+                    Some(RouterFault::Outage(duration)) => {
+                        restart_delay = Some(duration);
+                        self.signal(&child, Signal::KILL);
+                    }
                     Some(RouterFault::Wipe) => {
                         wipe_on_exit = true;
                         self.signal(&child, Signal::KILL);
@@ -207,6 +215,10 @@
     }
 }
 
+fn random_restart_delay() -> Duration {
+    MIN_RESTART_DELAY.mul_f64(1.0 + fastrand::f64())
+}
+
 /// Waits until a time; forever if there is none.
 async fn wait_until(time: Option<Instant>) {
     match time {
--- a/soak/tests/check.rs
+++ b/soak/tests/check.rs
@@ -3,7 +3,8 @@
 use soak::check::violations;
 use soak::history::{
     BackendEvent, BackendState, Change, ChangeRecord, Execution, Exit, FinalState, History, Kind,
-    Outcome, ProcessEvent, ReceivedOrder, Reply, Request, RouterEvent, StatusRecord,
+    Outcome, Policy, ProcessEvent, ReceivedOrder, Reply, Request, RouterEvent, StatusRecord,
+    Tenant,
 };
 
 /// The history of five routers, of which three have a replica of the control state, with one served
@@ -35,6 +36,7 @@
     Request {
         id,
         kind,
+        tenant: Tenant::First,
         router: 4,
         sent_at,
         ended_at,
@@ -51,6 +53,7 @@
         started_at: Some(started_at),
         ended_at: Some(ended_at),
         backend_crashed: false,
+        reused_from: Vec::new(),
     }
 }
 
@@ -65,6 +68,7 @@
         base,
         version,
         variant,
+        policy: Policy::Relaxed,
     };
     ChangeRecord {
         change,
@@ -797,3 +801,59 @@
         ["DRAIN"]
     );
 }
+
+/// Adds a strict configuration that is acknowledged at this time.
+fn add_strict_configuration(history: &mut History, acknowledged_at: u64) {
+    let mut record = configuration_change(1, 2, 2, acknowledged_at, Reply::Acknowledged);
+    let Change::Configuration { policy, .. } = &mut record.change else {
+        unreachable!()
+    };
+    *policy = Policy::Strict;
+    history.changes.push(record);
+    history.final_state.read_back = Some(2);
+    history.final_state.configurations = vec![2; 5];
+}
+
+#[test]
+fn detects_repeated_execution_that_the_configuration_forbids() {
+    let repeat_after = |acknowledged_at| {
+        violated(|history| {
+            add_strict_configuration(history, acknowledged_at);
+            history.requests[0].kind = Kind::Configured;
+            history.executions.push(execution(1, 1, 20_020, 20_030));
+        })
+    };
+    assert_eq!(repeat_after(17_999), ["TWICE"]);
+    assert_eq!(repeat_after(18_000), NONE, "the one before may be in force");
+}
+
+#[test]
+fn accepts_repeated_execution_if_an_unanswered_configuration_permits_it() {
+    let repeat = |history: &mut History| {
+        add_strict_configuration(history, 10_000);
+        let unanswered = configuration_change(2, 3, 3, 12_000, Reply::Unknown);
+        history.changes.push(unanswered);
+        history.requests[0].kind = Kind::Configured;
+        history.executions.push(execution(1, 1, 20_020, 20_030));
+    };
+    assert_eq!(violated(repeat), NONE);
+}
+
+#[test]
+fn detects_segments_that_are_shared_with_isolated_tenant() {
+    let share = |user: Tenant, maker: Tenant, acknowledged_at| {
+        violated(|history| {
+            add_strict_configuration(history, acknowledged_at);
+            history.requests[0].tenant = user;
+            let mut made = request(2, Kind::Safe, 19_900, 19_990, Outcome::Served);
+            made.tenant = maker;
+            history.requests.push(made);
+            history.executions[0].reused_from = vec![2];
+        })
+    };
+    let (first, second) = (Tenant::First, Tenant::Second);
+    assert_eq!(share(second, first, 10_000), ["WALL"]);
+    assert_eq!(share(first, second, 10_000), ["WALL"]);
+    assert_eq!(share(second, second, 10_000), NONE);
+    assert_eq!(share(second, first, 19_000), NONE, "not isolated for sure");
+}
--- a/soak/tests/schedule.rs
+++ b/soak/tests/schedule.rs
@@ -16,6 +16,7 @@
     leader_faults: false,
     partitions: false,
     withdrawals: false,
+    policies: false,
 };
 
 #[test]
