Requests after a start wait up to 0.3 s for the first confirmation

Change: until 0.3 s after a router first has a configuration its requests wait for the first confirmation, for a fifth of the client's time at most. Then they go on by an unconfirmed configuration as before. Readiness is unchanged.

New test: request_after_start_waits_for_first_confirmation. Comments that read badly are reworded.

--- a/bitternsill/tests/outdated_configurations.rs
+++ b/bitternsill/tests/outdated_configurations.rs
@@ -17,7 +17,7 @@
     replicas: 3,
 };
 const BACKENDS: usize = 3;
-/// A replica.
+/// The number of the router with a replica that returns first.
 const REPLICA: usize = 2;
 /// The router without a replica.
 const WITHOUT_REPLICA: usize = 3;
--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -18,10 +18,17 @@
 /// milliseconds. The primary sends a heartbeat every 0.2 s.
 pub(super) const MAX_STALENESS: Millis = 1_000;
 
+/// Requests wait for the first confirmation until this time after the router first had a
+/// configuration, in milliseconds. After a start of many routers it comes that soon, and requests
+/// without it compute prompt segments again that are cached.
+const FIRST_CONFIRMATION_WAIT: Millis = 300;
+/// How often a waiting request checks for the confirmation.
+const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The configuration by which this router handles a request.
 #[derive(Debug, Clone)]
 pub struct ConfigurationInUse {
-    /// The configuration.
+    /// The configuration that was in force when the request was received.
     pub configuration: Arc<Configuration>,
     /// When the request was received.
     pub received_at: Millis,
@@ -77,6 +84,19 @@
         }
     }
 
+    /// Waits until the state is confirmed for the first time since the start of the process, within
+    /// [`FIRST_CONFIRMATION_WAIT`].
+    pub async fn wait_for_first_confirmation(&self) {
+        while self.confirmed_as_of().is_none() {
+            let configured_at = lock(&self.published).configured_at();
+            let is_over = |at: Millis| clock::now() >= at + FIRST_CONFIRMATION_WAIT;
+            if configured_at.is_none_or(is_over) {
+                return;
+            }
+            tokio::time::sleep(CONFIRMATION_CHECK_INTERVAL).await;
+        }
+    }
+
     /// The configuration for a request that was received at this time; `None` if this router has
     /// none.
     ///
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -29,6 +29,9 @@
 /// Retry-After while this router has no configuration, or none that is confirmed as the latest, in
 /// seconds.
 const NOT_READY_RETRY_AFTER_S: &str = "0.3";
+/// A request waits for the first confirmation of the state for at most the client's time divided by
+/// this.
+const CONFIRMATION_WAIT_DIVISOR: u32 = 5;
 /// Number of route priorities within each tenant priority.
 const ROUTE_PRIORITIES: u8 = 3;
 /// The lowest priority at a backend. Larger numbers are less urgent.
@@ -114,10 +117,14 @@
         in_flight: RequestInFlight,
     ) -> std::result::Result<Response, Rejection> {
         let received_at = Instant::now();
-        let in_use = self
-            .forwarder
-            .fleet
-            .configuration_for(clock::now())
+        let fleet = &self.forwarder.fleet;
+        let received_at_ms = clock::now();
+        let client_timeout = client_timeout(&request);
+        let wait = fleet.wait_for_first_confirmation();
+        // Whether it comes in time is told by the configuration.
+        let _ = tokio::time::timeout(client_timeout / CONFIRMATION_WAIT_DIVISOR, wait).await;
+        let in_use = fleet
+            .configuration_for(received_at_ms)
             .ok_or_else(|| Rejection::unavailable(NOT_READY_RETRY_AFTER_S))?;
         if !in_use.is_confirmed {
             self.forwarder.count(Event::UnconfirmedConfiguration);
@@ -161,9 +168,7 @@
         let (service, _) = chosen
             .and_then(|index| route.split.get(index))
             .ok_or_else(|| Rejection::from_status(StatusCode::INTERNAL_SERVER_ERROR))?;
-        let timeout = headers::number(request.headers(), &headers::DEADLINE_MS)
-            .unwrap_or(DEFAULT_DEADLINE_MS);
-        let deadline = received_at + Duration::from_millis(timeout);
+        let deadline = received_at + client_timeout(&request);
         let router_deadline =
             deadline.min(received_at + Duration::from_millis(route.timeout_ms)) - RESPONSE_MARGIN;
         let upstream_request = upstream_request(request, body, &in_use, route, tenant, deadline)
@@ -270,6 +275,12 @@
         .into()
 }
 
+/// How long the client waits for the response.
+fn client_timeout(request: &Request) -> Duration {
+    let timeout_ms = headers::number(request.headers(), &headers::DEADLINE_MS);
+    Duration::from_millis(timeout_ms.unwrap_or(DEFAULT_DEADLINE_MS))
+}
+
 async fn read_body(
     request: &mut Request,
     max_bytes: usize,
--- a/router/src/published.rs
+++ b/router/src/published.rs
@@ -1,7 +1,9 @@
 //! The committed control state as routers use it, and its propagation between them.
 
+use crate::clock;
 use crate::protocol::PublishedState;
 use compact_str::CompactString;
+use control::Millis;
 use control::configuration::Configuration;
 use control::history::{ApplyError, History};
 use control::state::{ControlState, Position, WeightsTarget};
@@ -19,6 +21,8 @@
     needs_full_text: bool,
     /// Whether a newer configuration than the one in force is known and could not be applied.
     is_outdated: bool,
+    /// When this router first had a configuration.
+    configured_at: Option<Millis>,
 }
 
 impl Published {
@@ -32,6 +36,11 @@
         self.configuration.as_ref()
     }
 
+    /// When this router first had a configuration.
+    pub fn configured_at(&self) -> Option<Millis> {
+        self.configured_at
+    }
+
     /// Version of the configuration in force.
     pub fn version(&self) -> Option<u64> {
         self.configuration
@@ -125,6 +134,7 @@
                 );
                 self.configuration = Some(Arc::new(parsed));
                 self.history = history;
+                self.configured_at.get_or_insert_with(clock::now);
                 self.needs_full_text = false;
                 self.is_outdated = false;
                 true
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -227,7 +227,8 @@
         Self::start_unconfirmed(fleet, configuration, backends).await
     }
 
-    /// Starts a router that nobody has told whether its state is the latest.
+    /// Starts a router whose state is not confirmed as the latest, unless the caller has confirmed
+    /// it.
     pub async fn start_unconfirmed(
         fleet: Arc<Fleet>,
         configuration: &str,
--- a/router/tests/unconfirmed_configuration.rs
+++ b/router/tests/unconfirmed_configuration.rs
@@ -32,8 +32,8 @@
     Router::start_unconfirmed(fleet, REPEATABLE, &[first, second]).await
 }
 
-/// What a backend may do with a request so that the router would send it again, the path of the
-/// request and the status for the client.
+/// Failures of backends after which a router retries or hedges: the path of the request, the action
+/// of the backends, and the status for the client if the router does neither.
 fn reasons_to_repeat() -> Vec<(&'static str, Action, &'static str)> {
     let failure = answer("500 Internal Server Error", "X-Response-Seal: s\r\n", "");
     let broken_stream = format!("{STREAM_HEAD}{}", event(1));
@@ -62,8 +62,8 @@
     }
 }
 
-/// Guards against requests that run twice at a router that wakes from a suspension: they waited in
-/// its sockets, and the router takes them up before it has heard of newer configurations.
+/// Guards against requests that run twice after the suspension of a router: it reads them from its
+/// sockets before the response to its pull, which has the newer configuration.
 #[tokio::test]
 async fn configuration_that_was_confirmed_too_long_ago_permits_no_second_execution() {
     for (path, action, _) in reasons_to_repeat() {
@@ -95,7 +95,7 @@
     assert!(!is_confirmed(confirmed_as_of + bound + 1));
 }
 
-/// What a backend has not executed may go to another one, whatever the configuration says.
+/// Requests that a backend rejected without executing them are retried under every configuration.
 #[tokio::test]
 async fn unconfirmed_configuration_permits_retry_after_rejection() {
     let full = answer("503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
@@ -105,6 +105,28 @@
     assert_eq!(executions(&backends), 2, "each backend was asked");
 }
 
+/// Guards against requests that compute cached segments again after a start of many routers, as each
+/// serves some before the first confirmation arrives.
+#[tokio::test]
+async fn request_after_start_waits_for_first_confirmation() {
+    let backends = two_backends(Action::Respond(success("ok"))).await;
+    let router = start_unconfirmed(&backends).await;
+    let response = router.send("/safe/", KEY).await;
+    let counters = &router.fleet.counters;
+    let received = async {
+        while counters.get(Event::RequestReceived) == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    let received = tokio::time::timeout(TEST_TIMEOUT, received).await;
+    received.expect("the request is received");
+    assert_eq!(executions(&backends), 0);
+    router.fleet.record_confirmation(router::clock::now());
+    wait_for_end(response).await;
+    assert_eq!(executions(&backends), 1);
+    assert_eq!(counters.get(Event::UnconfirmedConfiguration), 0);
+}
+
 /// A confirmation that comes while the request waits counts for it, if the same configuration is
 /// in force.
 #[tokio::test]
--- a/soak/src/availability.rs
+++ b/soak/src/availability.rs
@@ -40,10 +40,10 @@
     "repeats_withheld_total",
 ];
 
-/// What was served in a phase.
+/// The requests and counters of one phase.
 #[derive(Debug, Clone, Default)]
 pub struct Phase {
-    /// What happened in the phase.
+    /// The fault of the phase.
     pub name: &'static str,
     /// Requests that were sent.
     pub sent: usize,
@@ -101,7 +101,7 @@
     // The counters have started again with the processes.
     killed.counts = counts(&fleet).await;
     sleep(RECOVERY).await;
-    // All state is confirmed before the last phase begins.
+    // An acknowledged change shows that the replicas have a leader before the last phase begins.
     while fleet.operator.configure(1, 2, Policy::Relaxed).await == Reply::Unknown {}
     let majority = size.replicas / 2 + 1;
     let suspend = || {
@@ -109,7 +109,7 @@
     };
     let no_majority = phase(&fleet, "no majority of the replicas", suspend).await;
 
-    // Sending cannot fail, as the clients hold receivers.
+    // The clients hold receivers, so an error is impossible.
     let _ = stop.send(true);
     clients.join_all().await;
     fleet.stop().await;
--- a/soak/src/check/policies.rs
+++ b/soak/src/check/policies.rs
@@ -1,6 +1,6 @@
-//! What may differ between the configurations of a run: how often requests may be executed, and
-//! which tenants are isolated. These rules bind every router, connected or not, once a configuration
-//! was acknowledged for long enough.
+//! Rules on the [`Policy`] of configurations: how often requests may be executed, and which tenants
+//! are isolated. The rules bind connected and partitioned routers alike, once a configuration was
+//! acknowledged longer than [`CONFIG_APPLY_MS`] ago.
 
 use super::configurations::acknowledged_configurations;
 use super::requests::executions_by_request;
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -18,7 +18,7 @@
     Configured,
 }
 
-/// What a configuration says where the configurations of a run differ.
+/// The rules for requests and tenants that a configuration contains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Policy {
     /// Requests of [`Kind::Configured`] are idempotent, and no tenant is isolated.
@@ -171,7 +171,7 @@
         version: u64,
         /// Distinguishes configurations with the same version.
         variant: u64,
-        /// What it says of requests and tenants.
+        /// Its rules for requests and tenants.
         policy: Policy,
     },
     /// An announced version of the weights.
--- a/soak/src/schedule.rs
+++ b/soak/src/schedule.rs
@@ -89,7 +89,8 @@
     let mut rng = Rng::with_seed(seed);
     let mut steps = Vec::new();
     if scope.policies {
-        // Any other change would show the replicas that the last configuration is committed.
+        // A replica learns that a configuration is committed when it stores the next change, so there
+        // are no other changes.
         steps.extend(policy_series(scope, &mut rng));
     } else {
         steps.extend(configurations(scope, &mut rng));
