Test: no simulated replica counts its state as newer than what was acknowledged

What is confirmed rests on one claim: a replica's state has every change that was acknowledged by the time as of which it counts it as the newest. One scenario compared ages; nothing checked the claim itself. The simulated group now checks it after each event of every run, against when each change was acknowledged on the group's own clock.

--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -102,6 +102,8 @@
     version_at_read: BTreeMap<u64, u64>,
     /// The acknowledged changes.
     pub acknowledged: Vec<Change>,
+    /// When changes were acknowledged, with the index of the last one by then.
+    acknowledged_at: BTreeMap<Millis, u64>,
     /// The submitted changes, by ticket.
     pub submitted: BTreeMap<u64, Change>,
     /// The holders of the lease, by epoch.
@@ -139,6 +141,7 @@
             newest_version: 0,
             version_at_read: BTreeMap::new(),
             acknowledged: Vec::new(),
+            acknowledged_at: BTreeMap::new(),
             submitted: BTreeMap::new(),
             holders: BTreeMap::new(),
             views: BTreeMap::new(),
@@ -669,6 +672,7 @@
             return;
         };
         let effects = node.take_effects();
+        let committed = node.state().position.index;
         let now = self.now;
         for effect in effects {
             match effect {
@@ -692,6 +696,7 @@
                 Effect::Reply { ticket, outcome } => {
                     if outcome == Outcome::Committed {
                         self.acknowledge(ticket);
+                        self.acknowledged_at.insert(now, committed);
                     }
                     self.outcomes.insert(ticket, outcome);
                 }
@@ -763,8 +768,10 @@
         }
     }
 
-    /// The committed state of a replica never regresses, and no two replicas commit different
-    /// states at one index, decide different views for one epoch, or hold the lease of one epoch.
+    /// The committed state of a replica never regresses and contains every change that was
+    /// acknowledged by the time as of which the replica counts it as the newest. No two replicas
+    /// commit different states at one index, decide different views for one epoch, or hold the
+    /// lease of one epoch.
     fn check(&mut self, name: &str) {
         let now = self.now;
         let machine = self.machines.get_mut(name).expect("a machine");
@@ -786,6 +793,14 @@
             );
         }
         machine.last_committed = index;
+        if let Some(as_of) = node.current_at(now) {
+            let acknowledged = self.acknowledged_at.range(..=as_of).next_back();
+            let newest = acknowledged.map_or(0, |(_, index)| *index);
+            assert!(
+                index >= newest,
+                "{name} counts change {index} as the newest at {as_of} ms, when {newest} was acknowledged"
+            );
+        }
         if let Some(view) = node.view() {
             let first = self.views.entry(view.epoch).or_insert_with(|| view.clone());
             assert_eq!(
