A response to a pull ends its age and its delay at the same moment

Found while going through who counts a state as confirmed, not seen in service: a responder read the age of its state, then waited for the directory, and only then measured how long it had held the pull. The requester adds the delay and subtracts the age, so a responder that was suspended or waited for a lock between the two had its state counted as newer by that time: a route that had become unsafe, or a tenant that had been isolated, could be treated by the older configuration.

Change: the responder reads the time as of which its state is confirmed, then the state, and measures age, delay and the ages of announced weights from one moment at the end.

Test seen failing before: state_counts_as_no_newer_if_responder_is_held_up (state of 100,000 ms counts as of 100,119 ms). It holds the responder up before each use of its locks. All router tests pass.

--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -55,7 +55,7 @@
 
     /// The latest time as of which the state here is confirmed; `None` if it has never been since
     /// the start of the process, or if a newer configuration could not be applied.
-    fn confirmed_as_of(&self) -> Option<Millis> {
+    pub(super) fn confirmed_as_of(&self) -> Option<Millis> {
         if lock(&self.published).is_outdated() {
             return None;
         }
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -9,7 +9,7 @@
 use crate::sync::lock;
 use control::directory::{Directory, Key, MemberStatus, Value, VersionVector};
 use std::net::SocketAddrV4;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a pull may wait for updates.
 pub const PULL_WAIT: Duration = Duration::from_millis(1_500);
@@ -140,7 +140,7 @@
         self.observe_member(&request);
         let mut changes = self.subscribe();
         self.observe_peer(&request);
-        let started_at = Instant::now();
+        let started_at = clock::now();
         let wait = tokio::time::sleep(Duration::from_millis(request.wait_ms));
         let becomes_stale = self.becomes_stale();
         tokio::pin!(wait, becomes_stale);
@@ -169,16 +169,22 @@
             None
         };
         // Read before the state that it confirms.
-        let age_ms = self.staleness();
+        let confirmed_as_of = self.confirmed_as_of();
         let directory = lock(&self.directory);
+        let records = directory.records_since(&request.vector);
+        let vector = directory.vector().clone();
+        let state = lock(&self.published).update_for(request.position, request.base);
+        drop(directory);
+        // The requester adds the delay and subtracts the age, so both end at the same time.
+        let ends_at = clock::now();
         let pulled = Pulled {
-            records: directory.records_since(&request.vector),
-            vector: directory.vector().clone(),
-            state: lock(&self.published).update_for(request.position, request.base),
+            records,
+            vector,
+            state,
             leader: self.leader(),
-            age_ms,
-            announced_weights: self.announced_weights(),
-            delay_ms: started_at.elapsed().as_millis() as u64,
+            age_ms: confirmed_as_of.map(|as_of| ends_at.saturating_sub(as_of)),
+            announced_weights: lock(&self.version_floors).announced(ends_at),
+            delay_ms: ends_at - started_at,
         };
         Reply {
             response: Response::Pulled(Box::new(pulled)),
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use control::Millis;
 use control::directory::{Member, MemberStatus, VersionVector};
 use control::state::Position;
 use control::view::ReplicaId;
@@ -50,6 +51,40 @@
         .map(|response| response.expect("a response"))
 }
 
+/// A node whose replica was confirmed to have the latest state as of this time, or never.
+fn fleet_with_replica(current_at: Option<Millis>) -> Arc<Fleet> {
+    let id = ReplicaId {
+        disk: 1,
+        node: "n1".into(),
+        address: "127.0.0.1:7560".parse().unwrap(),
+    };
+    let (replica, _) = ReplicaHandle::new(id, Vec::new());
+    let fleet = Fleet::new(Arc::new(Router::settings()), Some(replica), 1);
+    publish_current_at(&fleet, current_at);
+    fleet
+}
+
+fn publish_current_at(fleet: &Fleet, current_at: Option<Millis>) {
+    let replica = fleet.replica.as_ref().expect("a replica");
+    replica.publish_status(ReplicaStatus {
+        current_at,
+        ..ReplicaStatus::default()
+    });
+}
+
+/// A pull of a router that has the first configuration and all records, including its own member
+/// record, which its pull states.
+fn informed_pull(fleet: &Fleet, wait_ms: u64) -> Request {
+    let Request::Pull(mut request) = pull_request(1, Some(1), wait_ms) else {
+        unreachable!()
+    };
+    request.vector = fleet.directory.lock().unwrap().vector().clone();
+    request
+        .vector
+        .insert(control::directory::Origin(1), u64::MAX);
+    Request::Pull(request)
+}
+
 /// A configuration of about a megabyte.
 fn large_configuration(fleet: &Fleet) {
     let padding = " ".repeat(1 << 20);
@@ -136,6 +171,45 @@
     }
 }
 
+/// Guards against state that counts as newer than it is: the responder is held up between reading
+/// the age of its state and the end of the delay, from which the requester counts the age back.
+#[tokio::test]
+async fn state_counts_as_no_newer_if_responder_is_held_up() {
+    const HELD_UP: Duration = Duration::from_millis(60);
+    let confirmed_as_of = router::clock::now();
+    let fleet = fleet_with_replica(Some(confirmed_as_of));
+    publish(&fleet, 1, CONFIGURATION);
+    let requested_at = router::clock::now();
+    let mut published = fleet.published.try_lock().ok();
+    let response = std::thread::spawn({
+        let (fleet, runtime) = (fleet.clone(), tokio::runtime::Handle::current());
+        move || {
+            let _entered = runtime.enter();
+            respond_now(&fleet, pull_request(1, None, 0))
+        }
+    });
+    // Both locks are held in turn, hand over hand, so that the responder waits before each use.
+    while !response.is_finished() {
+        std::thread::sleep(HELD_UP);
+        let directory = fleet.directory.try_lock();
+        drop(published.take());
+        std::thread::sleep(HELD_UP);
+        published = fleet.published.try_lock().ok();
+        drop(directory);
+    }
+    drop(published);
+    let reply = response.join().expect("the responder does not panic");
+    let Some(Response::Pulled(pulled)) = reply.map(|reply| reply.response) else {
+        panic!("no response to a pull")
+    };
+    let age = pulled.age_ms.expect("a replica states an age");
+    let counts_as_of = requested_at + pulled.delay_ms - age;
+    assert!(
+        counts_as_of <= confirmed_as_of,
+        "state of {confirmed_as_of} ms counts as of {counts_as_of} ms"
+    );
+}
+
 /// Starts serving the pulls of other nodes.
 async fn serve_pulls(fleet: &Arc<Fleet>) -> std::net::SocketAddrV4 {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -191,27 +265,9 @@
 #[tokio::test]
 async fn node_that_becomes_stale_answers_before_its_wait_is_over() {
     const WAIT_MS: u64 = 60_000;
-    let id = ReplicaId {
-        disk: 1,
-        node: "n1".into(),
-        address: "127.0.0.1:7560".parse().unwrap(),
-    };
-    let (replica, _) = ReplicaHandle::new(id, Vec::new());
-    replica.publish_status(ReplicaStatus {
-        current_at: Some(router::clock::now()),
-        ..ReplicaStatus::default()
-    });
-    let fleet = Fleet::new(Arc::new(Router::settings()), Some(replica), 1);
+    let fleet = fleet_with_replica(Some(router::clock::now()));
     publish(&fleet, 1, CONFIGURATION);
-    let Request::Pull(mut informed) = pull_request(1, Some(1), WAIT_MS) else {
-        unreachable!()
-    };
-    // The requester has all records, including its own member record, which its pull states.
-    informed.vector = fleet.directory.lock().unwrap().vector().clone();
-    informed
-        .vector
-        .insert(control::directory::Origin(1), u64::MAX);
-    let response = fleet.handle(Request::Pull(informed));
+    let response = fleet.clone().handle(informed_pull(&fleet, WAIT_MS));
     let response = tokio::time::timeout(TEST_TIMEOUT, response).await;
     let response = response.expect("a response before the end of the wait");
     let Some(Response::Pulled(pulled)) = response.map(|reply| reply.response) else {
