A new primary and its backups tell at once that their state is the latest

Cause: backups learn that their state is the latest by the next regular heartbeat, up to 0.1 s after the primary began to lead, and a replica that learns it says so only with the next update.

Change: a primary sends heartbeats as soon as it leads in a view; a node that finds its state to be current answers the pulls that wait at it, as one that becomes stale does already.

Tests seen failing before: backups_know_their_state_to_be_newest_once_primary_leads, node_that_becomes_current_answers_before_its_wait_is_over.

--- a/control/src/node/heartbeats.rs
+++ b/control/src/node/heartbeats.rs
@@ -122,10 +122,25 @@
         if reply.wants_view {
             self.send(from, Message::Decided { view });
         }
+        self.announce_lead(now);
         self.confirm_calls(now);
         self.replicate_next(now);
     }
 
+    /// Sends heartbeats once this primary begins to lead in its view, as they tell the backups that
+    /// their state is the newest. The regular ones would do so up to a heartbeat interval later.
+    pub(super) fn announce_lead(&mut self, now: Millis) {
+        if self.leading_epoch(now).is_none() {
+            return;
+        }
+        let Role::Primary(primary) = &mut self.role else {
+            return;
+        };
+        if !std::mem::replace(&mut primary.has_announced_lead, true) {
+            self.send_heartbeats(now);
+        }
+    }
+
     pub(super) fn tick_primary(&mut self, now: Millis) {
         if self.is_storage_stalled(now) {
             return self.resign("a disk write exceeded the storage time-out", now);
--- a/control/src/node/primary.rs
+++ b/control/src/node/primary.rs
@@ -56,6 +56,8 @@
     /// When the first of the consecutive views of this primary began.
     pub(super) leading_since: Millis,
     pub(super) lease: Lease,
+    /// Whether heartbeats were sent since this primary began to lead in its view.
+    pub(super) has_announced_lead: bool,
     pub(super) contacts: BTreeMap<ReplicaId, Contact>,
     pub(super) transfers: BTreeMap<ReplicaId, Transfer>,
     /// Replicas outside the in-sync set that ask to join, with when they last did.
@@ -81,6 +83,7 @@
             since: now,
             leading_since: now,
             lease,
+            has_announced_lead: false,
             contacts,
             transfers: BTreeMap::new(),
             joiners: BTreeMap::new(),
--- a/control/src/node/replication.rs
+++ b/control/src/node/replication.rs
@@ -35,6 +35,7 @@
         }
         self.set_stage(Stage::Ready, "every in-sync replica has the same state");
         self.commit_tail(now);
+        self.announce_lead(now);
         self.reconsider_view(now);
         self.confirm_calls(now);
         self.replicate_next(now);
--- a/control/tests/replication.rs
+++ b/control/tests/replication.rs
@@ -275,6 +275,30 @@
     }
 }
 
+/// Guards against requests that are served by an unconfirmed state although there is a primary: its
+/// backups learned that their state is the newest only by its next regular heartbeat.
+#[test]
+fn backups_know_their_state_to_be_newest_once_primary_leads() {
+    const MESSAGES: u64 = 10;
+    for seed in 0..10 {
+        let mut world = World::bootstrapped(seed, 3, 1);
+        commit_change(&mut world, 2);
+        world
+            .names()
+            .iter()
+            .for_each(|name| world.kill(name, 100, true));
+        assert!(world.run_until(FAILOVER, |world| world.primary().is_some()));
+        world.run(MESSAGES);
+        for name in world.names() {
+            let is_known = world.current_at(&name).is_some();
+            assert!(
+                is_known,
+                "seed {seed}: {name} {MESSAGES} ms after the start"
+            );
+        }
+    }
+}
+
 #[test]
 fn partitioned_replica_does_not_consider_its_state_current() {
     const MAX_STATE_AGE: u64 = 1_000;
--- a/router/src/fleet/confirmation.rs
+++ b/router/src/fleet/confirmation.rs
@@ -70,7 +70,8 @@
         Some(clock::now().saturating_sub(at))
     }
 
-    pub(super) fn is_current(&self) -> bool {
+    /// Whether the state here was confirmed as the latest less than [`MAX_STALENESS`] ago.
+    pub(crate) fn is_current(&self) -> bool {
         self.staleness().is_some_and(|age| age < MAX_STALENESS)
     }
 
--- a/router/src/fleet/pulls.rs
+++ b/router/src/fleet/pulls.rs
@@ -134,7 +134,8 @@
         }
     }
 
-    /// Responds to a pull as soon as there are updates. Full-state responses are large and many
+    /// Responds to a pull as soon as there are updates, or this node finds its state to be current
+    /// or stale, which the requester then knows of its own. Full-state responses are large and many
     /// routers may request them at once, so a semaphore limits how many are in memory.
     pub(super) async fn answer_pull(&self, request: PullRequest) -> Reply {
         self.observe_member(&request);
@@ -142,10 +143,12 @@
         self.observe_peer(&request);
         let started_at = clock::now();
         let wait = tokio::time::sleep(Duration::from_millis(request.wait_ms));
+        let was_current = self.is_current();
         let becomes_stale = self.becomes_stale();
         tokio::pin!(wait, becomes_stale);
         loop {
-            if self.has_updates_for(&request) {
+            let has_become_current = !was_current && self.is_current();
+            if has_become_current || self.has_updates_for(&request) {
                 break;
             }
             tokio::select! {
--- a/router/src/replica/task.rs
+++ b/router/src/replica/task.rs
@@ -145,7 +145,11 @@
         if committed {
             self.fleet.publish_committed(self.node.state());
         }
+        let was_current = self.fleet.is_current();
         self.publish_status();
+        if !was_current && self.fleet.is_current() {
+            self.fleet.notify_change();
+        }
         let leader = self
             .node
             .view()
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -259,6 +259,27 @@
     );
 }
 
+/// Guards against routers that go on with a state of unknown age after a start of all: the replica
+/// that they pull from learns soon that its state is the latest, but says so only with the next
+/// update.
+#[tokio::test]
+async fn node_that_becomes_current_answers_before_its_wait_is_over() {
+    const WAIT_MS: u64 = 60_000;
+    let fleet = fleet_with_replica(None);
+    publish(&fleet, 1, CONFIGURATION);
+    let response = fleet.clone().handle(informed_pull(&fleet, WAIT_MS));
+    tokio::pin!(response);
+    assert!((&mut response).now_or_never().is_none(), "nothing to tell");
+    publish_current_at(&fleet, Some(router::clock::now()));
+    fleet.notify_change();
+    let response = tokio::time::timeout(TEST_TIMEOUT, response).await;
+    let response = response.expect("a response before the end of the wait");
+    let Some(Response::Pulled(pulled)) = response.map(|reply| reply.response) else {
+        panic!("no response to a pull")
+    };
+    assert!(pulled.age_ms.is_some(), "{pulled:?}");
+}
+
 /// Guards against routers that keep an old configuration for seconds: the node that they pull from
 /// is partitioned from the other replica nodes, but reports itself as stale only at the end of the
 /// requested wait.
