A connection to a router that is just starting is tried again every 50 ms

Cause of the slow start after a loss of power everywhere: the SYN to a machine without power is lost, and the connection stayed in that attempt for 0.25 s.

Change: a further attempt begins every 50 ms while the earlier ones go on, and the first that ends decides. What is refused fails at once, as before.

Test seen failing before: call_reaches_peer_that_lost_first_syn.

--- a/router/src/links.rs
+++ b/router/src/links.rs
@@ -6,6 +6,8 @@
 use crate::socket;
 use crate::sync::lock;
 use crate::traffic::Traffic;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -18,9 +20,11 @@
 use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::timeout;
 
-/// Time limit for establishing a connection. The SYN to a peer that is just starting is lost, and
-/// the kernel retransmits it only after a second.
+/// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval between attempts to establish a connection, while the earlier ones go on. The SYN to a
+/// peer that is just starting is lost, and the kernel retransmits it only after a second.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(50);
 /// Capacity of a connection's queue. Requests beyond it are dropped.
 const QUEUE_CAPACITY: usize = 256;
 
@@ -99,13 +103,26 @@
     }
 }
 
+/// Connects to a router. A further attempt begins every [`CONNECT_INTERVAL`]; the first one that
+/// ends decides.
+async fn connect(address: SocketAddrV4) -> io::Result<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    let mut next_attempt = tokio::time::interval(CONNECT_INTERVAL);
+    loop {
+        tokio::select! {
+            Some(connected) = attempts.next() => return connected,
+            _ = next_attempt.tick() => attempts.push(TcpStream::connect(address)),
+        }
+    }
+}
+
 async fn run_link(
     address: SocketAddrV4,
     mut queue: mpsc::Receiver<Frame>,
     pending: Pending,
     traffic: Arc<Traffic>,
 ) {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = timeout(CONNECT_TIMEOUT, connect(address)).await;
     if let Ok(Ok(stream)) = connected
         && socket::configure(&stream).is_ok()
     {
--- a/router/tests/links.rs
+++ b/router/tests/links.rs
@@ -10,7 +10,8 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 /// Exceeds any delay on loopback; a test that waits this long has failed.
 const TEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -26,7 +27,10 @@
 
 impl Peer {
     async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Peer::listening(TcpListener::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    fn listening(listener: TcpListener) -> Self {
         let SocketAddr::V4(address) = listener.local_addr().unwrap() else {
             unreachable!()
         };
@@ -194,3 +198,27 @@
     stream.write_all(&[0, 0, 0, 3, 9, 9, 9]).await.unwrap();
     assert_eq!(pending.await.unwrap(), None);
 }
+
+/// Guards against routers that don't reach each other for a quarter of a second after a start of all:
+/// a peer that is just starting loses the SYN, which the kernel retransmits only after a second. The
+/// peer's queue of new connections is full here, so that it loses SYNs as well.
+#[tokio::test]
+async fn call_reaches_peer_that_lost_first_syn() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let peer = Peer::listening(socket.listen(1).unwrap());
+    let mut earlier = Vec::new();
+    while let Ok(connected) = timeout(SHORT_TIMEOUT, TcpStream::connect(peer.address)).await {
+        earlier.push(connected.unwrap());
+    }
+    let links = Arc::new(Links::default());
+    let call = spawn_call(&links, &peer, 7);
+    tokio::time::sleep(SHORT_TIMEOUT).await;
+    for _ in &earlier {
+        peer.connection().await;
+    }
+    let mut stream = peer.connection().await;
+    let (id, version) = peer.receive_call(&mut stream).await;
+    peer.respond(&mut stream, id, version).await;
+    assert_eq!(call.await.unwrap(), Some(7));
+}
