A primary in one of two halves stays, and its half counts its state as the latest

Change: while as many witnesses grant a primary's heartbeats as any majority needs one of (two of four, three of six), no other replica can have become primary, by the argument of the lease. It stays primary without its lease: it acknowledges no change and answers no read, and what it commits is known to be the latest in its half. It steps down once a majority answers and doesn't grant, and after 15 s in any case. With an odd number of witnesses nothing changes.

An injected fault may now violate a second property first (GrantIgnored: ONLY_PRIMARY), so the check runs until the expected one is violated. Halves are cut for 22 s where they were for 13, and no lease is held at any point of it.

--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -229,16 +229,36 @@
     }
 
     fn lease_expires_at(&self, primary: &Primary) -> Millis {
-        let duration = self.timing.lease - self.timing.lease_margin;
+        let duration = self.lease_on_holder();
         self.view()
             .map_or(0, |view| primary.lease.expires_at(view, duration))
     }
 
+    /// The duration of a grant as its holder measures it.
+    fn lease_on_holder(&self) -> Millis {
+        self.timing.lease - self.timing.lease_margin
+    }
+
+    /// Whether this replica is the primary, has synchronized its backups, and no other replica can
+    /// have become primary by `now`. A primary with the lease is; one that lost its majority in an
+    /// even partition is too, for as long as half of the witnesses grant its heartbeats. It
+    /// acknowledges nothing then, and knows that nobody else does.
+    fn is_only_primary(&self, now: Millis) -> bool {
+        let Role::Primary(primary) = &self.role else {
+            return false;
+        };
+        let duration = self.lease_on_holder();
+        let until = self.view().map_or(0, |view| {
+            primary.lease.excludes_others_until(view, duration)
+        });
+        !matches!(primary.stage, Stage::Starting { .. }) && now < until
+    }
+
     /// The last time at which the committed state here was certainly the newest one: this replica
-    /// was the leader then, or the leader confirmed the state by a heartbeat. `None` if neither has
-    /// happened since the start.
+    /// was the only primary then, or the only primary confirmed the state by a heartbeat. `None` if
+    /// neither has happened since the start.
     pub fn current_at(&self, now: Millis) -> Option<Millis> {
-        if self.leading_epoch(now).is_some() {
+        if self.is_only_primary(now) {
             Some(now)
         } else {
             self.current_at
--- a/control/src/node/heartbeats.rs
+++ b/control/src/node/heartbeats.rs
@@ -27,7 +27,7 @@
     /// lease. Returns its sequence number, which the replies carry.
     pub(super) fn send_heartbeats(&mut self, now: Millis) -> u64 {
         let (id, epoch) = (self.id().clone(), self.epoch());
-        let committed = self.leading_epoch(now).map(|_| self.state.position);
+        let committed = self.is_only_primary(now).then_some(self.state.position);
         let is_granted_here = self.witness.grant(&id, epoch, now);
         let others = self.others();
         let Role::Primary(primary) = &mut self.role else {
@@ -86,7 +86,7 @@
     }
 
     /// Records the time of the echo as one at which the state here was current. This replica sent a
-    /// reply at that time, and the primary was still the leader, with the newest state, when the
+    /// reply at that time, and the primary was still the only one, with the newest state, when the
     /// reply arrived.
     fn update_freshness(&mut self, committed: Position, echo: Option<Echo>) {
         let own_echo = echo.filter(|echo| {
@@ -145,16 +145,16 @@
         if self.is_storage_stalled(now) {
             return self.resign("a disk write exceeded the storage time-out", now);
         }
+        self.track_lease(now);
+        let must_resign = self.must_resign(now);
         let Role::Primary(primary) = &self.role else {
             return;
         };
-        let is_settled = now >= primary.since + self.timing.lease;
-        let has_lost_lease = is_settled && now >= self.lease_expires_at(primary);
         if now >= primary.heartbeat_at {
             self.send_heartbeats(now);
             self.retransmit(now);
         }
-        if has_lost_lease {
+        if must_resign {
             // Replicas that still receive messages from this one need not wait for their time-out.
             return self.resign("the lease expired", now);
         }
@@ -164,6 +164,46 @@
         self.replicate_next(now);
     }
 
+    /// Records when the lease was lost.
+    fn track_lease(&mut self, now: Millis) {
+        let Role::Primary(primary) = &self.role else {
+            return;
+        };
+        let is_settled = now >= primary.since + self.timing.lease;
+        let is_lost = is_settled && now >= self.lease_expires_at(primary);
+        if let Role::Primary(primary) = &mut self.role {
+            primary.lease_lost_at = is_lost.then(|| primary.lease_lost_at.unwrap_or(now));
+        }
+    }
+
+    /// Whether this primary has lost its lease and has to step down.
+    ///
+    /// It stays while a majority is out of reach and no other replica can become primary either, so
+    /// that its backups know that their state is the newest. It does not stay for longer than
+    /// [`Timing::minority_timeout`](super::Timing::minority_timeout), as a witness that grants its
+    /// heartbeats may reach a majority that this replica does not reach.
+    fn must_resign(&self, now: Millis) -> bool {
+        let Role::Primary(primary) = &self.role else {
+            return false;
+        };
+        let Some(lost_at) = primary.lease_lost_at else {
+            return false;
+        };
+        !self.is_only_primary(now)
+            || self.has_majority_responded_since(lost_at)
+            || now >= lost_at + self.timing.minority_timeout
+    }
+
+    /// Whether a majority of the witnesses, this replica among them, has sent anything since then.
+    fn has_majority_responded_since(&self, time: Millis) -> bool {
+        let (Role::Primary(primary), Some(view)) = (&self.role, self.view()) else {
+            return false;
+        };
+        let has_responded =
+            |witness: &&ReplicaId| *witness == self.id() || primary.last_contact(witness) > time;
+        view.witnesses.iter().filter(has_responded).count() >= view.majority()
+    }
+
     /// Steps down, where this replica is primary, and releases the lease so that a backup may take
     /// over at once. `cause` is logged.
     pub fn resign(&mut self, cause: &'static str, now: Millis) {
--- a/control/src/node/lease.rs
+++ b/control/src/node/lease.rs
@@ -4,6 +4,10 @@
 //! duration from the sending of the heartbeat, which was earlier. Grants stay valid in later views
 //! of the same primary, as they bind the witness independently of the view; each view counts only
 //! the grants of its own witnesses.
+//!
+//! A majority of grants is the lease. As no majority forms without some member of a blocking set
+//! ([`View::blocking_set`]), the grants of such a set suffice to exclude that another replica has
+//! become primary or acknowledged a change.
 
 use crate::Millis;
 use crate::view::{ReplicaId, View};
@@ -40,18 +44,34 @@
     /// The newest heartbeat such that a majority of the view's witnesses has granted it or a later
     /// one.
     pub(super) fn confirmed_sequence(&self, view: &View) -> Option<u64> {
+        self.sequence_granted_by(view.majority(), view)
+    }
+
+    /// The newest heartbeat such that `count` of the view's witnesses have granted it or a later
+    /// one.
+    fn sequence_granted_by(&self, count: usize, view: &View) -> Option<u64> {
         let witnesses = view.witnesses.iter();
         let mut sequences: Vec<u64> = witnesses
             .filter_map(|witness| self.granted.get(witness).copied())
             .collect();
         sequences.sort_unstable_by(|a, b| b.cmp(a));
-        sequences.get(view.majority() - 1).copied()
+        sequences.get(count - 1).copied()
     }
 
     /// When a lease of `duration` in this view expires; 0 where it is not known to be held.
     pub(super) fn expires_at(&self, view: &View, duration: Millis) -> Millis {
+        self.grants_expire_at(view.majority(), view, duration)
+    }
+
+    /// Until when no other replica can be primary; 0 where that is not known.
+    pub(super) fn excludes_others_until(&self, view: &View, duration: Millis) -> Millis {
+        self.grants_expire_at(view.blocking_set(), view, duration)
+    }
+
+    /// When the first of the newest `count` grants expires, from the sending of its heartbeat.
+    fn grants_expire_at(&self, count: usize, view: &View, duration: Millis) -> Millis {
         let sent_at = self
-            .confirmed_sequence(view)
+            .sequence_granted_by(count, view)
             .and_then(|sequence| self.sent.get(&sequence));
         sent_at.map_or(0, |sent_at| sent_at + duration)
     }
--- a/control/src/node/primary.rs
+++ b/control/src/node/primary.rs
@@ -58,6 +58,8 @@
     pub(super) lease: Lease,
     /// Whether heartbeats were sent since this primary began to lead in its view.
     pub(super) has_announced_lead: bool,
+    /// When the lease was found to have expired, until it is held again.
+    pub(super) lease_lost_at: Option<Millis>,
     pub(super) contacts: BTreeMap<ReplicaId, Contact>,
     pub(super) transfers: BTreeMap<ReplicaId, Transfer>,
     /// Replicas outside the in-sync set that ask to join, with when they last did.
@@ -84,6 +86,7 @@
             leading_since: now,
             lease,
             has_announced_lead: false,
+            lease_lost_at: None,
             contacts,
             transfers: BTreeMap::new(),
             joiners: BTreeMap::new(),
--- a/control/src/node/timing.rs
+++ b/control/src/node/timing.rs
@@ -12,6 +12,9 @@
     pub lease: Millis,
     /// The holder stops this long before its lease expires, to allow for clock drift.
     pub lease_margin: Millis,
+    /// A primary that lost its lease steps down after this time, also where no other replica can
+    /// have become primary.
+    pub minority_timeout: Millis,
     /// Time between two heartbeats of the primary.
     pub heartbeat_interval: Millis,
     /// A replica that does not reply for this long is removed from the in-sync set.
@@ -50,6 +53,7 @@
         Timing {
             lease: 500,
             lease_margin: 100,
+            minority_timeout: 15_000,
             heartbeat_interval: 100,
             replica_timeout: 450,
             replication_timeout: 750,
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -76,6 +76,12 @@
         self.witnesses.len() / 2 + 1
     }
 
+    /// The smallest number of witnesses without which the others are no majority. Of an even number
+    /// of witnesses it is one less than a majority.
+    pub fn blocking_set(&self) -> usize {
+        self.witnesses.len() - self.majority() + 1
+    }
+
     /// The in-sync replicas and the witnesses.
     pub fn participants(&self) -> BTreeSet<ReplicaId> {
         self.in_sync.union(&self.witnesses).cloned().collect()
--- a/control/tests/cut_off.rs
+++ b/control/tests/cut_off.rs
@@ -221,30 +221,48 @@
     }
 }
 
+/// Splits the replicas into two halves. Returns the half without the primary.
+fn split(world: &mut World) -> BTreeSet<String> {
+    let primary = world.primary().expect("a primary");
+    let mut names = world.names();
+    let count = names.len();
+    names.retain(|name| *name != primary);
+    let half: BTreeSet<String> = names.into_iter().take(count / 2).collect();
+    for one in world.names() {
+        for other in world.names() {
+            if half.contains(&one) != half.contains(&other) {
+                world.cut.insert((one.clone(), other));
+            }
+        }
+    }
+    half
+}
+
+/// Whether a machine counted its state as the newest within the last second.
+fn is_current(world: &World, name: &str) -> bool {
+    const MAX_STATE_AGE: u64 = 1_000;
+    world
+        .current_at(name)
+        .is_some_and(|at| world.now < at + MAX_STATE_AGE)
+}
+
 /// The replicas are split into two halves. Neither has a majority, so neither confirms anything.
 #[test]
 fn of_two_halves_neither_confirms_anything() {
     for (count, faults) in [(4, 1), (6, 2)] {
         let mut world = world_with_configuration(4, count, faults);
-        let primary = world.primary().expect("a primary");
-        let mut names = world.names();
-        names.retain(|name| *name != primary);
-        let half: BTreeSet<String> = names.into_iter().take(count / 2).collect();
-        for one in world.names() {
-            for other in world.names() {
-                if half.contains(&one) != half.contains(&other) {
-                    world.cut.insert((one.clone(), other));
-                }
-            }
-        }
+        split(&mut world);
         // Calls in flight at the start of the partition may still be answered.
         world.run(10);
         let mut submitted = Vec::new();
-        for mark in 0..30 {
+        for mark in 0..60 {
             for name in world.names() {
                 submitted.push(call(&mut world, &name, mark));
             }
             world.run(300);
+            if mark > 0 {
+                assert_eq!(world.leader_count(), 0, "a lease without a majority");
+            }
         }
         world.run(REPLY_TIMEOUT);
         submitted
@@ -265,3 +283,49 @@
         world.assert_nothing_lost();
     }
 }
+
+/// Guards against routers that fill their caches anew while the replicas are split into two halves:
+/// neither half can acknowledge anything, and the one with the primary knows that the other can't.
+#[test]
+fn half_with_primary_knows_its_state_to_be_newest() {
+    const MINORITY: u64 = 11_000;
+    for (count, faults) in [(4, 1), (6, 2)] {
+        for seed in 0..5 {
+            let mut world = world_with_configuration(seed, count, faults);
+            let half = split(&mut world);
+            world.run(1_500);
+            for _ in 0..MINORITY / 100 {
+                world.run(100);
+                assert_eq!(world.leader_count(), 0, "a lease without a majority");
+                for name in world.names() {
+                    let expected = !half.contains(&name);
+                    assert_eq!(is_current(&world, &name), expected, "{name} of {count}");
+                }
+            }
+            world.heal();
+            let led = world.run_until(FAILOVER, |world| world.primary().is_some());
+            assert!(led, "no primary after the partition");
+            world.assert_nothing_lost();
+        }
+    }
+}
+
+/// Guards against a group that no longer accepts changes: the primary reaches one of the other
+/// replicas, which grants its heartbeats, and that one reaches all.
+#[test]
+fn primary_without_majority_yields_to_replicas_that_have_one() {
+    let mut world = world_with_configuration(5, 4, 1);
+    let primary = world.primary().expect("a primary");
+    let others = world.names().into_iter().filter(|name| *name != primary);
+    for name in others.skip(1) {
+        world.cut.insert((primary.clone(), name.clone()));
+        world.cut.insert((name, primary.clone()));
+    }
+    world.run(1_000);
+    assert_eq!(world.leader_count(), 0, "the witness in between grants");
+    let timeout = world.timing.minority_timeout + FAILOVER;
+    let led = world.run_until(timeout, |world| world.primary().is_some());
+    assert!(led, "no other primary within {timeout} ms");
+    assert_ne!(world.primary(), Some(primary));
+    world.assert_nothing_lost();
+}
--- a/control/tests/plays.rs
+++ b/control/tests/plays.rs
@@ -19,6 +19,8 @@
 const MAX_FAULT_DELAY: u64 = 400;
 /// The time from the faults to the end of a round, by when all of them are over.
 const ROUND: u64 = 2_600;
+/// The longest time for which a machine is down, frozen or partitioned.
+const LONGEST_CUT: u64 = 2_500;
 /// The time within which there has to be a primary again.
 const FAILOVER: u64 = 6_000;
 /// The time within which every replica has to be in sync again.
@@ -33,6 +35,8 @@
     late: f64,
     /// Whether partitions affect only one direction.
     one_way: bool,
+    /// Whether the group is split into two halves, beside the other faults.
+    is_split: bool,
     /// The longest additional duration of a disk sync.
     slowest_sync: u64,
 }
@@ -66,7 +70,10 @@
         }
     }
 
-    fn inject_faults(&mut self, faults: usize, one_way: bool) {
+    fn inject_faults(&mut self, faults: usize, conditions: Conditions) {
+        if conditions.is_split {
+            self.split();
+        }
         let mut names = self.world.names();
         self.world.rng.shuffle(&mut names);
         let (wiped, others) = names.split_at(faults);
@@ -75,17 +82,31 @@
             self.world.wipe(name, duration);
         }
         for name in others {
-            let duration = self.world.rng.u64(50..2_500);
+            let duration = self.world.rng.u64(50..LONGEST_CUT);
             match self.world.rng.u8(0..5) {
                 0 => self.world.kill(name, duration, false),
                 1 => self.world.kill(name, duration, true),
                 2 => self.world.freeze(name, duration),
-                3 => self.cut(name, duration, one_way),
+                3 => self.cut(name, duration, conditions.one_way),
                 _ => {}
             }
         }
     }
 
+    /// Splits the group into two halves for the longest duration of a partition.
+    fn split(&mut self) {
+        let mut names = self.world.names();
+        self.world.rng.shuffle(&mut names);
+        let (half, others) = names.split_at(names.len() / 2);
+        for one in half {
+            for other in others {
+                self.world.cut.insert((one.clone(), other.clone()));
+                self.world.cut.insert((other.clone(), one.clone()));
+            }
+            self.heals.push((self.world.now + LONGEST_CUT, one.clone()));
+        }
+    }
+
     fn cut(&mut self, name: &str, duration: u64, one_way: bool) {
         self.world.cut_off(name);
         if one_way {
@@ -151,7 +172,7 @@
         self.world.read(&name);
     }
 
-    fn round(&mut self, faults: usize, one_way: bool) {
+    fn round(&mut self, faults: usize, conditions: Conditions) {
         let whole = self.world.run_until(REPAIR, World::is_fully_in_sync);
         assert!(
             whole,
@@ -163,7 +184,7 @@
         let fails_at = started_at + self.world.rng.u64(0..MAX_FAULT_DELAY);
         while self.world.now < fails_at + ROUND {
             if self.world.now == fails_at {
-                self.inject_faults(faults, one_way);
+                self.inject_faults(faults, conditions);
             }
             if self.world.now < started_at + LOAD_DURATION
                 && (self.world.now - started_at) % 60 == 0
@@ -207,7 +228,7 @@
     for seed in first..first + seeds {
         let mut run = Run::new(seed, count, faults, conditions);
         for _ in 0..ROUNDS {
-            run.round(faults, conditions.one_way);
+            run.round(faults, conditions);
         }
         times_to_primary.append(&mut run.times_to_primary);
         let changes = &run.world.acknowledged;
@@ -240,9 +261,18 @@
     loss: 0.03,
     late: 0.02,
     one_way: true,
+    is_split: false,
     slowest_sync: 40,
 };
 
+const SPLIT: Conditions = Conditions {
+    loss: 0.0,
+    late: 0.02,
+    one_way: false,
+    is_split: true,
+    slowest_sync: 10,
+};
+
 #[test]
 fn three_replicas_bear_one_lost_disk_among_other_faults() {
     run_seeds(3, 1, Conditions::default());
@@ -292,3 +322,14 @@
 fn seven_replicas_bear_the_same_with_lost_and_late_messages_and_slow_disks() {
     run_seeds(7, 3, DEGRADED);
 }
+
+/// Of an even number of replicas the primary stays without a majority while the group is split.
+#[test]
+fn four_replicas_bear_the_same_while_split_into_halves() {
+    run_seeds(4, 1, SPLIT);
+}
+
+#[test]
+fn six_replicas_bear_the_same_while_split_into_halves() {
+    run_seeds(6, 2, SPLIT);
+}
--- a/control/tests/view_model/bounds.rs
+++ b/control/tests/view_model/bounds.rs
@@ -4,7 +4,7 @@
 use crate::scenarios::Pattern;
 use crate::state::{
     LEASE, Leading, MACHINES, Message, REPLICATION_FACTOR, Replica, SEEDS, Shared, Stage, State,
-    id, ids, lease_expires_at, numbers,
+    grants_expire_at, id, ids, lease_expires_at, numbers,
 };
 use crate::turn::{Fault, Turn};
 use control::proposer::Intent;
@@ -17,6 +17,8 @@
 pub const ONE_VIEW: &str = "at most one view is decided for each epoch";
 pub const NOTHING_LOST: &str = "a primary has all acknowledged changes";
 pub const ONE_LEASE_HOLDER: &str = "at most one replica holds the lease";
+pub const ONLY_PRIMARY: &str =
+    "no other replica becomes primary while a blocking set grants heartbeats";
 
 /// A transition of the model.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -54,8 +56,10 @@
     pub candidates: BTreeSet<usize>,
     /// Whether a primary may propose other members.
     pub changes_members: bool,
-    /// The number of replicas; only the first three are in the first view.
+    /// The number of replicas.
     pub replicas: usize,
+    /// The number of witnesses of the first view, which are the first replicas.
+    pub witnesses: usize,
     /// The size of the in-sync set of the first view.
     pub in_sync: usize,
     /// Whether decided views are announced; otherwise replicas learn of them by their requests.
@@ -104,6 +108,16 @@
             .collect()
     }
 
+    /// Whether a primary knows that no other replica has become primary.
+    fn is_only_primary(&self, leading: &Leading, state: &State) -> bool {
+        let view = &state.decided[&leading.epoch];
+        let count = match self.fault {
+            Fault::FewerGrantsSuffice => view.blocking_set() - 1,
+            _ => view.blocking_set(),
+        };
+        state.now < grants_expire_at(count, leading, view)
+    }
+
     fn step(&self, state: &State, step: &Step) -> State {
         let action = match step {
             Step::Do(action) => action.clone(),
@@ -275,7 +289,7 @@
             epoch: 1,
             primary: id(0),
             in_sync: ids(0..self.in_sync),
-            witnesses: ids(0..3),
+            witnesses: ids(0..self.witnesses),
         };
         let replica = |at: usize| {
             let votes = Votes {
@@ -438,6 +452,14 @@
                     .filter_map(|replica| replica.leading.as_ref());
                 leading.filter(|leading| holds(leading)).count() <= 1
             }),
+            Property::always(ONLY_PRIMARY, |bounds: &Bounds, state: &State| {
+                let newest = state.decided.values().next_back();
+                let leading = state.replicas.iter().enumerate();
+                leading
+                    .filter_map(|(at, replica)| Some((at, replica.leading.as_ref()?)))
+                    .filter(|(_, leading)| bounds.is_only_primary(leading, state))
+                    .all(|(at, _)| newest.is_some_and(|view| view.primary == id(at)))
+            }),
         ]
     }
 }
--- a/control/tests/view_model/main.rs
+++ b/control/tests/view_model/main.rs
@@ -17,13 +17,14 @@
 mod turn;
 mod walk;
 
-use bounds::{Bounds, NOTHING_LOST, ONE_LEASE_HOLDER, ONE_VIEW};
+use bounds::{Bounds, NOTHING_LOST, ONE_LEASE_HOLDER, ONE_VIEW, ONLY_PRIMARY};
 use scenarios::{
-    abandoned_proposal, delayed_state, founded_again, founded_by_two, founding, joint_changes,
-    lagging, leases, leases_of_new_witnesses, replaced_proposal, restarts, second_incarnation,
-    takeovers, widened,
+    abandoned_proposal, delayed_state, even_partition, founded_again, founded_by_two, founding,
+    joint_changes, lagging, leases, leases_of_new_witnesses, replaced_proposal, restarts,
+    second_incarnation, takeovers, widened,
 };
 use stateright::{Checker, HasDiscoveries, Model};
+use std::collections::BTreeSet;
 use turn::Fault;
 
 /// The number of walks from each scenario, and the most steps of each.
@@ -38,7 +39,7 @@
 /// The most states within which an injected fault has to be found.
 const MAX_STATES_TO_FIND: usize = 3_000_000;
 
-const SCENARIOS: [(&str, Scenario); 13] = [
+const SCENARIOS: [(&str, Scenario); 14] = [
     ("takeovers", takeovers),
     ("restarts", restarts),
     ("second incarnation", second_incarnation),
@@ -46,6 +47,7 @@
     ("abandoned proposal", abandoned_proposal),
     ("replaced proposal", replaced_proposal),
     ("leases", leases),
+    ("even partition", even_partition),
     ("leases of new witnesses", leases_of_new_witnesses),
     ("joint changes", joint_changes),
     ("delayed state", delayed_state),
@@ -55,7 +57,7 @@
 ];
 
 /// Injected faults, each with a scenario that exposes it and the property that it violates.
-const FAULTS: [(Fault, Scenario, &str); 12] = [
+const FAULTS: [(Fault, Scenario, &str); 14] = [
     (Fault::PromiseOverwritten, takeovers, ONE_VIEW),
     (Fault::AcceptedViewIgnored, takeovers, ONE_VIEW),
     (Fault::PromiseNotStored, restarts, ONE_VIEW),
@@ -73,6 +75,8 @@
         ONE_LEASE_HOLDER,
     ),
     (Fault::GrantIgnored, leases, ONE_LEASE_HOLDER),
+    (Fault::GrantIgnored, even_partition, ONLY_PRIMARY),
+    (Fault::FewerGrantsSuffice, even_partition, ONLY_PRIMARY),
     (Fault::DelayedStateInstalled, delayed_state, NOTHING_LOST),
     (Fault::NewDiskVotes, founded_again, ONE_VIEW),
     (Fault::LossAssumed, founded_by_two, ONE_VIEW),
@@ -82,19 +86,19 @@
 struct Checked {
     unique_states: usize,
     states: usize,
-    violated: Option<&'static str>,
+    violated: BTreeSet<&'static str>,
 }
 
-/// Checks until a property is violated, all states within the bounds are explored, or `max_states`
+/// Checks until properties are violated, all states within the bounds are explored, or `max_states`
 /// is reached.
-fn check(bounds: Bounds, max_states: usize) -> Checked {
+fn check(bounds: Bounds, max_states: usize, until: HasDiscoveries) -> Checked {
     let threads = std::thread::available_parallelism().map_or(2, |count| count.get().min(4));
     let checker = bounds
         .checker()
         .threads(threads)
         .target_state_count(max_states);
-    let checker = checker.finish_when(HasDiscoveries::Any).spawn_bfs().join();
-    let violated = checker.discoveries().into_keys().next();
+    let checker = checker.finish_when(until).spawn_bfs().join();
+    let violated = checker.discoveries().into_keys().collect();
     Checked {
         unique_states: checker.unique_state_count(),
         states: checker.state_count(),
@@ -115,14 +119,14 @@
             unique_states,
             states,
             violated,
-        } = check(scenario(Fault::None), max_states);
+        } = check(scenario(Fault::None), max_states, HasDiscoveries::Any);
         let extent = if states < max_states {
             "complete"
         } else {
             "partial"
         };
         println!("{name}: {unique_states} states, {extent}");
-        assert_eq!(violated, None, "{name}");
+        assert_eq!(violated, BTreeSet::new(), "{name}");
     }
 }
 
@@ -133,9 +137,13 @@
             unique_states,
             violated,
             ..
-        } = check(scenario(fault), MAX_STATES_TO_FIND);
-        println!("{fault:?}: found after {unique_states} states");
-        assert_eq!(violated, Some(expected), "{fault:?}");
+        } = check(
+            scenario(fault),
+            MAX_STATES_TO_FIND,
+            HasDiscoveries::AllOf(BTreeSet::from([expected])),
+        );
+        println!("{fault:?}: {violated:?} after {unique_states} states");
+        assert!(violated.contains(expected), "{fault:?}: {violated:?}");
     }
 }
 
--- a/control/tests/view_model/scenarios.rs
+++ b/control/tests/view_model/scenarios.rs
@@ -22,6 +22,7 @@
         candidates: BTreeSet::from([1, 2]),
         changes_members: false,
         replicas: 3,
+        witnesses: 3,
         in_sync: 3,
         announces_decided: false,
         is_own_disk_slow: false,
@@ -185,6 +186,22 @@
     }
 }
 
+/// As [`leases`] with four witnesses, two of which grant the heartbeats of the primary.
+pub fn even_partition(fault: Fault) -> Bounds {
+    let prefix = vec![
+        Step::Do(Action::SendHeartbeat(0)),
+        deliver(Kind::Heartbeat, 1),
+        deliver(Kind::Granted, 0).from(1),
+    ];
+    Bounds {
+        replicas: 4,
+        witnesses: 4,
+        in_sync: 2,
+        prefix,
+        ..leases(fault)
+    }
+}
+
 /// A new machine replaces a witness whose grant the lease depends on.
 pub fn leases_of_new_witnesses(fault: Fault) -> Bounds {
     let swapped = View {
--- a/control/tests/view_model/state.rs
+++ b/control/tests/view_model/state.rs
@@ -234,6 +234,11 @@
 /// The expiry of a primary's lease: a majority of the view's witnesses has granted a heartbeat that
 /// was sent `HOLDER_LEASE` ticks earlier.
 pub fn lease_expires_at(leading: &Leading, view: &View) -> u64 {
+    grants_expire_at(view.majority(), leading, view).max(leading.kept_until)
+}
+
+/// The expiry of `count` grants of the view's witnesses.
+pub fn grants_expire_at(count: usize, leading: &Leading, view: &View) -> u64 {
     let witnesses = numbers(&view.witnesses);
     let granted = leading
         .granted
@@ -241,10 +246,7 @@
         .filter(|(from, _)| witnesses.contains(from));
     let mut sent: Vec<u64> = granted.map(|(_, at)| *at).collect();
     sent.sort_unstable_by(|one, other| other.cmp(one));
-    let granted = sent
-        .get(view.majority() - 1)
-        .map_or(0, |at| at + HOLDER_LEASE);
-    granted.max(leading.kept_until)
+    sent.get(count - 1).map_or(0, |at| at + HOLDER_LEASE)
 }
 
 pub fn id(number: usize) -> ReplicaId {
--- a/control/tests/view_model/turn.rs
+++ b/control/tests/view_model/turn.rs
@@ -34,6 +34,8 @@
     LeaseKeptWithNewWitnesses,
     /// A witness votes for another replica while its grant lasts.
     GrantIgnored,
+    /// A primary considers itself the only one with fewer grants than a blocking set.
+    FewerGrantsSuffice,
     /// A delayed full state replaces changes that were stored since.
     DelayedStateInstalled,
     /// A replica on a new disk votes on the first view.
