--- a/control/src/node.rs
+++ b/control/src/node.rs
@@ -240,9 +240,10 @@
     }
 
     /// Whether this replica is the primary, has synchronized its backups, and no other replica can
-    /// have become primary by `now`. A primary with the lease is; one that lost its majority in an
-    /// even partition is too, for as long as half of the witnesses grant its heartbeats. It
-    /// acknowledges nothing then, and knows that nobody else does.
+    /// have become primary by `now`.
+    ///
+    /// This holds while the primary has the lease. After an even partition it also holds without the
+    /// lease, while half of the witnesses grant the heartbeats: then no replica acknowledges changes.
     fn is_only_primary(&self, now: Millis) -> bool {
         let Role::Primary(primary) = &self.role else {
             return false;
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -798,7 +798,7 @@
             let newest = acknowledged.map_or(0, |(_, index)| *index);
             assert!(
                 index >= newest,
-                "{name} counts change {index} as the newest at {as_of} ms, when {newest} was acknowledged"
+                "{name}: change {index} is no longer the newest at {as_of} ms, but {newest}"
             );
         }
         if let Some(view) = node.view() {
--- a/router/src/proxy/ingress.rs
+++ b/router/src/proxy/ingress.rs
@@ -121,7 +121,7 @@
         let received_at_ms = clock::now();
         let client_timeout = client_timeout(&request);
         let wait = fleet.wait_for_first_confirmation();
-        // Whether it comes in time is told by the configuration.
+        // A time-out is no error: the request is then handled by an unconfirmed configuration.
         let _ = tokio::time::timeout(client_timeout / CONFIRMATION_WAIT_DIVISOR, wait).await;
         let in_use = fleet
             .configuration_for(received_at_ms)
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -171,7 +171,7 @@
         version: u64,
         /// Distinguishes configurations with the same version.
         variant: u64,
-        /// Its rules for requests and tenants.
+        /// Rules of the configuration for requests and tenants.
         policy: Policy,
     },
     /// An announced version of the weights.
