Tests: network and checks of the simulated group stand in files of their own

control/tests/world/mod.rs had grown to 850 lines with three jobs: machines and time, the network between them, and what has to hold after each event.

--- a/control/tests/replication.rs
+++ b/control/tests/replication.rs
@@ -6,7 +6,8 @@
 use assert_matches::assert_matches;
 use control::changes::{Outcome, Rejection};
 use control::message::Message;
-use world::{Interception, World, change, configuration};
+use world::network::Interception;
+use world::{World, change, configuration};
 
 /// Long enough for a lease to expire and another replica to become primary.
 const FAILOVER: u64 = 3_000;
--- a/control/tests/world/mod.rs
+++ b/control/tests/world/mod.rs
@@ -2,17 +2,19 @@
 //! slow, stuck or wiped; machines lose power.
 #![allow(dead_code)] // each test binary uses a part of this module
 
+mod checks;
+pub mod network;
 pub mod orders;
 
+use network::{InFlight, Interceptor};
+
 use control::Millis;
 use control::changes::{Change, Outcome, ReadOutcome};
-use control::configuration::Configuration;
-use control::message::{Envelope, Message};
+use control::message::Envelope;
 use control::node::{ControlNode, Effect, Identity, RoleName, Timing};
 use control::storage::{FORMAT, Record, Recovered, decode, encode};
 use control::view::{ReplicaId, View};
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// A change of the target version of `model`.
@@ -34,8 +36,6 @@
 
 /// The number of machines in the electorate of the first view.
 const SEEDS: usize = 3;
-/// The longest extra delay of a message.
-const LONGEST_DELAY: Millis = 3_000;
 
 struct Write {
     sequence: u64,
@@ -61,22 +61,6 @@
     last_committed: u64,
 }
 
-struct InFlight {
-    at: Millis,
-    envelope: Envelope,
-}
-
-/// The fate of an intercepted message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Interception {
-    Deliver,
-    Drop,
-    /// Held back until [`World::release_held`] is called.
-    Hold,
-}
-
-type Interceptor = Box<dyn Fn(&Envelope) -> Interception>;
-
 pub struct World {
     pub rng: fastrand::Rng,
     pub now: Millis,
@@ -87,7 +71,7 @@
     pub cut: BTreeSet<(String, String)>,
     pub loss: f64,
     pub latency: Millis,
-    /// The fraction of messages that are delayed by up to [`LONGEST_DELAY`].
+    /// The fraction of messages that are delayed by up to seconds.
     pub late: f64,
     /// Called for each message that is sent.
     pub interceptor: Option<Interceptor>,
@@ -305,15 +289,6 @@
         self.machines.get_mut(name).expect("a machine").frozen_until = self.now + duration;
     }
 
-    pub fn cut_off(&mut self, name: &str) {
-        for other in self.names() {
-            if other != name {
-                self.cut.insert((name.to_owned(), other.clone()));
-                self.cut.insert((other, name.to_owned()));
-            }
-        }
-    }
-
     /// Makes all disks work again. Writes that hung are completed.
     pub fn restore_disks(&mut self) {
         for machine in self.machines.values_mut() {
@@ -326,29 +301,6 @@
         }
     }
 
-    /// Intercepts the messages to a machine from now on. Replaces an earlier interceptor.
-    pub fn intercept(&mut self, to: &str, decide: impl Fn(&Message) -> Interception + 'static) {
-        let to = to.to_owned();
-        self.interceptor = Some(Box::new(move |envelope| match envelope.to.node == to {
-            true => decide(&envelope.message),
-            false => Interception::Deliver,
-        }));
-    }
-
-    /// Delivers the messages that were held back and returns their number.
-    pub fn release_held(&mut self) -> usize {
-        let held = std::mem::take(&mut self.held);
-        let count = held.len();
-        let at = self.now + 1;
-        self.in_flight
-            .extend(held.into_iter().map(|envelope| InFlight { at, envelope }));
-        count
-    }
-
-    pub fn heal(&mut self) {
-        self.cut.clear();
-    }
-
     /// The machine whose replica is primary and holds the lease.
     pub fn primary(&self) -> Option<String> {
         let leads = |machine: &Machine| {
@@ -628,43 +580,6 @@
         }
     }
 
-    /// The machine at an address; `None` if it was removed.
-    fn name_of(&self, address: SocketAddrV4) -> Option<&String> {
-        let found = self
-            .machines
-            .iter()
-            .find(|(_, machine)| machine.address == address);
-        found.map(|(name, _)| name)
-    }
-
-    fn deliver(&mut self) {
-        let now = self.now;
-        if !self.in_flight.iter().any(|message| message.at <= now) {
-            return;
-        }
-        let mut due = Vec::new();
-        let mut later = Vec::new();
-        for message in std::mem::take(&mut self.in_flight) {
-            let Some(to) = self.name_of(message.envelope.to.address).cloned() else {
-                continue;
-            };
-            let frozen = self.machines[&to].frozen_until > now;
-            if message.at <= now && !frozen {
-                due.push((to, message.envelope))
-            } else {
-                later.push(message)
-            }
-        }
-        self.in_flight.extend(later);
-        for (to, envelope) in due {
-            let machine = self.machines.get_mut(&to).expect("a machine");
-            if let Some(node) = &mut machine.node {
-                node.receive(envelope, now);
-                self.apply_effects(&to);
-            }
-        }
-    }
-
     /// Applies the effects of a machine's node and checks the invariants.
     fn apply_effects(&mut self, name: &str) {
         let machine = self.machines.get_mut(name).expect("a machine");
@@ -709,142 +624,4 @@
         }
         self.check(name);
     }
-
-    fn send(&mut self, from: &str, envelope: Envelope) {
-        let Some(to) = self.name_of(envelope.to.address).cloned() else {
-            return;
-        };
-        if self.cut.contains(&(from.to_owned(), to.clone())) || self.rng.f64() < self.loss {
-            return;
-        }
-        let intercept = |interceptor: &Interceptor| interceptor(&envelope);
-        match self.interceptor.as_ref().map(intercept) {
-            Some(Interception::Drop) => return,
-            Some(Interception::Hold) => return self.held.push(envelope),
-            Some(Interception::Deliver) | None => {}
-        }
-        let bytes = encode_message(&envelope.message);
-        *self.bytes_sent.entry(to).or_default() += bytes.len() as u64;
-        let transmission = self
-            .bytes_per_ms
-            .map_or(0, |rate| bytes.len() as u64 / rate);
-        let message = decode_message(&bytes);
-        let is_late = self.late > 0.0 && self.rng.f64() < self.late;
-        let delay = if is_late {
-            self.rng.u64(0..=LONGEST_DELAY)
-        } else {
-            self.rng.u64(0..=self.latency)
-        };
-        let at = self.now + self.latency + delay + transmission;
-        self.in_flight.push(InFlight {
-            at,
-            envelope: Envelope {
-                message,
-                ..envelope
-            },
-        });
-    }
-
-    fn acknowledge(&mut self, ticket: u64) {
-        let change = self.submitted[&ticket].clone();
-        if let Change::Configuration { body, .. } = &change {
-            let version = Configuration::parse(body)
-                .expect("an accepted configuration")
-                .version;
-            self.newest_version = self.newest_version.max(version);
-        }
-        self.acknowledged.push(change);
-    }
-
-    /// A read never returns an older version than one that was acknowledged before it.
-    fn check_reading(&self, ticket: u64, reading: &ReadOutcome) {
-        if let ReadOutcome::Latest(configuration) = reading {
-            let read = configuration.as_ref().map_or(0, |stored| stored.version);
-            let newest = self.version_at_read[&ticket];
-            assert!(
-                read >= newest,
-                "{read} was read after {newest} had been acknowledged"
-            );
-        }
-    }
-
-    /// The committed state of a replica never regresses and contains every change that was
-    /// acknowledged by the time as of which the replica counts it as the newest. No two replicas
-    /// commit different states at one index, decide different views for one epoch, or hold the
-    /// lease of one epoch.
-    fn check(&mut self, name: &str) {
-        let now = self.now;
-        let machine = self.machines.get_mut(name).expect("a machine");
-        let Some(node) = &machine.node else { return };
-        let index = node.state().position.index;
-        assert!(
-            index >= machine.last_committed,
-            "{name} regressed from {} to {index}",
-            machine.last_committed
-        );
-        if index != machine.last_committed {
-            let mut digest = DefaultHasher::new();
-            node.state().hash(&mut digest);
-            let digest = digest.finish();
-            let first = *self.committed.entry(index).or_insert(digest);
-            assert_eq!(
-                first, digest,
-                "{name} committed a different state at {index}"
-            );
-        }
-        machine.last_committed = index;
-        if let Some(as_of) = node.current_at(now) {
-            let acknowledged = self.acknowledged_at.range(..=as_of).next_back();
-            let newest = acknowledged.map_or(0, |(_, index)| *index);
-            assert!(
-                index >= newest,
-                "{name}: change {index} is no longer the newest at {as_of} ms, but {newest}"
-            );
-        }
-        if let Some(view) = node.view() {
-            let first = self.views.entry(view.epoch).or_insert_with(|| view.clone());
-            assert_eq!(
-                first, view,
-                "two views were decided for epoch {}",
-                view.epoch
-            );
-        }
-        if let Some(epoch) = node.leading_epoch(now) {
-            let id = node.id().clone();
-            let holder = self.holders.entry(epoch).or_insert_with(|| id.clone());
-            assert_eq!(*holder, id, "two holders in epoch {epoch}");
-        }
-    }
-
-    /// The number of replicas that hold the lease now.
-    pub fn leader_count(&self) -> usize {
-        let leads = |node: &ControlNode| node.leading_epoch(self.now).is_some();
-        self.machines
-            .values()
-            .filter_map(|machine| machine.node.as_ref())
-            .filter(|node| leads(node))
-            .count()
-    }
-
-    /// Asserts that the primary's state contains every acknowledged change.
-    pub fn assert_nothing_lost(&self) {
-        let name = self.primary().expect("a primary");
-        let state = self.machines[&name].node.as_ref().expect("up").state();
-        for change in &self.acknowledged {
-            assert!(
-                state
-                    .evaluate(change)
-                    .is_some_and(|outcome| outcome == Outcome::Committed),
-                "lost: {change:?}"
-            );
-        }
-    }
-}
-
-fn encode_message(message: &Message) -> Vec<u8> {
-    postcard::to_stdvec(message).expect("a message can be encoded")
-}
-
-fn decode_message(bytes: &[u8]) -> Message {
-    postcard::from_bytes(bytes).expect("a message can be decoded")
 }
