--- a/control/tests/world/checks.rs
+++ b/control/tests/world/checks.rs
@@ -1,5 +1,6 @@
-//! What holds in every run: no replica regresses, two replicas never differ, and nothing that was
-//! acknowledged is missing from a state that counts as the newest.
+//! Invariants of the simulated group, checked after each event: no replica regresses, two replicas
+//! never commit different states, and no state that counts as the newest lacks an acknowledged
+//! change.
 
 use super::World;
 use control::changes::{Change, Outcome, ReadOutcome};
--- a/router/tests/pulls.rs
+++ b/router/tests/pulls.rs
@@ -188,7 +188,7 @@
             respond_now(&fleet, pull_request(1, None, 0))
         }
     });
-    // One of both locks is held at any time, so that the responder waits before each use of them.
+    // At any time this test holds one of the two locks, so the responder waits before each lock.
     while !response.is_finished() {
         std::thread::sleep(HELD_UP);
         let directory = fleet.directory.try_lock();
